--- /dev/null
+++ b/packages/node/src/frames.ts
@@ -0,0 +1,72 @@
+/**
+ * Frames between the processes of the fleet: a 4-byte big-endian length, then a `cbor-x` value.
+ *
+ * A frame larger than the limit is refused before anything is decoded.
+ */
+
+import {Buffer} from 'node:buffer';
+import {Decoder, Encoder} from 'cbor-x';
+import {Err, Ok, type Result} from 'ts-results-es';
+
+const lengthBytes = 4;
+
+/** Largest frame that is accepted, in bytes. */
+export const maxFrameBytes = 8_388_608;
+
+const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
+const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+
+/** Encodes a value as `cbor-x` without a length. */
+export const encodeValue = (value: unknown): Buffer => encoder.encode(value);
+
+/** Decodes a value encoded by `encodeValue`. */
+export const decodeValue = (bytes: Uint8Array): Result<unknown, 'undecodable'> => {
+	try {
+		return Ok(decoder.decode(bytes) as unknown);
+	} catch {
+		return Err('undecodable');
+	}
+};
+
+/** Puts the length before `payload`. */
+export const frameBytes = (payload: Uint8Array): Buffer => {
+	const frame = Buffer.allocUnsafe(lengthBytes + payload.length);
+	frame.writeUInt32BE(payload.length, 0);
+	frame.set(payload, lengthBytes);
+	return frame;
+};
+
+/** Why a stream of frames can't be read on. */
+export type FrameError = 'frame-too-large';
+
+/** Cuts a stream of bytes into frames. */
+export type FrameReader = {
+	/** Takes the next bytes of the stream and returns the payloads that became whole. */
+	readonly push: (bytes: Uint8Array) => Result<readonly Buffer[], FrameError>;
+};
+
+/** Creates a reader that refuses frames of more than `limitBytes`. */
+export const createFrameReader = (limitBytes = maxFrameBytes): FrameReader => {
+	let pending: Buffer = Buffer.alloc(0);
+	return {
+		push(bytes) {
+			pending = pending.length === 0 ? Buffer.from(bytes) : Buffer.concat([pending, bytes]);
+			const payloads: Buffer[] = [];
+			while (pending.length >= lengthBytes) {
+				const length = pending.readUInt32BE(0);
+				if (length > limitBytes) {
+					return Err('frame-too-large');
+				}
+
+				if (pending.length < lengthBytes + length) {
+					break;
+				}
+
+				payloads.push(pending.subarray(lengthBytes, lengthBytes + length));
+				pending = pending.subarray(lengthBytes + length);
+			}
+
+			return Ok(payloads);
+		},
+	};
+};
--- /dev/null
+++ b/packages/node/src/http.ts
@@ -0,0 +1,40 @@
+/** Small helpers round Node's HTTP server. */
+
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import type {AddressInfo, Server} from 'node:net';
+
+/** Answers with a JSON body. */
+export const sendJson = (response: http.ServerResponse, statusCode: number, body: unknown): void => {
+	const text = JSON.stringify(body);
+	response.writeHead(statusCode, {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(text),
+	});
+	response.end(text);
+};
+
+/** Resolves with the bound port once `server` listens on `address`; rejects when it can't. */
+export const listen = async (server: Server, port: number, address: string): Promise<number> => new Promise((resolve, reject) => {
+	server.once('error', reject);
+	server.listen(port, address, () => {
+		server.off('error', reject);
+		resolve((server.address() as AddressInfo).port);
+	});
+});
+
+/** Reads a request's body as JSON; rejects above `limitBytes` or when it is no JSON. */
+export const readJson = async (request: http.IncomingMessage, limitBytes: number): Promise<unknown> => {
+	const chunks: Buffer[] = [];
+	let sizeBytes = 0;
+	for await (const chunk of request as AsyncIterable<Buffer>) {
+		sizeBytes += chunk.length;
+		if (sizeBytes > limitBytes) {
+			throw new RangeError(`The body is larger than ${limitBytes} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+};
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,20 @@
+/** Sockets, frames, settings, logs and metrics round the core. */
+
+export {createProcessClock} from './clock.ts';
+export {loadSettings, resolveConfig} from './settings.ts';
+export type {SettingsIssue} from './settings.ts';
+export {createLogger} from './logger.ts';
+export type {Logger} from './logger.ts';
+export {
+	createFrameReader, decodeValue, encodeValue, frameBytes, maxFrameBytes,
+} from './frames.ts';
+export type {FrameError, FrameReader} from './frames.ts';
+export {createSealer} from './seal.ts';
+export type {Sealer} from './seal.ts';
+export {createConnection, dial} from './connection.ts';
+export type {Connection, ConnectionHandlers, DialOptions} from './connection.ts';
+export {listen, readJson, sendJson} from './http.ts';
+export {createOperatorServer} from './operator.ts';
+export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
+export {onShutdownSignal} from './shutdown.ts';
+export {runDaemon} from './main.ts';
--- /dev/null
+++ b/packages/node/src/logger.ts
@@ -0,0 +1,31 @@
+/** Logs as JSON lines on standard error. */
+
+import process from 'node:process';
+import {type ConsolaInstance, createConsola} from 'consola';
+
+/** A logger; the first argument is the message, the second an object of fields. */
+export type Logger = Pick<ConsolaInstance, 'debug' | 'error' | 'info' | 'warn'>;
+
+const defaultLevel = 3;
+
+/** Creates a logger whose lines carry `program` and `hostId`. */
+export const createLogger = (program: string, hostId: string, level = defaultLevel): Logger =>
+	createConsola({
+		level,
+		reporters: [
+			{
+				log(entry) {
+					const [message, fields] = entry.args as [unknown, unknown];
+					const line = {
+						time: entry.date.toISOString(),
+						level: entry.type,
+						program,
+						hostId,
+						message: String(message),
+						...(typeof fields === 'object' && fields),
+					};
+					process.stderr.write(`${JSON.stringify(line)}\n`);
+				},
+			},
+		],
+	});
--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,29 @@
+/** Starts a daemon from the settings file named on its command line. */
+
+import process from 'node:process';
+import type {z} from 'zod';
+import {loadSettings} from './settings.ts';
+
+const usageExitCode = 2;
+
+/** Checks the settings of `program` and hands them to `start`; ends the process with a clear line when they do not fit. */
+export const runDaemon = async <T>(program: string, schema: z.ZodType<T>, start: (settings: T) => Promise<void>): Promise<void> => {
+	const [file, ...rest] = process.argv.slice(2);
+	if (file === undefined || file.startsWith('-') || rest.length > 0) {
+		process.stderr.write(`usage: ${program} SETTINGS.json\n`);
+		process.exitCode = usageExitCode;
+		return;
+	}
+
+	const settings = loadSettings(schema, file);
+	if (settings.isErr()) {
+		for (const {field, message} of settings.error) {
+			process.stderr.write(`${program}: ${field === '' ? '' : `${file}: ${field}: `}${message}\n`);
+		}
+
+		process.exitCode = usageExitCode;
+		return;
+	}
+
+	await start(settings.value);
+};
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,32 @@
+/** Reads and checks the settings file of a daemon. */
+
+import {readFileSync} from 'node:fs';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {z} from 'zod';
+
+/** Why settings were refused. */
+export type SettingsIssue = {
+	/** Dotted path of the setting; empty for the file itself. */
+	readonly field: string;
+	/** What is wrong and what would be right. */
+	readonly message: string;
+};
+
+/** Checks parsed settings against `schema`, naming every field that does not fit. */
+export const resolveConfig = <T>(schema: z.ZodType<T>, written: unknown): Result<T, readonly SettingsIssue[]> => {
+	const parsed = schema.safeParse(written);
+	if (parsed.success) {
+		return Ok(parsed.data);
+	}
+
+	return Err(parsed.error.issues.map(issue => ({field: issue.path.join('.'), message: issue.message})));
+};
+
+/** Reads `file` as JSON and checks it against `schema`. */
+export const loadSettings = <T>(schema: z.ZodType<T>, file: string): Result<T, readonly SettingsIssue[]> => {
+	try {
+		return resolveConfig(schema, JSON.parse(readFileSync(file, 'utf8')));
+	} catch (error) {
+		return Err([{field: '', message: `${file}: ${error instanceof Error ? error.message : String(error)}`}]);
+	}
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,6 +26,13 @@
 			// The customary short names of the field and of Node.
 			'unicorn/prevent-abbreviations': 'off',
 			'unicorn/name-replacements': 'off',
+			// Sockets, HTTP and HMACs of Node deliver and take Buffer.
+			'@typescript-eslint/no-restricted-types': 'off',
+			// Messages are told apart by their `type` before they are read.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Event listeners may be async where they handle their own errors.
+			'@typescript-eslint/strict-void-return': 'off',
+			'@typescript-eslint/no-misused-promises': ['error', {checksVoidReturn: false}],
 		},
 	},
 	{
