feat: thin path through agent, entry and caller's library

Cause: a request must pass through our own processes before anything is decided well. The agent follows the platform's feeds and feeds its entry; the entry matches routes, picks the less loaded of two instances and streams; the client locates, keeps the answer and sends again where that is safe.

--- /dev/null
+++ b/packages/agent/src/locate.ts
@@ -0,0 +1,50 @@
+/** Answers callers that ask which entry hosts to use. */
+
+import http from 'node:http';
+import type {FleetMember, LocateAnswer} from '@egretwing/core';
+import {listen, sendJson} from '@egretwing/node';
+
+/** What the answers are made from. */
+export type LocateOptions = {
+	readonly address: string;
+	readonly port: number;
+	readonly keepMs: number;
+	/** Entry hosts for `service` in the order in which a caller should try them. */
+	readonly entriesFor: (service: string) => readonly FleetMember[];
+};
+
+/** Callers' locate interface. */
+export type LocateServer = {
+	readonly port: number;
+	readonly close: () => void;
+};
+
+const createAnswer = (service: string, options: LocateOptions): LocateAnswer => ({
+	service,
+	entries: options.entriesFor(service).map(({host, incarnation}) => ({
+		hostId: host.hostId, address: host.address, port: host.entryPort, dataCentre: host.dataCentre, incarnation,
+	})),
+	keepMs: options.keepMs,
+});
+
+/** Starts `GET /v1/locate?service=NAME`. */
+export const createLocateServer = async (options: LocateOptions): Promise<LocateServer> => {
+	const server = http.createServer((request, response) => {
+		const url = new URL(request.url ?? '/', 'http://locate');
+		if (url.pathname !== '/v1/locate') {
+			sendJson(response, 404, {error: `unknown path ${url.pathname}`});
+			return;
+		}
+
+		const answer = createAnswer(url.searchParams.get('service') ?? '', options);
+		sendJson(response, answer.entries.length === 0 ? 503 : 200, answer);
+	});
+	const port = await listen(server, options.port, options.address);
+	return {
+		port,
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,9 @@
+/** A caller's library: locate, keep the answer, send, send again safely. */
+
+export {createClient, resolveConfig} from './client.ts';
+export type {Client} from './client.ts';
+export {createLocator} from './locate.ts';
+export type {Locator} from './locate.ts';
+export type {
+	ClientOptions, ClientRequest, ClientResult, LocateAddress,
+} from './types.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,3 +17,6 @@
 } from './config/types.ts';
 export {messageVersion} from './messages/types.ts';
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
+export {createRouteTable} from './routing/route-table.ts';
+export type {RouteTable} from './routing/route-table.ts';
+export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,94 @@
+/** Puts the entry together: session with the agent, pipeline, callers' listener, operators' interface. */
+
+import http from 'node:http';
+import {createRandom, hashText} from '@egretwing/core';
+import {
+	createLogger, createOperatorServer, createProcessClock, listen,
+} from '@egretwing/node';
+import {createAgentLink} from './agent-link.ts';
+import {createAttempts} from './attempt.ts';
+import {createEntryMetrics} from './metrics.ts';
+import {createPipeline} from './pipeline.ts';
+import {createSelection} from './selection.ts';
+import type {EntrySettings} from './settings.ts';
+import {createView} from './view.ts';
+
+/** A running entry. */
+export type Entry = {
+	/** Port that callers connect to. */
+	readonly port: number;
+	readonly operatorPort: number;
+	/** Stops accepting, lets requests in flight end, then closes everything. */
+	readonly shutdown: () => Promise<void>;
+};
+
+const closeServer = async (server: http.Server): Promise<void> => new Promise(resolve => {
+	server.close(() => {
+		resolve();
+	});
+	server.closeIdleConnections();
+});
+
+/** Starts an entry; rejects when an address can't be bound. */
+export const startEntry = async (settings: EntrySettings): Promise<Entry> => {
+	const {hostId} = settings;
+	const logger = createLogger('egretwing-entry', hostId, settings.logLevel);
+	const clock = createProcessClock();
+	const incarnation = Date.now();
+	const metrics = createEntryMetrics();
+	const view = createView();
+	const attempts = createAttempts();
+	const selection = createSelection(view, createRandom(hashText(`${hostId}/${incarnation}`)));
+	const servePipeline = createPipeline({
+		clock, view, selection, attempts, metrics,
+	});
+	const server = http.createServer({
+		keepAliveTimeout: settings.headersTimeoutMs,
+		headersTimeout: settings.headersTimeoutMs,
+		maxHeaderSize: settings.maxHeaderBytes,
+		requestTimeout: 0,
+	}, async (incoming, response) => {
+		try {
+			await servePipeline(incoming, response);
+		} catch (error) {
+			logger.error('request failed', {error: String(error)});
+			response.destroy();
+		}
+	});
+	const port = await listen(server, settings.entryPort, settings.address);
+	const operator = await createOperatorServer({
+		address: settings.operatorAddress,
+		port: settings.operatorPort,
+		registry: metrics.registry,
+		handle: (_method, url) => url.pathname === '/v1/status'
+			? {
+				program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
+				services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
+			}
+			: undefined,
+	});
+	const link = createAgentLink({
+		address: settings.agentAddress,
+		port: settings.agentPort,
+		hostId,
+		incarnation,
+		logger,
+		onMessage(message) {
+			view.apply(message);
+			metrics.configRevision.set(view.revision());
+		},
+	});
+	logger.info('entry listens', {address: settings.address, port, operatorPort: operator.port});
+	return {
+		port,
+		operatorPort: operator.port,
+		async shutdown() {
+			link.send({type: 'draining', version: 1});
+			await closeServer(server);
+			await attempts.close();
+			link.close();
+			operator.close();
+			logger.info('entry stopped');
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+/** The data path of the fleet, for embedding and tests. */
+
+export {startEntry} from './entry.ts';
+export type {Entry} from './entry.ts';
+export {entrySettingsSchema} from './settings.ts';
+export type {EntrySettings} from './settings.ts';
--- /dev/null
+++ b/packages/entry/src/request.ts
@@ -0,0 +1,82 @@
+/** A caller's request as the stages of the pipeline see it. */
+
+import type http from 'node:http';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {ErrorKind, RouteRecord, ServiceRecord} from '@egretwing/core';
+import {
+	deadlineHeader, firstSendHeader, idempotencyKeyHeader, workspaceHeader,
+} from './constants.ts';
+import type {View} from './view.ts';
+
+/** A request that has a route. */
+export type CallerRequest = {
+	readonly method: string;
+	/** Path with its query, as sent. */
+	readonly target: string;
+	readonly path: string;
+	readonly route: RouteRecord;
+	readonly service: ServiceRecord;
+	/** Empty for callers that name none. */
+	readonly workspace: string;
+	readonly idempotencyKey: string | undefined;
+	readonly firstSend: boolean;
+	readonly receivedAtMs: number;
+	readonly deadlineAtMs: number;
+	readonly hasBody: boolean;
+	readonly incoming: http.IncomingMessage;
+};
+
+const headerText = (incoming: http.IncomingMessage, name: string): string | undefined => {
+	const value = incoming.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+};
+
+const deadlineOf = (incoming: http.IncomingMessage, service: ServiceRecord, nowMs: number): Result<number, ErrorKind> => {
+	const written = headerText(incoming, deadlineHeader);
+	if (written === undefined) {
+		return Ok(nowMs + service.requestTimeoutMs);
+	}
+
+	const leftMs = Number(written);
+	if (!Number.isFinite(leftMs) || leftMs < 0) {
+		return Err('malformed-request');
+	}
+
+	return Ok(nowMs + Math.min(leftMs, service.requestTimeoutMs));
+};
+
+/** Finds route, service and deadline of an inbound request; the error says how to refuse it. */
+export const readRequest = (incoming: http.IncomingMessage, view: View, nowMs: number): Result<CallerRequest, ErrorKind> => {
+	if (!view.ready()) {
+		return Err('not-ready');
+	}
+
+	const method = incoming.method ?? 'GET';
+	const target = incoming.url ?? '/';
+	const [path = '/'] = target.split('?', 1);
+	const route = view.routes().match(method, path);
+	const service = route && view.service(route.service);
+	if (!route || !service) {
+		return Err('no-route');
+	}
+
+	if (Number(incoming.headers['content-length'] ?? 0) > route.maxBodyBytes) {
+		return Err('request-too-large');
+	}
+
+	const deadline = deadlineOf(incoming, service, nowMs);
+	return deadline.map(deadlineAtMs => ({
+		method,
+		target,
+		path,
+		route,
+		service,
+		workspace: headerText(incoming, workspaceHeader) ?? '',
+		idempotencyKey: headerText(incoming, idempotencyKeyHeader),
+		firstSend: headerText(incoming, firstSendHeader) === 'true',
+		receivedAtMs: nowMs,
+		deadlineAtMs,
+		hasBody: incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined,
+		incoming,
+	}));
+};
