--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,4 @@
+/** Parts of the command line that others may embed. */
+
+export {checkFile} from './check.ts';
+export type {Finding} from './check.ts';
