--- a/packages/cli/test/check.test.ts
+++ b/packages/cli/test/check.test.ts
@@ -12,10 +12,7 @@
 };
 
 describe('checkFile', () => {
-	let folder = '';
-	before(() => {
-		folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-check-'));
-	});
+	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-check-'));
 	after(() => {
 		rmSync(folder, {recursive: true});
 	});
