feat(cli): bench sends open-loop load, direct and through the fleet

Cause: latency must be counted from the moment a request was due, and direct and fleet compared within one run.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 
 import process from 'node:process';
 import {Builtins, Cli} from 'clipanion';
+import {BenchCommand} from './commands/bench.ts';
 import {CheckCommand} from './commands/check.ts';
 import {DrainCommand} from './commands/drain.ts';
 import {ExplainCommand} from './commands/explain.ts';
@@ -11,6 +12,7 @@
 const cli = new Cli({binaryLabel: 'egretwing', binaryName: 'egretwing', binaryVersion: '0.1.0'});
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
+cli.register(BenchCommand);
 cli.register(CheckCommand);
 cli.register(StatusCommand);
 cli.register(ExplainCommand);
