feat(core): configuration store, exchange between agents, and placement

Changes are pushed to four random peers and gaps mended by a two-level digest comparison.

Ruled out: comparing whole lists of revisions (110,000 routes cost megabytes for one difference).

--- /dev/null
+++ b/packages/core/src/naive/placement.ts
@@ -0,0 +1,19 @@
+/** The plain reference for placement: compares every pair of entries. */
+
+import {entriesPerDataCentre, type PlacementEntry, type ServiceSize} from '../placement/placement.ts';
+import {rankNodes} from '../placement/rendezvous.ts';
+
+/** Counts, for each usable entry, the usable ones of its data centre that beat it; placed are those with few. */
+export const naivePlaceService = (size: ServiceSize, entries: readonly PlacementEntry[]): ReadonlySet<string> => {
+	const usable = entries.filter(entry => entry.usable);
+	const beats = (left: PlacementEntry, right: PlacementEntry): boolean => {
+		const nodes = [left, right].map(({hostId, weight}) => ({id: hostId, weight}));
+		return rankNodes(size.service, nodes, 1)[0]!.id === left.hostId;
+	};
+
+	const placed = usable.filter(entry => {
+		const rivals = usable.filter(other => other !== entry && other.dataCentre === entry.dataCentre);
+		return rivals.filter(rival => beats(rival, entry)).length < entriesPerDataCentre(size);
+	});
+	return new Set(placed.map(({hostId}) => hostId));
+};
--- /dev/null
+++ b/packages/core/src/relay/sync.ts
@@ -0,0 +1,206 @@
+/** Passes configuration on between agents: push of changes, comparison of digests to mend gaps, and the start. */
+
+import {bucketsPerGroup} from '../config/digest.ts';
+import type {ConfigStore, MergeReport} from '../config/store.ts';
+import type {Random} from '../random.ts';
+import {createRecordMessages, maxTextBytes} from './messages.ts';
+import {createReadiness} from './readiness.ts';
+import type {ConfigMessage, ConfigSend} from './types.ts';
+
+/** Settings of the exchange. */
+export type ConfigSyncConfig = {
+	/**
+	 * Peers that a change is pushed to by each agent that learns of it.
+	 * @default 4
+	 */
+	readonly pushFanout?: number;
+	/**
+	 * Time between two comparisons with a random peer.
+	 * @default 1000
+	 */
+	readonly compareIntervalMs?: number;
+	/**
+	 * Peers an agent that starts compares with before it is ready.
+	 * @default 3
+	 */
+	readonly startPeers?: number;
+	/**
+	 * Longest wait for peers or the service at the start, while some configuration is held.
+	 * @default 2000
+	 */
+	readonly startWaitMs?: number;
+};
+
+/** What the exchange needs from its surroundings. */
+export type ConfigSyncOptions = {
+	readonly store: ConfigStore;
+	readonly random: Random;
+	/** Host ids of the peers believed alive, without this host. */
+	readonly peers: () => readonly string[];
+	readonly nowMs: number;
+	readonly config?: ConfigSyncConfig;
+};
+
+/** What changed and what has to be sent. */
+export type SyncStep = {
+	readonly sends: readonly ConfigSend[];
+	/** The merge, when records arrived. */
+	readonly report?: MergeReport;
+};
+
+/** The exchange of configuration of one agent. */
+export type ConfigSync = {
+	/** Records read from the service; `complete` when it had no more to give. */
+	readonly receiveFeed: (written: readonly unknown[], complete: boolean) => SyncStep;
+	/** The service did not answer, or this agent leaves it to the relays. */
+	readonly feedSkipped: () => void;
+	readonly receive: (from: string, message: ConfigMessage) => SyncStep;
+	readonly tick: (nowMs: number) => SyncStep;
+	/** True once this agent holds a whole configuration; stays true. */
+	readonly isReady: () => boolean;
+};
+
+const defaults = {
+	pushFanout: 4, compareIntervalMs: 1000, startPeers: 3, startWaitMs: 2000,
+} as const;
+
+/** Time between two comparisons while the agent is not ready. */
+const startIntervalMs = 100;
+
+const pickRandom = (items: readonly string[], count: number, random: Random): readonly string[] => {
+	const rest = [...items];
+	const picked: string[] = [];
+	while (picked.length < count && rest.length > 0) {
+		picked.push(...rest.splice(Math.floor(random.next() * rest.length), 1));
+	}
+
+	return picked;
+};
+
+const differingIndexes = (own: readonly number[], other: readonly number[]): readonly number[] =>
+	own.flatMap((digest, index) => digest === other[index] ? [] : [index]);
+
+/** Creates the exchange of one agent around its store. */
+export const createConfigSync = (options: ConfigSyncOptions): ConfigSync => {
+	const {store, random, peers} = options;
+	const config = {...defaults, ...options.config};
+	const readiness = createReadiness({
+		startPeers: config.startPeers, startWaitMs: config.startWaitMs, nowMs: options.nowMs,
+	});
+	let nextCompareMs = options.nowMs;
+
+	const compareWith = (peer: string): ConfigSend => ({
+		to: peer,
+		message: {
+			type: 'config-root', root: store.rootDigest(), size: store.size(), ready: readiness.isReady(),
+		},
+	});
+
+	/** Large changes are announced only: the peer compares and fetches what it lacks. */
+	const pushTo = (peer: string, texts: readonly string[], length: number): ConfigSend =>
+		length > maxTextBytes ? compareWith(peer) : {to: peer, message: {type: 'config-push', texts}};
+
+	/** An agent that is not ready learns old records, which are no news to its peers. */
+	const pushChanges = ({changedTexts}: MergeReport, except?: string): readonly ConfigSend[] => {
+		if (changedTexts.length === 0 || !readiness.isReady()) {
+			return [];
+		}
+
+		const length = changedTexts.reduce((sum, text) => sum + text.length, 0);
+		const candidates = peers().filter(peer => peer !== except);
+		return pickRandom(candidates, config.pushFanout, random).map(peer => pushTo(peer, changedTexts, length));
+	};
+
+	const answerRecords = (from: string, buckets: readonly number[], wanted: readonly number[]): SyncStep => {
+		const texts = buckets.flatMap(bucket => store.bucketTexts(bucket));
+		const messages = createRecordMessages(texts, wanted, readiness.isReady());
+		return {sends: messages.map(message => ({to: from, message}))};
+	};
+
+	const answerRoot = (from: string, message: ConfigMessage & {type: 'config-root'}): SyncStep => {
+		const same = message.root === store.rootDigest() && message.size === store.size();
+		if (!same) {
+			return {sends: [{to: from, message: {type: 'config-groups', digests: store.groupDigests()}}]};
+		}
+
+		readiness.notePeer(from, message.ready);
+		return {sends: [{to: from, message: {type: 'config-same', ready: readiness.isReady()}}]};
+	};
+
+	const answerGroups = (from: string, digests: readonly number[]): SyncStep => {
+		const groups = differingIndexes(store.groupDigests(), digests)
+			.map(group => ({group, digests: store.bucketDigests(group)}));
+		return {sends: [{to: from, message: {type: 'config-buckets', groups}}]};
+	};
+
+	const answerBuckets = (from: string, message: ConfigMessage & {type: 'config-buckets'}): SyncStep => {
+		const buckets = message.groups.flatMap(({group, digests}) =>
+			differingIndexes(store.bucketDigests(group), digests).map(index => (group * bucketsPerGroup) + index));
+		return answerRecords(from, buckets, buckets);
+	};
+
+	const receiveRecords = (from: string, message: ConfigMessage & {type: 'config-records'}): SyncStep => {
+		const report = store.mergeTexts(message.texts);
+		if (message.last) {
+			readiness.notePeer(from, message.ready);
+		}
+
+		const answer = message.wanted.length > 0 ? answerRecords(from, message.wanted, []).sends : [];
+		return {report, sends: [...answer, ...pushChanges(report, from)]};
+	};
+
+	return {
+		receiveFeed(written, complete) {
+			const report = store.merge(written);
+			readiness.noteFeed(complete ? 'complete' : 'reading');
+			return {report, sends: pushChanges(report)};
+		},
+		feedSkipped() {
+			readiness.noteFeed('skipped');
+		},
+		receive(from, message) {
+			switch (message.type) {
+				case 'config-push': {
+					const report = store.mergeTexts(message.texts);
+					return {report, sends: pushChanges(report, from)};
+				}
+
+				case 'config-root': {
+					return answerRoot(from, message);
+				}
+
+				case 'config-same': {
+					readiness.notePeer(from, message.ready);
+					return {sends: []};
+				}
+
+				case 'config-groups': {
+					return answerGroups(from, message.digests);
+				}
+
+				case 'config-buckets': {
+					return answerBuckets(from, message);
+				}
+
+				case 'config-records': {
+					return receiveRecords(from, message);
+				}
+			}
+		},
+		tick(nowMs) {
+			const live = peers();
+			readiness.update(nowMs, live.length, store.size());
+			if (nowMs < nextCompareMs) {
+				return {sends: []};
+			}
+
+			const isStarting = !readiness.isReady();
+			const spread = 0.5 + random.next();
+			nextCompareMs = nowMs + (isStarting ? startIntervalMs : config.compareIntervalMs * spread);
+			const candidates = isStarting ? live.filter(peer => !readiness.hasAnswered(peer)) : live;
+			const targets = pickRandom(candidates.length > 0 ? candidates : live, 1, random);
+			return {sends: targets.map(peer => compareWith(peer))};
+		},
+		isReady: readiness.isReady,
+	};
+};
