feat(core): membership of entry hosts by SWIM with confirmation

Ruled out: taking the later start at the same address for the successor (needs clocks of two hosts); a host answers only for itself instead.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,19 @@
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
 export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
+export {createConfigStore} from './config/store.ts';
+export type {
+	ConfigStore, MergeReport, RefusedRecord, StoreCounters,
+} from './config/store.ts';
+export {createConfigSync} from './relay/sync.ts';
+export type {ConfigSync, ConfigSyncConfig, SyncStep} from './relay/sync.ts';
+export {selectRelays} from './relay/select.ts';
+export type {ConfigMessage, ConfigSend} from './relay/types.ts';
+export {createMembership} from './membership/membership.ts';
+export type {Membership, PeerAddress} from './membership/membership.ts';
+export type {
+	EntryState, MemberMessage, MemberSend, MemberStatus, MembershipCounters, MemberUpdate, MemberView,
+} from './membership/types.ts';
+export {entriesPerDataCentre, orderForCaller, placeService} from './placement/placement.ts';
+export type {PlacementConfig, PlacementEntry, ServiceSize} from './placement/placement.ts';
+export {rankNodes} from './placement/rendezvous.ts';
--- /dev/null
+++ b/packages/core/test/support/member-fleet.ts
@@ -0,0 +1,107 @@
+/** A fleet of memberships on a manual clock and an in-memory network. */
+
+import {createMembership, type Membership} from '../../src/membership/membership.ts';
+import type {MemberMessage, MemberSend} from '../../src/membership/types.ts';
+import type {EntryHost} from '../../src/platform/types.ts';
+import {createRandom} from '../../src/random.ts';
+import {createNetwork} from './network.ts';
+
+const stepMs = 10;
+const tickMs = 50;
+
+export type FleetOptions = {
+	readonly count: number;
+	readonly seed: number;
+	readonly lossShare?: number;
+	/** Host list as published; all hosts unless given. */
+	readonly listed?: (hosts: readonly EntryHost[]) => readonly EntryHost[];
+};
+
+export const createHost = (index: number, hostId = `e${index}`): EntryHost => ({
+	role: 'entry', hostId, address: `a${index}`, region: 'ga-north', dataCentre: `dc-${index % 3}`, state: 'live', entryPort: 1, locatePort: 2, peerPort: 3,
+});
+
+/** Addresses are the nodes of the network; at most one process runs at each. */
+export const createMemberFleet = ({count, seed, lossShare = 0, listed = hosts => hosts}: FleetOptions) => {
+	const random = createRandom(seed);
+	const network = createNetwork<MemberMessage>(random, {lossShare});
+	const agents = new Map<string, {readonly host: EntryHost; readonly membership: Membership; readonly offsetMs: number}>();
+	let nowMs = 0;
+	let bytes = 0;
+
+	const apply = (address: string, sends: readonly MemberSend[]) => {
+		for (const {to, message} of sends) {
+			bytes += JSON.stringify(message).length;
+			network.send(address, to.address, message, nowMs);
+		}
+	};
+
+	const allHosts = Array.from({length: count}, (_, index) => createHost(index));
+	const startHost = (host: EntryHost, hosts = listed(allHosts)) => {
+		const membership = createMembership({
+			self: host, incarnation: nowMs + 1, random, nowMs,
+		});
+		membership.setHostList(hosts);
+		network.start(host.address);
+		agents.set(host.address, {host, membership, offsetMs: Math.floor(random.next() * tickMs / stepMs) * stepMs});
+		apply(host.address, membership.setEntry('up', nowMs + 1, nowMs));
+	};
+
+	for (const host of allHosts) {
+		startHost(host);
+	}
+
+	const step = () => {
+		nowMs += stepMs;
+		network.deliver(nowMs, ({from, to, message}) => {
+			const sender = agents.get(from)!.host;
+			apply(to, agents.get(to)?.membership.receive(sender, message, nowMs) ?? []);
+		});
+		for (const [address, {membership, offsetMs}] of agents) {
+			if (network.isRunning(address) && (nowMs + offsetMs) % tickMs === 0) {
+				apply(address, membership.tick(nowMs));
+			}
+		}
+	};
+
+	const run = (durationMs: number, check?: () => void) => {
+		for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+			step();
+			check?.();
+		}
+	};
+
+	const running = () => [...agents].filter(([address]) => network.isRunning(address)).map(([, agent]) => agent);
+	const usableAt = (agent: {readonly membership: Membership}) =>
+		new Set(agent.membership.members().filter(member => member.usable).map(member => member.host.hostId));
+
+	return {
+		agents, network, run, startHost, apply, running, usableAt,
+		nowMs: () => nowMs,
+		bytes: () => bytes,
+		/** Number of running agents whose answers would name `hostId`. */
+		namedBy: (hostId: string) => running().filter(agent => usableAt(agent).has(hostId)).length,
+		/** Time until no running agent but those at `except` names `hostId`; undefined if that takes longer than `limitMs`. */
+		timeUntilUnnamed(hostId: string, limitMs: number, except: readonly string[] = []) {
+			const startMs = nowMs;
+			const naming = () => running().some(agent => !except.includes(agent.host.hostId) && usableAt(agent).has(hostId));
+			while (naming()) {
+				if (nowMs - startMs >= limitMs) {
+					return undefined;
+				}
+
+				run(tickMs);
+			}
+
+			return nowMs - startMs;
+		},
+		cutOff(address: string, direction: 'in' | 'out') {
+			for (const other of agents.keys()) {
+				if (other !== address) {
+					const [from, to] = direction === 'in' ? [other, address] as const : [address, other] as const;
+					network.cut(from, to);
+				}
+			}
+		},
+	};
+};
