feat(bench): launcher for stand-ins and daemons, added-latency experiment

Cause: demo, experiments and scenarios start the same processes; one launcher serves them. Daemons start none.

--- /dev/null
+++ b/scripts/bench.ts
@@ -0,0 +1,87 @@
+/** Runs an experiment on stand-ins: `npm run bench -- added-latency [--rates A,B] [--seconds N] [--json]`. */
+
+import {execFileSync, spawn} from 'node:child_process';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {createEntryHost, hostPorts, startFleet} from './lib/fleet.ts';
+import {programFile} from './lib/processes.ts';
+
+type BenchOptions = {
+	readonly rates: string;
+	readonly seconds: string;
+	readonly json: boolean;
+};
+
+const commit = (): string => execFileSync('git', ['rev-parse', '--short', 'HEAD'], {encoding: 'utf8'}).trim();
+
+const runBench = async (args: readonly string[]): Promise<void> => new Promise((resolve, reject) => {
+	const child = spawn(process.execPath, [programFile('cli'), 'bench', ...args], {stdio: 'inherit'});
+	child.once('exit', code => {
+		if (code === 0) {
+			resolve();
+		} else {
+			reject(new Error(`bench ended with code ${code}`));
+		}
+	});
+});
+
+const createInstances = (count: number, service: string) => Array.from({length: count}, (_, index) => ({
+	hostId: `${service}-${index}`, service, address: `127.0.12.${index + 1}`, port: 9000, slots: 64, queueLength: 1024, serviceTimeMs: 0, connectTimeMs: 0,
+}));
+
+/** Latency added by one entry: the same load straight to the instances and through the entry. */
+const measureAddedLatency = async ({rates, seconds, json}: BenchOptions): Promise<void> => {
+	const instances = createInstances(8, 'rosterview');
+	const host = createEntryHost('entry-1', '127.0.11.1');
+	const fleet = await startFleet({
+		hosts: [host],
+		instances,
+		records: [
+			{
+				kind: 'service', schemaVersion: 2, name: 'rosterview', revision: 1, slotsPerInstance: 64, workspaceShare: 1,
+			},
+			{
+				kind: 'route', schemaVersion: 2, name: 'rosters', revision: 2, pathPrefix: '/rosters', service: 'rosterview', semantics: 'idempotent',
+			},
+		],
+	});
+	try {
+		await runBench([
+			'--direct',
+			instances.map(({address, port}) => `http://${address}:${port}`).join(','),
+			'--fleet',
+			`http://${host.address}:${hostPorts.entryPort}`,
+			'--target',
+			'/rosters/1',
+			'--rates',
+			rates,
+			'--seconds',
+			seconds,
+			'--label',
+			commit(),
+			...(json ? ['--json'] : []),
+		]);
+	} finally {
+		await fleet.processes.stop();
+	}
+};
+
+const experiments: Readonly<Record<string, (options: BenchOptions) => Promise<void>>> = {
+	'added-latency': measureAddedLatency,
+};
+
+const {values, positionals} = parseArgs({
+	allowPositionals: true,
+	options: {
+		rates: {type: 'string', default: '500,1000,2000,4000'},
+		seconds: {type: 'string', default: '5'},
+		json: {type: 'boolean', default: false},
+	},
+});
+const experiment = experiments[positionals[0] ?? ''];
+if (experiment) {
+	await experiment(values);
+} else {
+	process.stderr.write(`usage: npm run bench -- ${Object.keys(experiments).join('|')} [--rates A,B] [--seconds N] [--json]\n`);
+	process.exitCode = 2;
+}
--- /dev/null
+++ b/scripts/lib/processes.ts
@@ -0,0 +1,100 @@
+/**
+ * Starts daemons and stand-ins as processes with a settings file each, and ends them.
+ *
+ * Used by the demo, the experiments and the scenarios; the daemons themselves start no process.
+ */
+
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+
+const root = fileURLToPath(new URL('../../', import.meta.url));
+const killAfterMs = 5000;
+
+const programFiles = {
+	agent: 'packages/agent/dist/main.js',
+	entry: 'packages/entry/dist/main.js',
+	standin: 'packages/standin/dist/main.js',
+	cli: 'packages/cli/dist/main.js',
+};
+
+/** Programs that can be started. */
+export type Program = keyof typeof programFiles;
+
+/** File of a program's built binary. */
+export const programFile = (program: Program): string => path.join(root, programFiles[program]);
+
+/** Running processes by name. */
+export type Processes = {
+	/** Starts `program` with `settings` written to a file; `leading` arguments go before the file. */
+	readonly start: (name: string, program: Program, settings: unknown, leading?: readonly string[]) => ChildProcess;
+	/** The running process of that name. */
+	readonly child: (name: string) => ChildProcess | undefined;
+	/** Asks all to shut down, kills those that do not within 5 s, and removes their settings. */
+	readonly stop: () => Promise<void>;
+	/** Kills all at once. */
+	readonly kill: () => void;
+};
+
+const endProcess = async (child: ChildProcess): Promise<void> => {
+	const ended = new Promise(resolve => {
+		child.once('exit', resolve);
+	});
+	child.kill('SIGCONT');
+	child.kill('SIGTERM');
+	const timer = setTimeout(() => {
+		child.kill('SIGKILL');
+	}, killAfterMs);
+	await ended;
+	clearTimeout(timer);
+};
+
+/** Creates an empty set of processes; their logs are dropped unless `logs` is `'inherit'`. */
+export const createProcesses = (logs: 'ignore' | 'inherit' = 'ignore'): Processes => {
+	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-'));
+	const children = new Map<string, ChildProcess>();
+	return {
+		start(name, program, settings, leading = []) {
+			const file = path.join(folder, `${name}.json`);
+			writeFileSync(file, JSON.stringify(settings));
+			const child = spawn(process.execPath, [programFile(program), ...leading, file], {stdio: ['ignore', 'pipe', logs]});
+			children.set(name, child);
+			child.once('exit', () => {
+				if (children.get(name) === child) {
+					children.delete(name);
+				}
+			});
+			return child;
+		},
+		child: name => children.get(name),
+		async stop() {
+			await Promise.all([...children.values()].map(async child => endProcess(child)));
+			rmSync(folder, {recursive: true, force: true});
+		},
+		kill() {
+			for (const child of children.values()) {
+				child.kill('SIGKILL');
+			}
+
+			rmSync(folder, {recursive: true, force: true});
+		},
+	};
+};
+
+/** Resolves with the first line that a stand-in prints, parsed as JSON; rejects when it ends before. */
+export const readReadyLine = async <T>(child: ChildProcess): Promise<T> => new Promise((resolve, reject) => {
+	let text = '';
+	child.once('exit', code => {
+		reject(new Error(`a stand-in ended with code ${code}`));
+	});
+	child.stdout?.on('data', (chunk: Uint8Array) => {
+		text += String(chunk);
+		const end = text.indexOf('\n');
+		if (end !== -1) {
+			resolve(JSON.parse(text.slice(0, end)) as T);
+		}
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -36,7 +36,7 @@
 		},
 	},
 	{
-		files: ['**/test/**/*.ts'],
+		files: ['**/test/**/*.ts', 'scripts/**/*.ts', 'test/**/*.ts'],
 		rules: {
 			// Test libraries are dependencies of the root, not of each package.
 			'import-x/no-extraneous-dependencies': 'off',
