--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -51,7 +51,7 @@
 			instances.map(({address, port}) => `http://${address}:${port}`).join(','),
 			'--fleet',
 			`http://${host.address}:${hostPorts.entryPort}`,
-			'--target',
+			'--path',
 			'/rosters/1',
 			'--rates',
 			rates,
--- a/scripts/lib/processes.ts
+++ b/scripts/lib/processes.ts
@@ -21,6 +21,9 @@
 	cli: 'packages/cli/dist/main.js',
 };
 
+/** Arguments for Node itself, such as `--cpu-prof`, taken from the environment. */
+const nodeArguments = (process.env.DAEMON_NODE_ARGS ?? '').split(' ').filter(argument => argument !== '');
+
 /** Programs that can be started. */
 export type Program = keyof typeof programFiles;
 
@@ -60,7 +63,7 @@
 		start(name, program, settings, leading = []) {
 			const file = path.join(folder, `${name}.json`);
 			writeFileSync(file, JSON.stringify(settings));
-			const child = spawn(process.execPath, [programFile(program), ...leading, file], {stdio: ['ignore', 'pipe', logs]});
+			const child = spawn(process.execPath, [...nodeArguments, programFile(program), ...leading, file], {stdio: ['ignore', 'pipe', logs]});
 			children.set(name, child);
 			child.once('exit', () => {
 				if (children.get(name) === child) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,7 @@
 		},
 	},
 	{
+		files: ['**/*.ts'],
 		rules: {
 			// Option.String() and its kin are clipanion's declared interface.
 			'new-cap': ['error', {capIsNew: false, newIsCap: true}],
