feat(standin): configuration service, host list and backend servers with faults on command

Two sub-commands of egretwing-standin, each with an operators' port for faults and counts. Readers and operators of the platform use different ports, so that the service can be down and still take commands. Requests carry x-work-id (work) and x-request-id (one sending); runs are kept per both.

--- /dev/null
+++ b/packages/standin/src/backend/server.ts
@@ -0,0 +1,96 @@
+/** The backend stand-in: many instances in one process, with faults on command. */
+
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {createRandom, hashText} from '@egretwing/core';
+import {listen, readJson, sendJson} from '@egretwing/node';
+import {z} from 'zod';
+import {maxCommandBytes, requestUrl} from '../http.ts';
+import type {BackendSettings} from '../settings.ts';
+import {instanceFaultSchema} from './faults.ts';
+import {startInstance, type InstanceServer} from './instance.ts';
+import {createRunLog} from './runs.ts';
+import type {InstanceFault} from './types.ts';
+
+const faultCommandSchema = z.strictObject({
+	/** Instance ids that the fault strikes. */
+	instances: z.array(z.string()).optional(),
+	/** Strikes every instance of a service. */
+	service: z.string().optional(),
+	fault: instanceFaultSchema,
+});
+
+/** A running backend stand-in. */
+export type Backend = {
+	readonly operatorPort: number;
+	readonly instances: ReadonlyMap<string, InstanceServer>;
+	readonly setFault: (hostId: string, fault: InstanceFault) => Promise<void>;
+	readonly close: () => Promise<void>;
+};
+
+/** Starts every instance of the settings. */
+export const startBackend = async (settings: BackendSettings): Promise<Backend> => {
+	const runLog = createRunLog();
+	const instances = new Map<string, InstanceServer>();
+	for (const instance of settings.instances) {
+		const random = createRandom(settings.seed + hashText(instance.hostId));
+		instances.set(instance.hostId, await startInstance(instance, runLog, random));
+	}
+
+	const setFault = async (hostId: string, fault: InstanceFault): Promise<void> => {
+		const instance = instances.get(hostId);
+		if (!instance) {
+			throw new Error(`no instance named ${hostId}`);
+		}
+
+		await instance.setFault(fault);
+	};
+
+	const answerOperator = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		switch (`${request.method} ${requestUrl(request).pathname}`) {
+			case 'POST /v1/fault': {
+				const command = faultCommandSchema.parse(await readJson(request, maxCommandBytes));
+				const ofService = [...instances.values()]
+					.filter(instance => instance.settings.service === command.service)
+					.map(instance => instance.settings.hostId);
+				const struck = [...command.instances ?? [], ...ofService];
+				await Promise.all(struck.map(async hostId => setFault(hostId, command.fault)));
+				sendJson(response, 200, {struck, atMs: Date.now()});
+				return;
+			}
+
+			case 'GET /v1/runs': {
+				sendJson(response, 200, {
+					runs: runLog.runs(),
+					repeated: runLog.repeated(),
+					instances: Object.fromEntries([...instances].map(([hostId, instance]) => [hostId, instance.counts()])),
+				});
+				return;
+			}
+
+			default: {
+				sendJson(response, 404, {error: 'unknown path'});
+			}
+		}
+	};
+
+	const operators = createServer((request, response) => {
+		answerOperator(request, response).catch((error: unknown) => {
+			sendJson(response, 400, {error: String(error)});
+		});
+	});
+	const operatorPort = await listen(operators, settings.operatorPort, settings.operatorAddress);
+
+	return {
+		operatorPort,
+		instances,
+		setFault,
+		async close() {
+			for (const instance of instances.values()) {
+				instance.close();
+			}
+
+			operators.close();
+			operators.closeAllConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/standin/src/platform/store.ts
@@ -0,0 +1,87 @@
+/** What the platform holds: a log of records as written, and a log of host lists. */
+
+import {Buffer} from 'node:buffer';
+import type {ConfigPage, Host, HostList} from '@egretwing/core';
+
+type LogLine = {
+	readonly position: number;
+	readonly key: string;
+	readonly record: unknown;
+	readonly sizeBytes: number;
+};
+
+/** The store behind the reading side. Positions and sequences count from 1. */
+export type PlatformStore = {
+	readonly putRecords: (records: readonly unknown[]) => number;
+	readonly putHosts: (hosts: readonly Host[]) => number;
+	readonly position: () => number;
+	readonly sequence: () => number;
+	/** Records whose last write lies in (`after`, `upTo`], oldest first, within the page size. */
+	readonly page: (after: number, upTo: number) => ConfigPage;
+	readonly hosts: (upTo: number) => HostList;
+};
+
+const text = (value: unknown): string => typeof value === 'string' ? value : '';
+
+const recordKey = (record: unknown, position: number): string => {
+	if (typeof record !== 'object' || record === null) {
+		return `#${position}`;
+	}
+
+	const {kind, removedKind, name} = record as Readonly<Record<string, unknown>>;
+	const keyKind = text(removedKind) || text(kind);
+	return keyKind === '' || text(name) === '' ? `#${position}` : `${keyKind}/${text(name)}`;
+};
+
+/** Creates an empty store. */
+export const createPlatformStore = (maxPageBytes: number): PlatformStore => {
+	const log: LogLine[] = [];
+	const lists: HostList[] = [{sequence: 0, hosts: []}];
+
+	const newestByKey = (upTo: number): readonly LogLine[] => {
+		const newest = new Map<string, LogLine>();
+		for (const line of log.slice(0, upTo)) {
+			newest.set(line.key, line);
+		}
+
+		return [...newest.values()].toSorted((a, b) => a.position - b.position);
+	};
+
+	return {
+		putRecords(records) {
+			for (const record of records) {
+				const position = log.length + 1;
+				log.push({
+					position, key: recordKey(record, position), record, sizeBytes: Buffer.byteLength(JSON.stringify(record)),
+				});
+			}
+
+			return log.length;
+		},
+		putHosts(hosts) {
+			const sequence = lists.length;
+			lists.push({sequence, hosts});
+			return sequence;
+		},
+		position: () => log.length,
+		sequence: () => lists.length - 1,
+		page(after, upTo) {
+			const lines = newestByKey(upTo).filter(line => line.position > after);
+			const records: unknown[] = [];
+			let pageBytes = 0;
+			let position = upTo;
+			for (const line of lines) {
+				if (records.length > 0 && pageBytes + line.sizeBytes > maxPageBytes) {
+					return {position, complete: false, records};
+				}
+
+				pageBytes += line.sizeBytes;
+				position = line.position;
+				records.push(line.record);
+			}
+
+			return {position: upTo, complete: true, records};
+		},
+		hosts: upTo => lists[Math.min(upTo, lists.length - 1)] ?? {sequence: 0, hosts: []},
+	};
+};
