--- a/packages/core/src/errors/types.ts
+++ b/packages/core/src/errors/types.ts
@@ -6,6 +6,8 @@
 /** Every way in which the system refuses a request or reports its failure. */
 export type ErrorKind
 	= | 'malformed-request'
+		| 'headers-too-large'
+		| 'headers-too-slow'
 		| 'no-route'
 		| 'request-too-large'
 		| 'not-ready'
@@ -23,6 +25,11 @@
 		| 'key-memory-full'
 		| 'key-expired'
 		| 'key-owner-unreachable'
+		| 'key-owner-gone'
+		| 'answer-not-kept'
+		| 'forward-refused'
+		| 'answer-unbounded'
+		| 'body-incomplete'
 		| 'outcome-unknown'
 		| 'request-timeout'
 		| 'internal-error';
@@ -35,3 +42,12 @@
 	/** Value of `Retry-After`, in seconds; absent where sending again can't help. */
 	readonly retryAfterSeconds?: number;
 };
+
+/** A refusal as decided for one request. */
+export type Refusal = {
+	readonly kind: ErrorKind;
+	/** What is known of this request; may differ from the table, which speaks for the kind in general. */
+	readonly ran: RunOutcome;
+	/** Shown to the caller as it is. */
+	readonly detail?: string;
+};
