--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,7 @@
 		},
 	},
 	{
+		files: ['**/*.ts'],
 		rules: {
 			// Option.String() and its kin are clipanion's declared interface.
 			'new-cap': ['error', {capIsNew: false, newIsCap: true}],
@@ -36,7 +37,7 @@
 		},
 	},
 	{
-		files: ['**/test/**/*.ts'],
+		files: ['**/test/**/*.ts', 'scripts/**/*.ts', 'test/**/*.ts'],
 		rules: {
 			// Test libraries are dependencies of the root, not of each package.
 			'import-x/no-extraneous-dependencies': 'off',
