test(entry): whole answers and ambiguous input over real sockets

Answers that are cut, too long, doubled, late or without an end; requests that two parsers may read differently; callers that go away or are slow.

Before: a POST with length 0 counted as one with a body and was not tried at the next instance after a status that says not-run; an unknown transfer coding began an attempt before it was refused; a request without a host was refused without its kind.

--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -124,6 +124,11 @@
 			chunks.length = 0;
 		}
 
+		if (response.destroyed && sizeBytes > maxBytes) {
+			body.destroy();
+			return undefined;
+		}
+
 		await writeChunk(response, chunk);
 	}
 
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -83,6 +83,9 @@
 	readonly nowMs: () => number;
 };
 
+/** How long a connection without a request is kept for an at-most-once request. */
+const unusedConnectionMs = 100;
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -146,6 +149,7 @@
 			pipelining: isReused ? 1 : 0,
 			connect: {timeout: request.service.connectTimeoutMs},
 			headersTimeout: 0,
+			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
 		const guarded = pool.compose(guardWrites);
 		pools.set(id, {pool, guarded});
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -22,6 +22,8 @@
 export const keyPath = '/.well-known/egretwing/idempotency-key';
 /** Time in which the rest of a refused request's body must arrive. */
 export const unreadBodyTimeoutMs = 5000;
+/** How often connections are checked for callers that are slow to send their headers. */
+export const slowCallerCheckMs = 1000;
 /** How often the entry looks at its clock to notice that it was paused. */
 export const beatIntervalMs = 1000;
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,13 +1,14 @@
 /** Puts the entry together: session with the agent, pipeline, callers' listener, operators' interface. */
 
 import http from 'node:http';
+import type net from 'node:net';
 import {createOnceGate, createRandom, hashText} from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
 } from '@egretwing/node';
 import {createAgentLink} from './agent-link.ts';
 import {createAttempts} from './attempt.ts';
-import {beatIntervalMs} from './constants.ts';
+import {beatIntervalMs, slowCallerCheckMs} from './constants.ts';
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
@@ -57,6 +58,8 @@
 		maxHeaderSize: settings.maxHeaderBytes,
 		requestTimeout: 0,
 		insecureHTTPParser: false,
+		requireHostHeader: false,
+		connectionsCheckingInterval: Math.min(settings.headersTimeoutMs, slowCallerCheckMs),
 	}, async (incoming, response) => {
 		if (serveKeyPrefix(incoming, response)) {
 			return;
@@ -69,7 +72,9 @@
 			response.destroy();
 		}
 	});
-	server.on('clientError', refuseUnreadable);
+	server.on('clientError', (error, socket) => {
+		refuseUnreadable(error, socket as net.Socket);
+	});
 	const beats = setInterval(() => {
 		gate.beat(clock.nowMs());
 		const {keys, bytes} = gate.usage();
--- a/packages/entry/src/pipeline.ts
+++ b/packages/entry/src/pipeline.ts
@@ -2,7 +2,7 @@
 
 import type http from 'node:http';
 import {
-	createRefusal, resolveOnceConfig, type Clock, type ErrorKind, type OnceGate, type Refusal,
+	createRefusal, errorAnswers, resolveOnceConfig, type Clock, type ErrorKind, type OnceGate, type Refusal,
 } from '@egretwing/core';
 import {passAnswer, refuse} from './answer.ts';
 import type {AttemptOutcome, Attempts} from './attempt.ts';
@@ -146,6 +146,13 @@
 		}
 	};
 
+	const countResult = (service: string, result: string): void => {
+		metrics.requests.inc({service, result});
+		if (result in errorAnswers) {
+			metrics.refusals.inc({kind: result});
+		}
+	};
+
 	/** A request with a key may have run before, through this entry or another. */
 	const refuseUnrouted = (incoming: http.IncomingMessage, response: http.ServerResponse, kind: ErrorKind): void => {
 		const refusal = createRefusal(kind);
@@ -171,7 +178,7 @@
 		});
 		const isKeyed = route.semantics === 'at-most-once' && idempotencyKey !== undefined;
 		const result = await (isKeyed ? serveOnce : serveDirectly)(request.value, response, callerGone.signal);
-		metrics.requests.inc({service: service.name, result});
+		countResult(service.name, result);
 		metrics.requestDurationMs.observe({service: service.name}, clock.nowMs() - receivedAtMs);
 	};
 };
--- a/packages/entry/src/refuse-unreadable.ts
+++ b/packages/entry/src/refuse-unreadable.ts
@@ -1,7 +1,8 @@
 /** Answers what the strict HTTP parser refuses: ambiguous lengths, bad chunks, headers too large or too slow. */
 
 import {Buffer} from 'node:buffer';
-import type {Duplex} from 'node:stream';
+import type http from 'node:http';
+import type net from 'node:net';
 import {createProblem, errorAnswers, type ErrorKind} from '@egretwing/core';
 import {kindHeader, ranHeader} from './constants.ts';
 
@@ -10,12 +11,18 @@
 	ERR_HTTP_REQUEST_TIMEOUT: 'headers-too-slow',
 };
 
-type WithMessage = {readonly _httpMessage?: unknown};
+/** The answer that is being written on the socket, as Node.js keeps it there. */
+type ServingSocket = net.Socket & {readonly _httpMessage?: http.ServerResponse | null};
 
 /** Refuses and closes; a connection on which a request is being served is only closed, as its request may have run. */
-export const refuseUnreadable = (error: Error & {readonly code?: string}, socket: Duplex): void => {
-	const isServing = Boolean((socket as WithMessage)._httpMessage);
-	if (!socket.writable || isServing || error.code === 'ECONNRESET') {
+export const refuseUnreadable = (error: Error & {readonly code?: string}, socket: ServingSocket): void => {
+	const serving = socket._httpMessage;
+	if (serving?.writableEnded) {
+		socket.destroySoon();
+		return;
+	}
+
+	if (!socket.writable || serving || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
 	}
--- a/packages/entry/src/request.ts
+++ b/packages/entry/src/request.ts
@@ -8,6 +8,7 @@
 import {
 	deadlineHeader, firstSendHeader, forwardHeader, idempotencyKeyHeader, workspaceHeader,
 } from './constants.ts';
+import {isUnambiguous} from './message-check.ts';
 import type {View} from './view.ts';
 
 /** A request that has a route. */
@@ -58,6 +59,10 @@
 
 /** Finds route, service and deadline of an inbound request; the error says how to refuse it. */
 export const readRequest = (incoming: http.IncomingMessage, view: View, nowMs: number): Result<CallerRequest, ErrorKind> => {
+	if (!isUnambiguous(incoming)) {
+		return Err('malformed-request');
+	}
+
 	if (!view.ready()) {
 		return Err('not-ready');
 	}
@@ -89,7 +94,7 @@
 		receivedAtMs: nowMs,
 		deadlineAtMs,
 		hasDeadline: incoming.headers[deadlineHeader] !== undefined,
-		hasBody: incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined,
+		hasBody: Number(incoming.headers['content-length'] ?? 0) > 0 || incoming.headers['transfer-encoding'] !== undefined,
 		incoming,
 	}));
 };
--- /dev/null
+++ b/packages/entry/test/support/raw-backend.ts
@@ -0,0 +1,84 @@
+/** A backend server that answers byte by byte, for answers that no HTTP library would send. */
+
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import type {Instance} from '@egretwing/core';
+import {listen} from '@egretwing/node';
+import {instanceAt} from './harness.ts';
+
+/** A request as it arrived. */
+export type RawRequest = {
+	/** Request line and headers. */
+	readonly head: string;
+	readonly body: string;
+};
+
+/** A running raw backend server. */
+export type RawBackend = {
+	readonly instance: Instance;
+	/** Requests that arrived whole. */
+	readonly requests: readonly RawRequest[];
+	/** Connections that were opened. */
+	readonly openedConnections: () => number;
+	/** Connections that were closed again. */
+	readonly closedConnections: () => number;
+	readonly close: () => void;
+};
+
+const headEnd = '\r\n\r\n';
+
+const takeRequest = (text: string): {readonly request: RawRequest; readonly rest: string} | undefined => {
+	const end = text.indexOf(headEnd);
+	if (end === -1) {
+		return undefined;
+	}
+
+	const head = text.slice(0, end);
+	const rest = text.slice(end + headEnd.length);
+	if (/transfer-encoding: chunked/iv.test(head)) {
+		const last = rest.indexOf('0\r\n\r\n');
+		return last === -1 ? undefined : {request: {head, body: rest.slice(0, last)}, rest: rest.slice(last + 5)};
+	}
+
+	const length = Number(/content-length: (\d+)/iv.exec(head)?.[1] ?? 0);
+	return rest.length < length ? undefined : {request: {head, body: rest.slice(0, length)}, rest: rest.slice(length)};
+};
+
+/** Starts a server that calls `answer` with each whole request and its number, from 1. */
+export const startRawBackend = async (hostId: string, service: string, answer: (socket: net.Socket, number: number, request: RawRequest) => void): Promise<RawBackend> => {
+	const requests: RawRequest[] = [];
+	const sockets = new Set<net.Socket>();
+	let openedConnections = 0;
+	let closedConnections = 0;
+	const server = net.createServer(socket => {
+		let text = '';
+		openedConnections++;
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			sockets.delete(socket);
+			closedConnections++;
+		});
+		socket.on('data', chunk => {
+			text += Buffer.from(chunk).toString('latin1');
+			for (let taken = takeRequest(text); taken; taken = takeRequest(text)) {
+				text = taken.rest;
+				requests.push(taken.request);
+				answer(socket, requests.length, taken.request);
+			}
+		});
+	});
+	const port = await listen(server, 0, '127.0.0.1');
+	return {
+		instance: instanceAt(hostId, service, port),
+		requests,
+		openedConnections: () => openedConnections,
+		closedConnections: () => closedConnections,
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/test/whole-answers.test.ts
@@ -0,0 +1,238 @@
+import type net from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import {call, until} from './support/caller.ts';
+import {startHarness, type Harness} from './support/harness.ts';
+import {startRawBackend, type RawBackend, type RawRequest} from './support/raw-backend.ts';
+
+const service = {
+	kind: 'service', schemaVersion: 2, name: 'seatledger', revision: 1, requestTimeoutMs: 400, notRunStatusCodes: [503],
+};
+const routes = [
+	{
+		kind: 'route', schemaVersion: 2, name: 'seats', revision: 1, pathPrefix: '/seats', service: 'seatledger', semantics: 'at-most-once',
+	},
+	{
+		kind: 'route', schemaVersion: 2, name: 'rosters', revision: 1, pathPrefix: '/rosters', service: 'seatledger', semantics: 'idempotent',
+	},
+];
+
+/** Answers with the path of the request, so that a mixed-up answer shows. */
+const echo = (socket: net.Socket, request: RawRequest): void => {
+	const path = request.head.split(' ')[1] ?? '';
+	socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${path.length}\r\n\r\n${path}`);
+};
+
+type Script = (socket: net.Socket, number: number, request: RawRequest) => void;
+
+/** Runs `work` against an entry with `count` instances that all answer by `script`. */
+const withBackends = async (script: Script, count: number, work: (harness: Harness, backends: readonly RawBackend[]) => Promise<void>): Promise<void> => {
+	const backends = await Promise.all(Array.from({length: count}, async (_, index) => startRawBackend(`b${index}`, 'seatledger', script)));
+	const harness = await startHarness({records: [service, ...routes], instances: backends.map(backend => backend.instance)});
+	try {
+		await work(harness, backends);
+	} finally {
+		for (const backend of backends) {
+			backend.close();
+		}
+
+		await harness.close();
+	}
+};
+
+const first = (script: (socket: net.Socket) => void): Script => (socket, number, request) => {
+	if (number === 1) {
+		script(socket);
+	} else {
+		echo(socket, request);
+	}
+};
+
+describe('at-most-once request without a key', () => {
+	const cases: ReadonlyArray<{readonly title: string; readonly script: (socket: net.Socket) => void; readonly kind: string; readonly ran: string}> = [
+		{
+			title: 'the connection is reset after the write', script: socket => socket.resetAndDestroy(), kind: 'outcome-unknown', ran: 'unknown',
+		},
+		{
+			title: 'the connection is closed after the write', script: socket => socket.end(), kind: 'outcome-unknown', ran: 'unknown',
+		},
+		{
+			title: 'the answer is late',
+			async script(socket) {
+				await delay(700);
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate');
+			},
+			kind: 'request-timeout',
+			ran: 'unknown',
+		},
+		{
+			title: 'half a head comes', script: socket => socket.end('HTTP/1.1 200 OK\r\ncontent-le'), kind: 'outcome-unknown', ran: 'unknown',
+		},
+		{
+			title: 'no HTTP comes', script: socket => socket.end('hello'), kind: 'outcome-unknown', ran: 'unknown',
+		},
+		{
+			title: 'the answer has a length and a transfer coding',
+			script: socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'),
+			kind: 'outcome-unknown',
+			ran: 'unknown',
+		},
+		{
+			title: 'only the end of the connection would mark the end of the answer',
+			script: socket => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nperhaps all'),
+			kind: 'answer-unbounded',
+			ran: 'ran',
+		},
+	];
+	for (const {title, script, kind, ran} of cases) {
+		it(`is written once and answered with ${kind} when ${title}`, async () => {
+			await withBackends(script, 2, async (harness, backends) => {
+				const exchange = await call(`${harness.url}/seats/1`, {method: 'POST', body: 'row=2'});
+				expect(exchange).to.include({kind, ran});
+				await delay(100);
+				expect(backends.flatMap(backend => backend.requests)).to.have.length(1);
+			});
+		});
+	}
+
+	it('is tried at the next instance only when the status says that it was not run', async () => {
+		await withBackends(socket => socket.write('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n'), 2, async (harness, backends) => {
+			const exchange = await call(`${harness.url}/seats/1`, {method: 'POST'});
+			expect(exchange).to.include({kind: 'shed-by-backend', ran: 'not-run'});
+			expect(backends.map(backend => backend.requests.length)).to.deep.equal([1, 1]);
+		});
+	});
+
+	it('says not-run when no connection could be opened', async () => {
+		await withBackends(() => undefined, 2, async (harness, backends) => {
+			for (const backend of backends) {
+				backend.close();
+			}
+
+			expect(await call(`${harness.url}/seats/1`, {method: 'POST'})).to.include({kind: 'connect-failed', ran: 'not-run'});
+		});
+	});
+
+	it('is not written after its deadline', async () => {
+		await withBackends((socket, _number, request) => {
+			echo(socket, request);
+		}, 1, async (harness, backends) => {
+			const exchange = await call(`${harness.url}/seats/1`, {method: 'POST', headers: {'egretwing-deadline-ms': '0'}});
+			expect(exchange).to.include({kind: 'deadline-expired', ran: 'not-run'});
+			expect(backends[0]?.requests).to.be.empty;
+		});
+	});
+});
+
+describe('idempotent request', () => {
+	it('never says not-run after an attempt that may have run', async () => {
+		await withBackends(() => undefined, 1, async (harness, backends) => {
+			harness.putInstances([...backends.map(backend => backend.instance), {...backends[0]!.instance, hostId: 'closed', port: 1}]);
+			await delay(50);
+			const results = await Promise.all(Array.from({length: 8}, async () => call(`${harness.url}/rosters/1`)));
+			expect(backends[0]!.requests.length).to.be.at.least(1);
+			// Each request was written to the one instance that takes connections, before or after the other was tried.
+			expect(results.map(({ran}) => ran)).to.deep.equal(results.map(() => 'unknown'));
+		});
+	});
+});
+
+describe('answers', () => {
+	const cut: ReadonlyArray<{readonly title: string; readonly bytes: string}> = [
+		{title: 'shorter than its length', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf'},
+		{title: 'without its last chunk', bytes: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'},
+		{title: 'in the middle of a chunk', bytes: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf'},
+	];
+	for (const {title, bytes} of cut) {
+		for (const path of ['/seats/1', '/rosters/1']) {
+			it(`break the caller's connection off when they end ${title} (${path})`, async () => {
+				await withBackends(socket => socket.end(bytes), 1, async harness => {
+					expect(await call(harness.url + path)).to.include({isWhole: false});
+				});
+			});
+		}
+	}
+
+	const excess: ReadonlyArray<{readonly title: string; readonly script: (socket: net.Socket) => void}> = [
+		{title: 'longer than its length', script: socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nownmore')},
+		{title: 'followed by a second one', script: socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nownHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother')},
+		{
+			title: 'followed by a late second one',
+			async script(socket) {
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown');
+				await delay(30);
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+			},
+		},
+	];
+	for (const {title, script} of excess) {
+		it(`reach their own caller only when one is ${title}`, async () => {
+			await withBackends(first(script), 1, async harness => {
+				expect(await call(`${harness.url}/rosters/1`)).to.include({text: 'own', isWhole: true});
+				await delay(100);
+				expect(await call(`${harness.url}/rosters/2`)).to.include({text: '/rosters/2', isWhole: true});
+			});
+		});
+	}
+
+	it('of at-most-once requests can not be mixed up even when a second one arrives after the next write', async () => {
+		let previous: net.Socket | undefined;
+		await withBackends((socket, _number, request) => {
+			previous?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+			previous = socket;
+			setTimeout(echo, 20, socket, request);
+		}, 1, async (harness, backends) => {
+			for (let index = 0; index < 5; index++) {
+				expect(await call(`${harness.url}/seats/${index}`, {method: 'POST'})).to.include({text: `/seats/${index}`});
+			}
+
+			expect(backends[0]!.openedConnections()).to.equal(5);
+		});
+	});
+
+	it('that come out of order after timeouts reach nobody but their own caller', async () => {
+		await withBackends((socket, number, request) => {
+			setTimeout(echo, number % 3 === 0 ? 600 : (number * 37) % 300, socket, request);
+		}, 1, async harness => {
+			const exchanges = await Promise.all(Array.from({length: 60}, async (_, index) => {
+				const path = index % 2 === 0 ? `/rosters/${index}` : `/seats/${index}`;
+				return {path, ...await call(harness.url + path)};
+			}));
+			for (const {path, kind, text} of exchanges) {
+				expect(kind ?? text).to.be.oneOf([path, 'request-timeout']);
+			}
+		});
+	});
+});
+
+describe('deadline', () => {
+	it('is passed on, shrunk, and only as far as the service allows', async () => {
+		await withBackends((socket, _number, request) => {
+			echo(socket, request);
+		}, 1, async (harness, backends) => {
+			for (const written of ['250', '99999']) {
+				await call(`${harness.url}/rosters/1`, {headers: {'egretwing-deadline-ms': written}});
+			}
+
+			const passed = backends[0]!.requests.map(request => Number(/egretwing-deadline-ms: (\d+)/v.exec(request.head)?.[1]));
+			expect(passed[0]).to.be.within(1, 250);
+			expect(passed[1]).to.be.within(1, 400);
+		});
+	});
+});
+
+describe('a caller that goes away', () => {
+	for (const path of ['/rosters/1', '/seats/1']) {
+		it(`takes its backend connection with it (${path})`, async () => {
+			await withBackends(() => undefined, 1, async (harness, backends) => {
+				const abort = new AbortController();
+				const pending = call(harness.url + path, {signal: abort.signal}).catch(() => 'aborted');
+				await until(() => backends[0]!.requests.length === 1);
+				abort.abort();
+				expect(await pending).to.equal('aborted');
+				await until(() => backends[0]!.closedConnections() === 1, 300);
+				expect(backends[0]!.requests).to.have.length(1);
+			});
+		});
+	}
+});
