--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -43,7 +43,10 @@
 	const metrics = createEntryMetrics();
 	const view = createView();
 	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, nowMs: clock.nowMs});
-	const gate = createOnceGate({hostId, incarnation, startedAtMs: clock.nowMs()});
+	const gate = createOnceGate(
+		{hostId, incarnation, startedAtMs: clock.nowMs()},
+		{maxKeys: settings.maxIdempotencyKeys, maxBytes: settings.maxIdempotencyKeyBytes},
+	);
 	const forwarder = createForwarder({
 		hostId, members: view.members, sealer: createSealer(settings.fleetKeys), attempts,
 	});
--- a/packages/entry/src/refuse-unreadable.ts
+++ b/packages/entry/src/refuse-unreadable.ts
@@ -22,7 +22,8 @@
 		return;
 	}
 
-	if (!socket.writable || serving || error.code === 'ECONNRESET') {
+	const canAnswer = socket.writable && !serving && error.code !== 'ECONNRESET';
+	if (!canAnswer) {
 		socket.destroy();
 		return;
 	}
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -42,6 +42,16 @@
 	 * @default 30000
 	 */
 	bodyIdleTimeoutMs: z.number().positive().default(30_000),
+	/**
+	 * Idempotency keys remembered at most; further ones are refused until some expire.
+	 * @default 16384
+	 */
+	maxIdempotencyKeys: z.int().min(1).default(16_384),
+	/**
+	 * Bytes of idempotency keys and their stored answers at most.
+	 * @default 8388608
+	 */
+	maxIdempotencyKeyBytes: z.int().min(0).default(8_388_608),
 	/**
 	 * Largest size of the headers of a request.
 	 * @default 16384
