feat: key prefixes in the locate answer, keys in the caller's library

The entry tells its agent once a second what its clock shows; the agent hands out keys that name this entry, its process and that clock. The caller's library sends at-most-once requests with such a key and resends them with the same one.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -4,8 +4,9 @@
 	Counter, Gauge, Registry, collectDefaultMetrics,
 } from 'prom-client';
 import {messageVersion} from '@egretwing/core';
-import {createLogger, createOperatorServer} from '@egretwing/node';
+import {createLogger, createOperatorServer, createProcessClock} from '@egretwing/node';
 import {createEntryLink} from './entry-link.ts';
+import {createKeyIssuer} from './key-issue.ts';
 import {createLocateServer} from './locate.ts';
 import {followHosts, followRecords} from './platform-feed.ts';
 import type {AgentSettings} from './settings.ts';
@@ -28,6 +29,7 @@
 	const refusedRecords = new Counter({name: 'egretwing_refused_records_total', help: 'Records that did not check out', registers: [registry]});
 	const revisionInForce = new Gauge({name: 'egretwing_config_revision', help: 'Highest revision in force', registers: [registry]});
 	const world = createWorld();
+	const keyIssuer = createKeyIssuer(createProcessClock());
 
 	const entryLink = await createEntryLink({
 		address: settings.agentAddress,
@@ -38,9 +40,11 @@
 			}
 		},
 		onMessage(message) {
-			logger.info('entry says', {type: message.type});
+			keyIssuer.onMessage(message);
+			logger.debug('entry says', {type: message.type});
 		},
 		onClose() {
+			keyIssuer.onClose();
 			logger.warn('entry session lost');
 		},
 	});
@@ -69,6 +73,10 @@
 		address: settings.address,
 		port: settings.locatePort,
 		keepMs: settings.locateKeepMs,
+		keyFor(service) {
+			const lifetimeMs = world.service(service)?.keyLifetimeMs;
+			return lifetimeMs === undefined ? undefined : keyIssuer.issue(lifetimeMs);
+		},
 		entriesFor: () => world.ready() ? world.members().filter(member => member.usable) : [],
 	});
 	const operator = await createOperatorServer({
--- a/packages/agent/src/locate.ts
+++ b/packages/agent/src/locate.ts
@@ -1,7 +1,7 @@
 /** Answers callers that ask which entry hosts to use. */
 
 import http from 'node:http';
-import type {FleetMember, LocateAnswer} from '@egretwing/core';
+import type {FleetMember, LocateAnswer, LocatedKey} from '@egretwing/core';
 import {listen, sendJson} from '@egretwing/node';
 
 /** What the answers are made from. */
@@ -9,6 +9,8 @@
 	readonly address: string;
 	readonly port: number;
 	readonly keepMs: number;
+	/** Prefix of the idempotency keys for `service`. */
+	readonly keyFor: (service: string) => LocatedKey | undefined;
 	/** Entry hosts for `service` in the order in which a caller should try them. */
 	readonly entriesFor: (service: string) => readonly FleetMember[];
 };
@@ -25,6 +27,7 @@
 		hostId: host.hostId, address: host.address, port: host.entryPort, dataCentre: host.dataCentre, incarnation,
 	})),
 	keepMs: options.keepMs,
+	key: options.keyFor(service),
 });
 
 /** Starts `GET /v1/locate?service=NAME`. */
--- a/packages/agent/src/world.ts
+++ b/packages/agent/src/world.ts
@@ -2,7 +2,7 @@
 
 import {
 	messageVersion, parseRecord,
-	type AgentToEntry, type ConfigPage, type ConfigRecord, type EntryHost, type FleetMember, type HostList, type Instance, type RecordIssue,
+	type AgentToEntry, type ConfigPage, type ConfigRecord, type EntryHost, type FleetMember, type HostList, type Instance, type RecordIssue, type ServiceRecord,
 } from '@egretwing/core';
 
 /** The agent's state and what it tells the entry. */
@@ -12,6 +12,8 @@
 	readonly applyHosts: (hosts: HostList) => void;
 	readonly ready: () => boolean;
 	readonly records: () => readonly ConfigRecord[];
+	/** The record in force of a service. */
+	readonly service: (name: string) => ServiceRecord | undefined;
 	readonly members: () => readonly FleetMember[];
 	/** Everything a freshly connected entry needs. */
 	readonly snapshot: () => readonly AgentToEntry[];
@@ -57,6 +59,10 @@
 		},
 		ready: () => ready,
 		records: () => [...records.values()],
+		service(name) {
+			const record = records.get(`service/${name}`);
+			return record?.kind === 'service' ? record : undefined;
+		},
 		members,
 		snapshot: () => [
 			{
--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -1,10 +1,11 @@
 /** A caller's library: locates an entry host, sends, and sends again only where that is safe. */
 
+import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Agent, request as sendRequest} from 'undici';
 import type {LocatedEntry, RunOutcome} from '@egretwing/core';
-import {createLocator} from './locate.ts';
+import {createLocator, type Located} from './locate.ts';
 import type {ClientOptions, ClientRequest, ClientResult} from './types.ts';
 
 /** Sends requests. */
@@ -30,6 +31,25 @@
 	return {type: 'failed', kind: 'unreachable', ran};
 };
 
+/** The key of one request, the same on each of its sends. */
+type RequestKey = {
+	readonly text: string;
+	/** Entry host that runs it. */
+	readonly hostId: string;
+};
+
+const takeKey = (request: ClientRequest, {key}: Located): RequestKey | undefined =>
+	request.idempotent || !key ? undefined : {text: key.prefix + randomUUID(), hostId: key.hostId};
+
+const keyHeaders = (key: RequestKey | undefined, sends: number): Readonly<Record<string, string>> =>
+	key ? {'idempotency-key': key.text, 'egretwing-first-send': String(sends === 1)} : {};
+
+/** The entry that runs the key comes first, then the others in turn. */
+const chooseEntry = ({entries}: Located, key: RequestKey | undefined, sends: number): LocatedEntry | undefined => {
+	const owner = sends === 1 ? entries.find(entry => entry.hostId === key?.hostId) : undefined;
+	return owner ?? entries[(sends - 1) % Math.max(1, entries.length)];
+};
+
 /** Creates a client. */
 export const createClient = (options: ClientOptions): Client => {
 	const config = resolveConfig(options);
@@ -37,13 +57,13 @@
 	const locator = createLocator(config.locateAddresses, clock);
 	const dispatcher = new Agent({connections: 64, pipelining: 1});
 
-	const sendOnce = async (request: ClientRequest, entry: LocatedEntry): Promise<SendResult> => {
+	const sendOnce = async (request: ClientRequest, entry: LocatedEntry, keyHeaders: Readonly<Record<string, string>>): Promise<SendResult> => {
 		try {
 			const {body} = request;
 			const answer = await sendRequest(`http://${entry.address}:${entry.port}${request.path}`, {
 				dispatcher,
 				method: request.method,
-				headers: {...request.headers, 'egretwing-workspace': config.workspace},
+				headers: {...request.headers, 'egretwing-workspace': config.workspace, ...keyHeaders},
 				body: typeof body === 'function' ? body() : body,
 				headersTimeout: config.sendTimeoutMs,
 			});
@@ -66,19 +86,25 @@
 			let result: SendResult = {type: 'failed', kind: 'unreachable', ran: 'not-run'};
 			// Once a send may have run, a later "not run" speaks of its own send only.
 			let mayHaveRun = false;
+			let key: RequestKey | undefined;
 			for (let sends = 1; sends <= config.maxSends; sends++) {
-				const entries = await locator.locate(request.service);
-				const entry = entries[(sends - 1) % Math.max(1, entries.length)];
+				const located = await locator.locate(request.service);
+				key ??= takeKey(request, located);
+				const entry = chooseEntry(located, key, sends);
 				if (entry) {
-					result = await sendOnce(request, entry);
+					result = await sendOnce(request, entry, keyHeaders(key, sends));
 				}
 
 				if (result.type === 'answered') {
 					return {...result, sends};
 				}
 
+				if (result.ran === 'ran') {
+					return {...result, sends};
+				}
+
 				mayHaveRun ||= result.ran !== 'not-run';
-				if (mayHaveRun && !request.idempotent) {
+				if (mayHaveRun && !request.idempotent && !key) {
 					return {...result, ran: 'unknown', sends};
 				}
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,4 +30,4 @@
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
-export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
+export type {LocateAnswer, LocatedEntry, LocatedKey} from './locate/types.ts';
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -23,6 +23,14 @@
 		readonly hostId: string;
 		readonly incarnation: number;
 	}
+	| {
+		/** What the entry's clock shows, for issuing idempotency keys that name it. Sent about once a second. */
+		readonly type: 'key-clock';
+		readonly version: number;
+		readonly hostId: string;
+		readonly incarnation: number;
+		readonly clockMs: number;
+	}
 	| {
 		/** The entry takes no new requests; stop naming it in locate answers. */
 		readonly type: 'draining';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,7 +2,9 @@
 
 import http from 'node:http';
 import type net from 'node:net';
-import {createOnceGate, createRandom, hashText} from '@egretwing/core';
+import {
+	createOnceGate, createRandom, hashText, messageVersion,
+} from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
 } from '@egretwing/node';
@@ -78,12 +80,6 @@
 	server.on('clientError', (error, socket) => {
 		refuseUnreadable(error, socket as net.Socket);
 	});
-	const beats = setInterval(() => {
-		gate.beat(clock.nowMs());
-		const {keys, bytes} = gate.usage();
-		metrics.keys.set(keys);
-		metrics.keyBytes.set(bytes);
-	}, beatIntervalMs);
 	const port = await listen(server, settings.entryPort, settings.address);
 	const operator = await createOperatorServer({
 		address: settings.operatorAddress,
@@ -111,6 +107,16 @@
 			metrics.configRevision.set(view.revision());
 		},
 	});
+	const beats = setInterval(() => {
+		const clockMs = clock.nowMs();
+		gate.beat(clockMs);
+		link.send({
+			type: 'key-clock', version: messageVersion, hostId, incarnation, clockMs,
+		});
+		const {keys, bytes} = gate.usage();
+		metrics.keys.set(keys);
+		metrics.keyBytes.set(bytes);
+	}, beatIntervalMs);
 	logger.info('entry listens', {address: settings.address, port, operatorPort: operator.port});
 	return {
 		port,
