--- /dev/null
+++ b/packages/agent/src/envelope.ts
@@ -0,0 +1,85 @@
+/** The envelope of a message between agents: sealed, numbered and bound to its receiver. */
+
+import type {Buffer} from 'node:buffer';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {z} from 'zod';
+import {decodeValue, encodeValue, type Sealer} from '@egretwing/node';
+import {createReplayGuard} from './replay-guard.ts';
+
+/** Version of the envelope. */
+const envelopeVersion = 1;
+
+/** Where an agent is reached. */
+export type PeerEndpoint = {
+	readonly address: string;
+	readonly peerPort: number;
+};
+
+/** Why an envelope was refused. */
+export type EnvelopeError = 'wrong-seal' | 'undecodable' | 'wrong-version' | 'wrong-receiver' | 'replayed';
+
+/** An opened envelope. */
+export type OpenedEnvelope = {
+	readonly hostId: string;
+	readonly endpoint: PeerEndpoint;
+	readonly message: unknown;
+};
+
+/** Seals and opens the envelopes of one agent. */
+export type EnvelopeCodec = {
+	readonly seal: (to: PeerEndpoint, message: unknown) => Buffer;
+	readonly open: (bytes: Uint8Array) => Result<OpenedEnvelope, EnvelopeError>;
+};
+
+/** Who sends and with which keys. */
+export type EnvelopeOptions = {
+	readonly hostId: string;
+	readonly endpoint: PeerEndpoint;
+	readonly startedMs: number;
+	readonly sealer: Sealer;
+};
+
+const envelopeSchema = z.tuple([
+	z.literal(envelopeVersion), z.string(), z.string(), z.int(), z.string(), z.number(), z.int(), z.unknown(),
+]);
+
+const textOf = ({address, peerPort}: PeerEndpoint): string => `${address}:${peerPort}`;
+
+/** Creates the codec of one agent. */
+export const createEnvelopeCodec = (options: EnvelopeOptions): EnvelopeCodec => {
+	const {hostId, endpoint, startedMs, sealer} = options;
+	const guard = createReplayGuard();
+	let lastSequence = 0;
+	return {
+		seal: (to, message) => sealer.seal(encodeValue([
+			envelopeVersion, hostId, endpoint.address, endpoint.peerPort, textOf(to), startedMs, ++lastSequence, message,
+		])),
+		open(bytes) {
+			const payload = sealer.open(bytes);
+			if (payload.isErr()) {
+				return payload;
+			}
+
+			const decoded = decodeValue(payload.value);
+			if (decoded.isErr()) {
+				return decoded;
+			}
+
+			const parsed = envelopeSchema.safeParse(decoded.value);
+			if (!parsed.success) {
+				return Err('wrong-version');
+			}
+
+			const [, sender, address, peerPort, receiver, senderStartedMs, sequence, message] = parsed.data;
+			if (receiver !== textOf(endpoint)) {
+				return Err('wrong-receiver');
+			}
+
+			if (!guard.admit({hostId: sender, startedMs: senderStartedMs, sequence})) {
+				return Err('replayed');
+			}
+
+			return Ok({hostId: sender, endpoint: {address, peerPort}, message});
+		},
+	};
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,7 +30,6 @@
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
-export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
 export {createConfigStore} from './config/store.ts';
 export type {
 	ConfigStore, MergeReport, RefusedRecord, StoreCounters,
@@ -47,3 +46,4 @@
 export {entriesPerDataCentre, orderForCaller, placeService} from './placement/placement.ts';
 export type {PlacementConfig, PlacementEntry, ServiceSize} from './placement/placement.ts';
 export {rankNodes} from './placement/rendezvous.ts';
+export type {LocateAnswer, LocatedEntry, LocatedKey} from './locate/types.ts';
