feat(agent): membership, configuration exchange and placement between real agents

Only relays watch the service. Entries reach each other's host through publish and delivered messages of the agent session. The entry beats twice a second and takes a record of equal revision, since its agent has resolved the conflict.

--- a/packages/agent/src/locate.ts
+++ b/packages/agent/src/locate.ts
@@ -12,7 +12,7 @@
 	/** Prefix of the idempotency keys for `service`. */
 	readonly keyFor: (service: string) => LocatedKey | undefined;
 	/** Entry hosts for `service` in the order in which a caller should try them. */
-	readonly entriesFor: (service: string) => readonly FleetMember[];
+	readonly entriesFor: (service: string, callerDataCentre?: string) => readonly FleetMember[];
 };
 
 /** Callers' locate interface. */
@@ -21,16 +21,16 @@
 	readonly close: () => void;
 };
 
-const createAnswer = (service: string, options: LocateOptions): LocateAnswer => ({
+const createAnswer = (service: string, callerDataCentre: string | undefined, options: LocateOptions): LocateAnswer => ({
 	service,
-	entries: options.entriesFor(service).map(({host, incarnation}) => ({
+	entries: options.entriesFor(service, callerDataCentre).map(({host, incarnation}) => ({
 		hostId: host.hostId, address: host.address, port: host.entryPort, dataCentre: host.dataCentre, incarnation,
 	})),
 	keepMs: options.keepMs,
 	key: options.keyFor(service),
 });
 
-/** Starts `GET /v1/locate?service=NAME`. */
+/** Starts `GET /v1/locate?service=NAME`; with `&dataCentre=NAME` entries of that data centre come first. */
 export const createLocateServer = async (options: LocateOptions): Promise<LocateServer> => {
 	const server = http.createServer((request, response) => {
 		const url = new URL(request.url ?? '/', 'http://locate');
@@ -39,7 +39,7 @@
 			return;
 		}
 
-		const answer = createAnswer(url.searchParams.get('service') ?? '', options);
+		const answer = createAnswer(url.searchParams.get('service') ?? '', url.searchParams.get('dataCentre') ?? undefined, options);
 		sendJson(response, answer.entries.length === 0 ? 503 : 200, answer);
 	});
 	const port = await listen(server, options.port, options.address);
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -7,5 +7,7 @@
 
 await runDaemon('egretwing-agent', agentSettingsSchema, async settings => {
 	const agent = await startAgent(settings);
-	onShutdownSignal(agent.shutdown);
+	onShutdownSignal(() => {
+		void agent.shutdown();
+	});
 });
--- a/packages/agent/src/peers.ts
+++ b/packages/agent/src/peers.ts
@@ -69,11 +69,11 @@
 
 	const datagrams = dgram.createSocket('udp4');
 	await bind(datagrams, peerPort, address);
-	datagrams.on('message', take);
 	datagrams.on('error', () => {
 		// A datagram that could not be sent counts as lost.
 	});
 	const streams = await createPeerStreams({address, peerPort, onSealed: take});
+	datagrams.on('message', take);
 	let closed = false;
 
 	return {
--- a/packages/agent/src/platform-feed.ts
+++ b/packages/agent/src/platform-feed.ts
@@ -11,6 +11,7 @@
 const waitMs = 20_000;
 const answerMarginMs = 5000;
 const retryDelayMs = 500;
+const idleCheckMs = 100;
 
 /** Follows one published resource until stopped. */
 export type Feed = {
@@ -23,6 +24,9 @@
 	readonly schema: z.ZodType<T>;
 	readonly positionOf: (answer: T) => number;
 	readonly onAnswer: (answer: T) => void;
+	readonly onFailure: () => void;
+	/** While false the resource is not read. */
+	readonly isWanted: () => boolean;
 	readonly logger: Logger;
 };
 
@@ -39,20 +43,26 @@
 const createFeed = <T>(options: FeedOptions<T>): Feed => {
 	const abort = new AbortController();
 	let position = 0;
-	const follow = async (): Promise<void> => {
-		while (!abort.signal.aborted) {
-			try {
-				const answer = await fetchAnswer(options.urlAt(position), options.schema, abort.signal);
-				position = options.positionOf(answer);
-				options.onAnswer(answer);
-			} catch (error) {
-				if (abort.signal.aborted) {
-					return;
-				}
 
-				options.logger.warn('platform can not be read', {url: options.urlAt(position), error: String(error)});
-				await delay(retryDelayMs);
+	const readOnce = async (): Promise<void> => {
+		try {
+			const answer = await fetchAnswer(options.urlAt(position), options.schema, abort.signal);
+			position = options.positionOf(answer);
+			options.onAnswer(answer);
+		} catch (error) {
+			if (abort.signal.aborted) {
+				return;
 			}
+
+			options.onFailure();
+			options.logger.warn('platform can not be read', {url: options.urlAt(position), error: String(error)});
+			await delay(retryDelayMs);
+		}
+	};
+
+	const follow = async (): Promise<void> => {
+		while (!abort.signal.aborted) {
+			await (options.isWanted() ? readOnce() : delay(idleCheckMs));
 		}
 	};
 
@@ -64,12 +74,22 @@
 	};
 };
 
+/** Takes what the configuration service answers. */
+export type RecordsHandlers = {
+	readonly onPage: (page: ConfigPage) => void;
+	readonly onFailure: () => void;
+	/** While false the service is not read. */
+	readonly isWanted: () => boolean;
+};
+
 /** Follows the configuration records; `onPage` gets each page as it comes. */
-export const followRecords = (baseUrl: string, onPage: (page: ConfigPage) => void, logger: Logger): Feed => createFeed({
+export const followRecords = (baseUrl: string, handlers: RecordsHandlers, logger: Logger): Feed => createFeed({
 	urlAt: position => `${baseUrl}/v1/records?after=${position}&waitMs=${waitMs}`,
 	schema: configPageSchema,
 	positionOf: page => page.position,
-	onAnswer: onPage,
+	onAnswer: handlers.onPage,
+	onFailure: handlers.onFailure,
+	isWanted: handlers.isWanted,
 	logger,
 });
 
@@ -79,5 +99,9 @@
 	schema: hostListSchema,
 	positionOf: hosts => hosts.sequence,
 	onAnswer: onHosts,
+	onFailure() {
+		// The membership goes on without the list.
+	},
+	isWanted: () => true,
 	logger,
 });
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -47,6 +47,11 @@
 	 * @default 2000
 	 */
 	locateKeepMs: z.number().positive().default(2000),
+	/**
+	 * Agents in each data centre that watch the configuration service; the others hear from them.
+	 * @default 2
+	 */
+	relaysPerDataCentre: z.int().min(1).default(2),
 	/**
 	 * Detail of the logs, from 0 (errors) to 5 (everything).
 	 * @default 3
--- a/packages/agent/src/world.ts
+++ b/packages/agent/src/world.ts
@@ -1,80 +1,104 @@
-/** The host's view of the world: records in force, host list, own entry. */
+/** The host's view of the world, put together from the configuration, the host list and the membership. */
 
 import {
-	messageVersion, parseRecord,
-	type AgentToEntry, type ConfigPage, type ConfigRecord, type EntryHost, type FleetMember, type HostList, type Instance, type RecordIssue, type ServiceRecord,
+	messageVersion, orderForCaller, placeService,
+	type AgentToEntry, type ConfigStore, type EntryHost, type FleetMember, type HostList, type Instance, type MemberView, type Random, type ServiceRecord,
 } from '@egretwing/core';
 
-/** The agent's state and what it tells the entry. */
-export type World = {
-	/** Takes a page of the feed; returns the records that were newer. */
-	readonly applyPage: (page: ConfigPage, onRefused: (written: unknown, issues: readonly RecordIssue[]) => void) => readonly ConfigRecord[];
-	readonly applyHosts: (hosts: HostList) => void;
+/** Where the view comes from. */
+export type WorldOptions = {
+	readonly store: ConfigStore;
+	/** Members as the membership sees them. */
+	readonly memberViews: () => readonly MemberView[];
+	/** True once a whole configuration is held. */
 	readonly ready: () => boolean;
-	readonly records: () => readonly ConfigRecord[];
+	readonly random: Random;
+};
+
+/** The agent's view and what it tells the entry. */
+export type World = {
+	/** Takes a host list unless an equal or newer one was seen; true when it was taken. */
+	readonly applyHosts: (hosts: HostList) => boolean;
+	/** Entry hosts of the list. */
+	readonly entryHosts: () => readonly EntryHost[];
 	/** The record in force of a service. */
 	readonly service: (name: string) => ServiceRecord | undefined;
+	/** Present members and listed hosts. */
 	readonly members: () => readonly FleetMember[];
+	/** Usable entries for callers of `service`, in the order in which one caller should try them. */
+	readonly entriesFor: (service: string, callerDataCentre?: string) => readonly FleetMember[];
+	/** What the entry is told of hosts. */
+	readonly hostMessages: () => readonly AgentToEntry[];
 	/** Everything a freshly connected entry needs. */
 	readonly snapshot: () => readonly AgentToEntry[];
 };
 
-const recordId = (record: ConfigRecord): string =>
-	`${record.kind === 'removed' ? record.removedKind : record.kind}/${record.name}`;
+const isPresent = ({status}: MemberView): boolean => status === 'alive' || status === 'suspect';
 
-/** Creates an empty world. */
-export const createWorld = (): World => {
-	const records = new Map<string, ConfigRecord>();
-	let hosts: HostList = {sequence: 0, hosts: []};
-	let ready = false;
+/** Creates the view of one agent. */
+export const createWorld = (options: WorldOptions): World => {
+	const {store, memberViews, ready, random} = options;
+	let hosts: HostList = {sequence: -1, hosts: []};
+	let entryHosts: readonly EntryHost[] = [];
+	let instances: readonly Instance[] = [];
 
-	const members = (): readonly FleetMember[] => hosts.hosts
-		.filter((host): host is EntryHost => host.role === 'entry')
-		.map(host => ({host, incarnation: 0, usable: host.state === 'live'}));
-
-	return {
-		applyPage(page, onRefused) {
-			const newer: ConfigRecord[] = [];
-			for (const written of page.records) {
-				const parsed = parseRecord(written);
-				if (parsed.isErr()) {
-					onRefused(written, parsed.error);
-					continue;
-				}
+	const service = (name: string): ServiceRecord | undefined => {
+		const record = store.get('service', name);
+		return record?.kind === 'service' ? record : undefined;
+	};
 
-				const id = recordId(parsed.value);
-				if (parsed.value.revision > (records.get(id)?.revision ?? 0)) {
-					records.set(id, parsed.value);
-					newer.push(parsed.value);
-				}
-			}
+	/** A listed host that the membership does not know or believes dead stays in the list, though not usable. */
+	const members = (): readonly FleetMember[] => {
+		const views = memberViews();
+		const present = new Map(views.filter(view => isPresent(view)).map(view => [view.host.hostId, view]));
+		const absent = entryHosts.filter(host => !present.has(host.hostId));
+		const incarnations = new Map(views.map(({host, entryIncarnation}) => [host.hostId, entryIncarnation]));
+		return [
+			...[...present.values()].map(({host, entryIncarnation, usable}) => ({host, incarnation: entryIncarnation, usable})),
+			...absent.map(host => ({host, incarnation: incarnations.get(host.hostId) ?? 0, usable: false})),
+		];
+	};
 
-			ready ||= page.complete && records.size > 0;
-			return newer;
+	const hostMessages = (): readonly AgentToEntry[] => [
+		{
+			type: 'instances', version: messageVersion, sequence: Math.max(0, hosts.sequence), instances,
 		},
+		{type: 'members', version: messageVersion, members: members()},
+	];
+
+	return {
 		applyHosts(next) {
-			if (next.sequence > hosts.sequence) {
-				hosts = next;
+			if (next.sequence <= hosts.sequence) {
+				return false;
 			}
+
+			hosts = next;
+			entryHosts = next.hosts.filter(host => host.role === 'entry');
+			instances = next.hosts.filter(host => host.role === 'backend');
+			return true;
 		},
-		ready: () => ready,
-		records: () => [...records.values()],
-		service(name) {
-			const record = records.get(`service/${name}`);
-			return record?.kind === 'service' ? record : undefined;
-		},
+		entryHosts: () => entryHosts,
+		service,
 		members,
+		entriesFor(name, callerDataCentre) {
+			const usable = members().filter(member => member.usable);
+			const byHostId = new Map(usable.map(member => [member.host.hostId, member]));
+			const size = {
+				service: name,
+				instances: instances.filter(instance => instance.service === name && instance.state === 'live').length,
+				slotsPerInstance: service(name)?.slotsPerInstance ?? 1,
+			};
+			const entries = usable.map(({host}) => ({
+				hostId: host.hostId, dataCentre: host.dataCentre, weight: 1, usable: true,
+			}));
+			return orderForCaller(placeService(size, entries), random, callerDataCentre).map(({hostId}) => byHostId.get(hostId)!);
+		},
+		hostMessages,
 		snapshot: () => [
 			{
-				type: 'config', version: messageVersion, records: [...records.values()], ready,
-			},
-			{
-				type: 'instances',
-				version: messageVersion,
-				sequence: hosts.sequence,
-				instances: hosts.hosts.filter((host): host is Instance => host.role === 'backend'),
+				type: 'config', version: messageVersion, records: [...store.records()], ready: ready(),
 			},
-			{type: 'members', version: messageVersion, members: members()},
+			...hostMessages(),
 		],
 	};
 };
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -24,8 +24,8 @@
 export const unreadBodyTimeoutMs = 5000;
 /** How often connections are checked for callers that are slow to send their headers. */
 export const slowCallerCheckMs = 1000;
-/** How often the entry looks at its clock to notice that it was paused. */
-export const beatIntervalMs = 1000;
+/** How often the entry looks at its clock to notice that it was paused, and tells its agent that it is alive. */
+export const beatIntervalMs = 500;
 
 /** Delay before the session to the agent is opened again. */
 export const agentRetryDelayMs = 100;
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -35,7 +35,7 @@
 		for (const record of message.records) {
 			const kind = record.kind === 'removed' ? record.removedKind : record.kind;
 			const id = `${kind}/${record.name}`;
-			if (record.revision <= (revisions.get(id) ?? 0)) {
+			if (record.revision < (revisions.get(id) ?? 0)) {
 				continue;
 			}
 
@@ -96,6 +96,10 @@
 					members = message.members;
 					break;
 				}
+
+				case 'delivered': {
+					break;
+				}
 			}
 		},
 	};
