--- a/packages/standin/src/backend/instance.ts
+++ b/packages/standin/src/backend/instance.ts
@@ -52,6 +52,7 @@
 	};
 	let startedMs = Date.now();
 	let flapStartMs = 0;
+	let restartTimer: NodeJS.Timeout | undefined;
 
 	const isStalled = (): boolean => {
 		const flap = faults.get('flap');
@@ -229,6 +230,7 @@
 	};
 
 	const closeListener = (): void => {
+		clearTimeout(restartTimer);
 		if (listener.listening) {
 			listener.close();
 		}
@@ -242,19 +244,19 @@
 	};
 
 	const reopen = async (): Promise<void> => {
+		clearTimeout(restartTimer);
 		if (!listener.listening) {
 			startedMs = Date.now();
 			await listen(listener, port, settings.address);
 		}
 	};
 
-	const crash = async (restartMs: number): Promise<void> => {
+	const crash = (restartMs: number): void => {
 		counts.crashes++;
 		closeAll();
-		await sleep(restartMs);
-		if (!faults.has('down')) {
-			await reopen();
-		}
+		restartTimer = setTimeout(() => {
+			void reopen();
+		}, restartMs);
 	};
 
 	const answerProbe = async (response: ServerResponse, path: string): Promise<void> => {
@@ -287,7 +289,7 @@
 		const crashing = faults.get('crash');
 		if (crashing && (request.url ?? '').includes(crashing.pathPart)) {
 			countRun(request);
-			await crash(crashing.restartMs);
+			crash(crashing.restartMs);
 			return;
 		}
 
