--- a/scripts/lib/processes.ts
+++ b/scripts/lib/processes.ts
@@ -56,6 +56,15 @@
 export const createProcesses = (logs: 'ignore' | 'inherit' = 'ignore'): Processes => {
 	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-'));
 	const children = new Map<string, ChildProcess>();
+	const kill = (): void => {
+		for (const child of children.values()) {
+			child.kill('SIGKILL');
+		}
+
+		rmSync(folder, {recursive: true, force: true});
+	};
+
+	process.once('exit', kill);
 	return {
 		start(name, program, settings, leading = []) {
 			const file = path.join(folder, `${name}.json`);
@@ -74,13 +83,7 @@
 			await Promise.all([...children.values()].map(async child => endProcess(child)));
 			rmSync(folder, {recursive: true, force: true});
 		},
-		kill() {
-			for (const child of children.values()) {
-				child.kill('SIGKILL');
-			}
-
-			rmSync(folder, {recursive: true, force: true});
-		},
+		kill,
 	};
 };
 
