--- a/scripts/lib/processes.ts
+++ b/scripts/lib/processes.ts
@@ -82,6 +82,7 @@
 		async stop() {
 			await Promise.all([...children.values()].map(async child => endProcess(child)));
 			rmSync(folder, {recursive: true, force: true});
+			process.off('exit', kill);
 		},
 		kill,
 	};
