--- a/packages/standin/src/backend/server.ts
+++ b/packages/standin/src/backend/server.ts
@@ -9,7 +9,7 @@
 import {instanceFaultSchema} from './faults.ts';
 import {startInstance, type InstanceServer} from './instance.ts';
 import {createRunLog} from './runs.ts';
-import type {InstanceFault} from './types.ts';
+import type {InstanceCounts, InstanceFault} from './types.ts';
 
 const faultCommandSchema = z.strictObject({
 	/** Instance ids that the fault strikes. */
@@ -45,6 +45,9 @@
 		await instance.setFault(fault);
 	};
 
+	const countAll = (): Readonly<Record<string, InstanceCounts>> =>
+		Object.fromEntries([...instances].map(([hostId, instance]) => [hostId, instance.counts()]));
+
 	const answerOperator = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		switch (`${request.method} ${requestUrl(request).pathname}`) {
 			case 'POST /v1/fault': {
@@ -59,11 +62,12 @@
 			}
 
 			case 'GET /v1/runs': {
-				sendJson(response, 200, {
-					runs: runLog.runs(),
-					repeated: runLog.repeated(),
-					instances: Object.fromEntries([...instances].map(([hostId, instance]) => [hostId, instance.counts()])),
-				});
+				sendJson(response, 200, {runs: runLog.runs(), repeated: runLog.repeated(), instances: countAll()});
+				return;
+			}
+
+			case 'GET /v1/counts': {
+				sendJson(response, 200, {instances: countAll()});
 				return;
 			}
 
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -8,6 +8,6 @@
 export type {
 	CutDirection, InstanceCounts, InstanceFault, InstanceFaultType, Run,
 } from './backend/types.ts';
-export {recordingChunks, recordingDigest} from './backend/recordings.ts';
+export {recordingChunkBytes, recordingChunks, recordingDigest} from './backend/recordings.ts';
 export {backendSettingsSchema, instanceSettingsSchema, platformSettingsSchema} from './settings.ts';
 export type {BackendSettings, InstanceSettings, PlatformSettings} from './settings.ts';
--- a/test/scenario/language/actions.ts
+++ b/test/scenario/language/actions.ts
@@ -108,8 +108,8 @@
 		action: {type: 'platform', fault: {type: 'down'}},
 		...(duration !== undefined && {end: {afterMs: duration, action: {type: 'platform', fault: {type: 'ok'}}}}),
 	})),
-	createSentence('let the platform answer as of now', () => ({action: {type: 'freeze-platform'}})),
-	createSentence('let the platform answer as at the start', () => ({action: {type: 'platform', fault: {type: 'stale', position: 0}}})),
+	createSentence('let the platform answer as of now', () => ({action: {type: 'stale-platform', asOf: 'now'}})),
+	createSentence('let the platform answer as at the start', () => ({action: {type: 'stale-platform', asOf: 'start'}})),
 	createSentence('mend the platform', () => ({action: {type: 'platform', fault: {type: 'ok'}}})),
 	createSentence(
 		'publish revision {revision:int} of route {path:path} to {service:name} {semantics:semantics}',
--- a/test/scenario/language/types.ts
+++ b/test/scenario/language/types.ts
@@ -45,8 +45,8 @@
 		/** `targets` are instance ids or names of services; `cutFrom` is filled in with the addresses of these entry hosts. */
 		| {readonly type: 'fault'; readonly targets: readonly string[]; readonly fault: InstanceFault; readonly cutFrom: readonly number[]}
 		| {readonly type: 'platform'; readonly fault: PlatformFault}
-		/** The platform answers as it did at this moment from now on. */
-		| {readonly type: 'freeze-platform'}
+		/** The platform answers with what it held at the start of the scenario, or holds at this moment. */
+		| {readonly type: 'stale-platform'; readonly asOf: 'start' | 'now'}
 		| {readonly type: 'publish'; readonly revision: number; readonly route: RouteLine}
 		| {readonly type: 'publish-bad'; readonly revision: number; readonly route: RouteLine}
 		| {readonly type: 'leave-instance'; readonly hostId: string}
@@ -79,6 +79,7 @@
 		| {readonly type: 'in-force'; readonly revision: number; readonly withinMs: number}
 		| {readonly type: 'never-back'}
 		| {readonly type: 'crashes'; readonly atMost: number}
+		/** The processes that were asked to stop have ended by themselves. */
 		| {readonly type: 'ended'; readonly host: number; readonly part: ProcessPart}
 		| {readonly type: 'reads'; readonly atMost: number};
 
--- /dev/null
+++ b/test/scenario/runner/callers.ts
@@ -0,0 +1,185 @@
+/** Callers: locate an entry host, send, and send again with the same key. */
+
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import type {LocatedEntry} from '@egretwing/core';
+import {createLocator, type LocateAddress, type Locator} from '@egretwing/client';
+import type {KeyUse, LoadLine} from '../language/types.ts';
+import type {SendOutcome, Sending, Work} from './observations.ts';
+
+const maxSends = 8;
+const resendWithinMs = 9000;
+const resendDelayMs = 100;
+const insistDelayMs = 200;
+const keyTimeoutMs = 1000;
+const msPerSecond = 1000;
+
+/** One kind of work. */
+export type WorkOptions = Pick<LoadLine, 'method' | 'path' | 'keys' | 'resend' | 'timeoutMs'> & {
+	readonly service: string;
+	readonly id: string;
+	readonly index: number;
+};
+
+/** Sends work. */
+export type Callers = {
+	readonly locator: Locator;
+	readonly dispatcher: Agent;
+	readonly sendWork: (options: WorkOptions) => Promise<Work>;
+	/** Sends the same work `times` times through one entry host after another, whatever is answered. */
+	readonly insist: (options: WorkOptions, times: number) => Promise<Work>;
+	/** Sends at a steady rate until `untilMs` of `performance.now()`; resolves with all work once each has ended. */
+	readonly sendLoad: (load: LoadLine, service: string, originMs: number, untilMs: number) => Promise<readonly Work[]>;
+	readonly close: () => Promise<void>;
+};
+
+const rotate = (entries: readonly LocatedEntry[], turn: number): LocatedEntry | undefined => entries[turn % Math.max(1, entries.length)];
+
+const flawOf = (text: string, options: WorkOptions, target: string): string => {
+	try {
+		const {workId, path} = JSON.parse(text) as {readonly workId?: string; readonly path?: string};
+		return workId === options.id && path === target ? '' : `answer of another request: ${text}`;
+	} catch {
+		return `answer is not whole: ${text}`;
+	}
+};
+
+/** Creates callers that ask these agents. */
+export const createCallers = (agents: readonly [LocateAddress, ...LocateAddress[]]): Callers => {
+	const locator = createLocator(agents, {nowMs: () => performance.now()});
+	const dispatcher = new Agent({connections: 64, pipelining: 1});
+
+	const sendOnce = async (options: WorkOptions, entry: LocatedEntry, headers: Readonly<Record<string, string>>): Promise<SendOutcome> => {
+		const target = `${options.path}/${options.id}`;
+		try {
+			const answer = await request(`http://${entry.address}:${entry.port}${target}`, {
+				dispatcher,
+				method: options.method,
+				headers: {'x-work-id': options.id, 'egretwing-workspace': 'scenario', ...headers},
+				body: options.method === 'GET' ? null : '{"work":true}',
+				signal: AbortSignal.timeout(options.timeoutMs),
+			});
+			const text = await answer.body.text();
+			const kind = answer.headers['egretwing-kind'];
+			if (typeof kind === 'string') {
+				return {type: 'refused', kind, ran: String(answer.headers['egretwing-ran'])};
+			}
+
+			const flaw = answer.statusCode === 200 ? flawOf(text, options, target) : '';
+			return {type: 'answered', statusCode: answer.statusCode, flaw};
+		} catch (error) {
+			return {type: 'lost', reason: String((error as {readonly code?: string}).code ?? error)};
+		}
+	};
+
+	/** Asks the entry hosts in turn for the prefix of a key. */
+	const issueKey = async (options: WorkOptions): Promise<string | undefined> => {
+		const entries = await locator.locate(options.service);
+		for (let turn = 0; turn < entries.length; turn++) {
+			const {address, port} = rotate(entries, options.index + turn)!;
+			try {
+				const {statusCode, body} = await request(`http://${address}:${port}/.well-known/egretwing/idempotency-key?service=${options.service}`, {
+					dispatcher, signal: AbortSignal.timeout(keyTimeoutMs),
+				});
+				const answer = await body.json() as {readonly keyPrefix?: string};
+				if (statusCode === 200 && answer.keyPrefix !== undefined) {
+					return `${answer.keyPrefix}${options.id}`;
+				}
+			} catch {
+				locator.forget(options.service);
+			}
+		}
+
+		return undefined;
+	};
+
+	const createKey = async (options: WorkOptions): Promise<string | undefined> => {
+		const creators: Readonly<Record<KeyUse, () => Promise<string | undefined>>> = {
+			none: async () => undefined,
+			plain: async () => options.id,
+			issued: async () => issueKey(options),
+		};
+		return creators[options.keys]();
+	};
+
+	const send = async (options: WorkOptions, key: string | undefined, turn: number): Promise<Sending> => {
+		const entries = await locator.locate(options.service);
+		const entry = rotate(entries, options.index + turn);
+		const requestId = `${options.id}.${turn}`;
+		const sentAtMs = Date.now();
+		const outcome: SendOutcome = entry
+			? await sendOnce(options, entry, {
+				'x-request-id': requestId,
+				...(key !== undefined && {'idempotency-key': key, 'egretwing-first-send': String(turn === 0)}),
+			})
+			: {type: 'lost', reason: 'no entry host located'};
+		return {
+			requestId, hostId: entry?.hostId ?? '', sentAtMs, endedAtMs: Date.now(), outcome,
+		};
+	};
+
+	/** True when sending again can't run the work twice by the caller's own fault. */
+	const maySendAgain = (options: WorkOptions, key: string | undefined, {outcome}: Sending): boolean => {
+		if (!options.resend || (outcome.type === 'answered' && outcome.flaw === '')) {
+			return false;
+		}
+
+		return options.method === 'GET' || key !== undefined || (outcome.type === 'refused' && outcome.ran === 'not-run');
+	};
+
+	const createWork = (options: WorkOptions, purpose: Work['purpose'], beganAtMs: number, sendings: readonly Sending[]): Work => ({
+		id: options.id, method: options.method, path: options.path, keys: options.keys, purpose, beganAtMs, sendings,
+	});
+
+	const sendWork = async (options: WorkOptions): Promise<Work> => {
+		const beganAtMs = Date.now();
+		const key = await createKey(options);
+		const sendings: Sending[] = [];
+		while (sendings.length < maxSends && Date.now() - beganAtMs < resendWithinMs) {
+			const sending = await send(options, key, sendings.length);
+			sendings.push(sending);
+			if (!maySendAgain(options, key, sending)) {
+				break;
+			}
+
+			locator.forget(options.service);
+			await delay(resendDelayMs);
+		}
+
+		return createWork(options, 'load', beganAtMs, sendings);
+	};
+
+	return {
+		locator,
+		dispatcher,
+		sendWork,
+		async insist(options, times) {
+			const beganAtMs = Date.now();
+			const sendings: Sending[] = [];
+			for (let turn = 0; turn < times; turn++) {
+				sendings.push(await send(options, undefined, turn));
+				await delay(insistDelayMs);
+			}
+
+			return createWork(options, 'insist', beganAtMs, sendings);
+		},
+		async sendLoad(load, service, originMs, untilMs) {
+			const pending: Array<Promise<Work>> = [];
+			const endMs = Math.min(untilMs, originMs + load.untilMs);
+			const gapMs = msPerSecond / load.ratePerSecond;
+			for (let index = 0, dueMs = originMs + load.fromMs; dueMs < endMs; index++, dueMs += gapMs) {
+				await delay(Math.max(0, dueMs - performance.now()));
+				const id = `${load.method}-${service}-${index}`.toLowerCase();
+				pending.push(sendWork({
+					...load, service, id, index,
+				}));
+			}
+
+			return Promise.all(pending);
+		},
+		async close() {
+			await dispatcher.destroy();
+		},
+	};
+};
