--- a/test/thin-path.test.ts
+++ b/test/thin-path.test.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {Readable} from 'node:stream';
 import {expect} from 'chai';
+import {recordingDigest} from '@egretwing/standin';
 import {createClient, type Client, type ClientResult} from '@egretwing/client';
 import {
 	createEntryHost, hostPorts, startFleet, type Fleet,
