feat(core): ejection of failing instances with a floor

Cause: nothing decided yet which instances get no work. Each entry now keeps a cumulative-sum score per instance over its own observations and those that the other entries of the service report, with the threshold from the operator's dial. Failing for all entries is ejected, failing for one only is avoided there, and what the floor of freshly proven instances does not allow is spared as a last resort. An ejection is claimed first and takes effect once every peer that is heard knows of the claim.

Ruled out: each entry choosing by the merged evidence alone.

--- /dev/null
+++ b/packages/core/test/health-service.test.ts
@@ -0,0 +1,294 @@
+import {expect} from 'chai';
+import {createServiceHealth, type ServiceHealth} from '../src/health/service-health.ts';
+import {stallAgeMs} from '../src/health/stalls.ts';
+import type {Observation} from '../src/health/types.ts';
+import {modelInstances} from './support/health-model.ts';
+
+const rules = {floorShare: 0.5, falseEjectionsPerInstanceDay: 1, stallThresholdMs: 1000};
+const instanceCount = 6;
+const ids = modelInstances(instanceCount).map(({hostId}) => hostId);
+const succeeded: Observation = {kind: 'succeeded', latencyMs: 20};
+
+const createEntry = (entryId: string): ServiceHealth => {
+	const health = createServiceHealth({
+		service: 'svc', entryId, incarnation: 1, rules,
+	}, 0);
+	health.setInstances(modelInstances(instanceCount), 1, 0);
+	return health;
+};
+
+/** Steps entries through time: `drive` says what each instance answers, then reports are exchanged. */
+const run = (
+	entries: readonly ServiceHealth[],
+	{fromMs, untilMs}: {readonly fromMs: number; readonly untilMs: number},
+	drive: (entry: ServiceHealth, index: number, nowMs: number) => void,
+): void => {
+	for (let nowMs = fromMs; nowMs < untilMs; nowMs += 100) {
+		for (const [index, entry] of entries.entries()) {
+			drive(entry, index, nowMs);
+			entry.tick(nowMs);
+		}
+
+		for (const entry of entries.filter(some => some.isReportDue(nowMs))) {
+			const report = entry.report(nowMs);
+			for (const other of entries) {
+				other.receive(report, nowMs);
+			}
+		}
+	}
+};
+
+const kinds = (health: ServiceHealth): readonly string[] => ids.map(id => health.standing(id)!.kind);
+
+/** One request to each instance that is in use; `answer` gives its outcome. */
+const requestAll = (answer: (instance: number, nowMs: number) => Observation) => (entry: ServiceHealth, _index: number, nowMs: number): void => {
+	const trial = entry.nextTrial(nowMs);
+	for (const [instance, id] of ids.entries()) {
+		if (entry.standing(id)!.kind === 'use' || id === trial) {
+			entry.begin(id, nowMs).finish(answer(instance, nowMs), nowMs);
+		}
+	}
+};
+
+const failed = (nowMs: number): Observation => ({kind: 'failed', startedAtMs: nowMs});
+const healthyUntil = (untilMs: number, instance: number) => requestAll((index, nowMs) => index === instance && nowMs >= untilMs ? failed(nowMs) : succeeded);
+
+describe('createServiceHealth', () => {
+	it('ejects an instance that fails for both entries, on both', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		run(entries, {fromMs: 0, untilMs: 12_000}, healthyUntil(10_000, 2));
+		expect(entries.map(entry => entry.standing('i2')!.kind)).to.deep.equal(['ejected', 'ejected']);
+		expect(entries[0]!.explain('i2', 12_000)).to.include({floorCount: 3, listedCount: 6});
+	});
+
+	it('avoids an instance that only one entry can not reach; the other goes on', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		run(entries, {fromMs: 0, untilMs: 14_000}, (entry, index, nowMs) => {
+			requestAll(instance => index === 0 && instance === 2 && nowMs >= 10_000 ? {kind: 'connect-failed', startedAtMs: nowMs} : succeeded)(entry, index, nowMs);
+		});
+		expect(entries.map(entry => entry.standing('i2')!.kind)).to.deep.equal(['avoided', 'use']);
+	});
+
+	it('does not eject for others what one entry alone saw fail', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		run(entries, {fromMs: 0, untilMs: 14_000}, (entry, index, nowMs) => {
+			for (const id of ids.filter(some => index === 0 || some !== 'i2')) {
+				const isFailing = id === 'i2' && nowMs >= 10_000;
+				entry.begin(id, nowMs).finish(isFailing ? failed(nowMs) : succeeded, nowMs);
+			}
+		});
+		expect(entries.map(entry => entry.standing('i2')!.kind)).to.deep.equal(['avoided', 'use']);
+	});
+
+	it('ejects nobody when every instance fails', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		run(entries, {fromMs: 0, untilMs: 20_000}, requestAll((_, nowMs) => nowMs >= 10_000 ? failed(nowMs) : succeeded));
+		expect(kinds(entries[0]!)).to.not.include.members(['ejected']);
+		expect(kinds(entries[0]!)).to.not.include.members(['avoided']);
+	});
+
+	const stallCases = [
+		{title: 'ejects the one instance that stalls', stalls: (instance: number) => instance === 1, expected: 1},
+		{title: 'ejects nobody when the whole service slows down', stalls: () => true, expected: 0},
+	];
+	for (const {title, stalls, expected} of stallCases) {
+		it(title, () => {
+			const entries = [createEntry('a'), createEntry('b')];
+			run(entries, {fromMs: 0, untilMs: 16_000}, (entry, _index, nowMs) => {
+				for (const [instance, id] of ids.entries()) {
+					const attempt = entry.begin(id, nowMs);
+					if (nowMs < 10_000 || !stalls(instance)) {
+						attempt.finish(succeeded, nowMs);
+					}
+				}
+			});
+			expect(kinds(entries[0]!).filter(kind => kind === 'ejected')).to.have.length(expected);
+			expect(kinds(entries[1]!).filter(kind => kind === 'ejected' || kind === 'avoided')).to.have.length(expected);
+		});
+	}
+
+	const ageCases = [
+		{
+			title: 'the setting, where the service is quick', medianLatencyMs: 20, agesMs: [5000, 10, 0, 0], expected: 1000,
+		},
+		{
+			title: 'five usual latencies, where the service is slow', medianLatencyMs: 900, agesMs: [5000, 10, 0, 0], expected: 4500,
+		},
+		{
+			title: 'five usual ages, where most instances hold old requests', medianLatencyMs: 20, agesMs: [5000, 2000, 2000, 0], expected: 10_000,
+		},
+	];
+	for (const {title, medianLatencyMs, agesMs, expected} of ageCases) {
+		it(`takes a request for stalled above ${title}`, () => {
+			expect(stallAgeMs(1000, medianLatencyMs, agesMs)).to.equal(expected);
+		});
+	}
+
+	it('does not take a long upload that moves for a stall', () => {
+		const entry = createEntry('a');
+		const upload = entry.begin('i0', 0);
+		run([entry], {fromMs: 0, untilMs: 60_000}, (_entry, _index, nowMs) => {
+			upload.progress(nowMs);
+		});
+		expect(entry.explain('i0', 60_000)!.score).to.equal(0);
+	});
+
+	const endpointCases = [
+		{
+			title: 'a health endpoint that says healthy does not save a failing instance', probe: 'probe-succeeded', fails: true, expected: 'ejected',
+		},
+		{
+			title: 'a health endpoint that says sick does not eject a working instance', probe: 'probe-failed', fails: false, expected: 'use',
+		},
+	] as const;
+	for (const {title, probe, fails, expected} of endpointCases) {
+		it(title, () => {
+			const entries = [createEntry('a'), createEntry('b')];
+			run(entries, {fromMs: 0, untilMs: 14_000}, (entry, index, nowMs) => {
+				for (let probes = 0; probes < 10; probes++) {
+					entry.observe('i2', {kind: probe}, nowMs);
+				}
+
+				requestAll((instance, atMs) => fails && instance === 2 && atMs >= 10_000 ? failed(atMs) : succeeded)(entry, index, nowMs);
+			});
+			expect(entries[0]!.standing('i2')!.kind).to.equal(expected);
+		});
+	}
+
+	it('does not eject an idle instance whose health endpoint says sick', () => {
+		const entry = createEntry('a');
+		run([entry], {fromMs: 0, untilMs: 30_000}, (health, _index, nowMs) => {
+			health.observe('i2', {kind: 'probe-failed'}, nowMs);
+		});
+		expect(entry.standing('i2')!.kind).to.equal('use');
+	});
+
+	it('brings an instance back by trials and starts it slowly, later each time that it flaps', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		const outMs: number[] = [];
+		let fromMs = 0;
+		for (let cycle = 0; cycle < 3; cycle++) {
+			run(entries, {fromMs, untilMs: fromMs + 12_000}, healthyUntil(fromMs + 10_000, 2));
+			fromMs += 12_000;
+			expect(entries[0]!.standing('i2')!.kind).to.equal('ejected');
+			const ejectedAtMs = fromMs;
+			while (entries[0]!.standing('i2')!.kind === 'ejected') {
+				run(entries, {fromMs, untilMs: fromMs + 100}, requestAll(() => succeeded));
+				fromMs += 100;
+			}
+
+			outMs.push(fromMs - ejectedAtMs);
+			const standing = entries[0]!.standing('i2')!;
+			expect(standing.kind === 'use' && standing.weight).to.be.below(0.5);
+		}
+
+		expect(outMs[1]).to.be.above(outMs[0]! * 1.5);
+		expect(outMs[2]).to.be.above(outMs[1]! * 1.5);
+	});
+
+	it('ejects an instance that fails from the first request on', () => {
+		const entries = [createEntry('a'), createEntry('b')];
+		run(entries, {fromMs: 0, untilMs: 8000}, healthyUntil(0, 2));
+		expect(kinds(entries[0]!)).to.deep.equal(['use', 'use', 'ejected', 'use', 'use', 'use']);
+	});
+
+	it('starts a new instance slowly', () => {
+		const entry = createEntry('a');
+		entry.setInstances(modelInstances(7), 2, 5000);
+		expect(entry.standing('i6')).to.deep.equal({kind: 'use', weight: 0.1});
+		expect(entry.standing('i0')).to.deep.equal({kind: 'use', weight: 1});
+	});
+
+	it('forgives failures that its own pause explains', () => {
+		const entry = createEntry('a');
+		run([entry], {fromMs: 0, untilMs: 10_000}, requestAll(() => succeeded));
+		const attempts = Array.from({length: 20}, () => entry.begin('i2', 9900));
+		entry.tick(40_000);
+		for (const attempt of attempts) {
+			attempt.finish(failed(9900), 40_000);
+		}
+
+		entry.tick(40_100);
+		expect(entry.standing('i2')!.kind).to.equal('use');
+	});
+
+	it('does not count what a paused peer reports late', () => {
+		const [entry, peer] = [createEntry('a'), createEntry('b')];
+		run([entry, peer], {fromMs: 0, untilMs: 10_000}, requestAll(() => succeeded));
+		for (let index = 0; index < 20; index++) {
+			peer.observe('i2', failed(10_000), 10_000);
+		}
+
+		const late = peer.report(10_000);
+		run([entry], {fromMs: 10_000, untilMs: 20_000}, requestAll(() => succeeded));
+		entry.receive(late, 20_000);
+		expect(entry.explain('i2', 20_000)).to.deep.include({score: 0, standing: {kind: 'use', weight: 1}});
+	});
+
+	it('counts no proof of health that is too old, and ejects none without proof', () => {
+		const entry = createEntry('a');
+		run([entry], {fromMs: 0, untilMs: 12_000}, healthyUntil(10_000, 2));
+		expect(entry.standing('i2')!.kind).to.equal('ejected');
+		run([entry], {fromMs: 12_000, untilMs: 24_000}, () => undefined);
+		expect(entry.standing('i2')!.kind).to.equal('spared');
+	});
+
+	describe('leaving instance', () => {
+		const withState = (state: 'live' | 'leaving') => modelInstances(instanceCount).map(instance => instance.hostId === 'i2' ? {...instance, state} : instance);
+		const signs: ReadonlyArray<{readonly title: string; readonly sign: (entry: ServiceHealth, peer: ServiceHealth) => void}> = [
+			{
+				title: 'the host list',
+				sign(entry) {
+					entry.setInstances(withState('leaving'), 2, 5000);
+				},
+			},
+			{
+				title: 'a draining answer',
+				sign(entry) {
+					entry.markLeaving('i2', 5000);
+				},
+			},
+			{
+				title: 'the word of a peer',
+				sign(_entry, peer) {
+					peer.markLeaving('i2', 5000);
+				},
+			},
+		];
+		for (const {title, sign} of signs) {
+			it(`gets no new work after ${title}, also under a stale list`, () => {
+				const [entry, peer] = [createEntry('a'), createEntry('b')];
+				run([entry, peer], {fromMs: 0, untilMs: 5000}, requestAll(() => succeeded));
+				sign(entry, peer);
+				run([entry, peer], {fromMs: 5000, untilMs: 7000}, requestAll(() => succeeded));
+				entry.setInstances(withState('live'), 1, 7000);
+				run([entry, peer], {fromMs: 7000, untilMs: 9000}, requestAll(() => succeeded));
+				expect([entry, peer].map(some => some.standing('i2')!.kind)).to.deep.equal(['leaving', 'leaving']);
+			});
+		}
+
+		it('stays out when a host list from before arrives late', () => {
+			const entry = createEntry('a');
+			entry.setInstances(withState('leaving'), 3, 1000);
+			entry.setInstances(withState('live'), 2, 2000);
+			expect(entry.standing('i2')!.kind).to.equal('leaving');
+		});
+
+		it('is used again once the list said leaving and then live', () => {
+			const entry = createEntry('a');
+			entry.setInstances(withState('leaving'), 2, 1000);
+			entry.setInstances(withState('live'), 3, 2000);
+			expect(entry.standing('i2')!.kind).to.equal('use');
+		});
+
+		it('is not brought back by a lagging list that never said leaving', () => {
+			const entry = createEntry('a');
+			entry.markLeaving('i2', 1000);
+			entry.setInstances(withState('live'), 3, 2000);
+			entry.markReady('i2', 3000);
+			expect(entry.standing('i2')!.kind).to.equal('leaving');
+			entry.markReady('i2', 62_000);
+			expect(entry.standing('i2')!.kind).to.equal('use');
+		});
+	});
+});
--- /dev/null
+++ b/packages/core/test/health-union.test.ts
@@ -0,0 +1,108 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {floorCount} from '../src/health/floor.ts';
+import {
+	createFleetPolicy, runModel, type ModelConfig, type ModelPolicy,
+} from './support/health-model.ts';
+
+const fcSeed = 77;
+const msPerSecond = 1000;
+const durationMs = 50 * msPerSecond;
+const calmMs = 42 * msPerSecond;
+const exchangedMs = 5 * msPerSecond;
+
+type Fault = {
+	readonly instance: number;
+	readonly entryBits: number;
+	readonly kind: 'stall' | 'errors' | 'half' | 'flap';
+	readonly fromMs: number;
+};
+
+const fault = fc.record<Fault>({
+	instance: fc.nat(9),
+	// Which entries see the fault; 15 is all of the four.
+	entryBits: fc.constantFrom(15, 15, 3, 5, 9, 7),
+	kind: fc.constantFrom('stall', 'errors', 'half', 'flap'),
+	fromMs: fc.integer({min: 5000, max: 30_000}),
+});
+
+const runs = fc.record({
+	seed: fc.nat(1_000_000),
+	floorShare: fc.constantFrom(0.5, 0.8, 0.9),
+	faults: fc.array(fault, {minLength: 1, maxLength: 8}),
+	/** Entries on one side of a cut between entries, and when it is. */
+	sideBits: fc.nat(15),
+	cutFromMs: fc.integer({min: 5000, max: 20_000}),
+	pausedEntry: fc.nat(4),
+});
+
+const hasBit = (bits: number, index: number): boolean => Math.floor(bits / (2 ** index)) % 2 === 1;
+
+const isActive = ({kind, fromMs}: Fault, nowMs: number): boolean =>
+	nowMs >= fromMs && (kind !== 'flap' || Math.floor((nowMs - fromMs) / 4000) % 2 === 0);
+
+type Run = {
+	readonly seed: number;
+	readonly floorShare: number;
+	readonly faults: readonly Fault[];
+	readonly sideBits: number;
+	readonly cutFromMs: number;
+	readonly pausedEntry: number;
+};
+
+const configOf = (run: Run): ModelConfig => ({
+	seed: run.seed,
+	entryCount: 4,
+	instanceCount: 10,
+	requestsPerSecond: 150,
+	idempotentShare: 0.5,
+	floorShare: run.floorShare,
+	falseEjectionsPerInstanceDay: 1,
+	stallThresholdMs: 1000,
+	durationMs,
+	onsets: [],
+	isFaulty: () => false,
+	behaviour(instance, entry, nowMs) {
+		const active = run.faults.find(some => some.instance === instance && hasBit(some.entryBits, entry) && isActive(some, nowMs));
+		return {
+			failureShare: active?.kind === 'half' ? 0.5 : (active && active.kind !== 'stall' ? 1 : 0.01),
+			stallShare: active?.kind === 'stall' ? 1 : 0,
+			latencyMs: 20,
+		};
+	},
+	// A cut of one direction only for odd seeds.
+	passes: (from, to, nowMs) => nowMs < run.cutFromMs || nowMs >= calmMs - exchangedMs
+		|| hasBit(run.sideBits, from) === hasBit(run.sideBits, to) || (run.seed % 2 === 1 && hasBit(run.sideBits, from)),
+	isPaused: (entry, nowMs) => entry === run.pausedEntry && nowMs >= 15_000 && nowMs < 25_000,
+});
+
+const ids = Array.from({length: 10}, (_, index) => `i${index}`);
+const ejectedAt = ({health}: ModelPolicy): readonly string[] => ids.filter(id => health!.standing(id)!.kind === 'ejected');
+const unionOf = (entries: readonly ModelPolicy[]): ReadonlySet<string> => new Set(entries.flatMap(entry => ejectedAt(entry)));
+const outAt = ({health}: ModelPolicy): readonly string[] => ids.filter(id => ['ejected', 'avoided'].includes(health!.standing(id)!.kind));
+const mostOut = (entries: readonly ModelPolicy[]): number => Math.max(...entries.map(entry => outAt(entry).length));
+
+describe('floor over several entries', () => {
+	it('is held on every entry at all times, and by the union once the entries have talked', function () {
+		this.timeout(120_000);
+		let ejections = 0;
+		fc.assert(fc.property(runs, run => {
+			const floor = floorCount(ids.length, run.floorShare);
+			runModel(configOf(run), createFleetPolicy, (entries, nowMs) => {
+				if (nowMs % 100 !== 0) {
+					return;
+				}
+
+				expect(ids.length - mostOut(entries), `one entry at ${nowMs}`).to.be.at.least(floor);
+				if (nowMs < calmMs) {
+					return;
+				}
+
+				const union = unionOf(entries);
+				ejections += union.size;
+				expect(ids.length - union.size, `union at ${nowMs}`).to.be.at.least(floor);
+			});
+		}), {seed: fcSeed, numRuns: 25, endOnFailure: true});
+		expect(ejections).to.be.above(0);
+	});
+});
