feat(core): admission, choice of instance, queue and retry budget

Overload let waiting work and retries eat the capacity. An entry now keeps at most its part of the slots of a service in flight, borrows idle slots of other entries by latency and shed answers, queues briefly with turns between workspaces, and takes retries out of a budget.

--- /dev/null
+++ b/packages/core/src/load/instances.ts
@@ -0,0 +1,157 @@
+/** What an entry knows of the load of each instance of a service. */
+
+import {hashText} from '../random.ts';
+import {
+	deadHoldMs, shedSlotDecrease, slotFactorStep, unknownLatencyMs,
+} from './constants.ts';
+import {createPeakLatency, type LatencyAverage} from './latency.ts';
+import type {InstanceView} from './selection.ts';
+import type {AttemptEnd, Candidate, Permit} from './types.ts';
+
+type InstanceState = {
+	readonly instanceId: string;
+	readonly idHash: number;
+	readonly latency: LatencyAverage;
+	weight: number;
+	inFlight: number;
+	suspectsInFlight: number;
+	/** Part of its slots that an instance gets work for, lowered when it sheds. */
+	slotFactor: number;
+	heldUntilMs: number;
+};
+
+/** Load of the instances of a service. */
+export type InstanceLoads = {
+	/** Replaces the candidates; instances that left keep no state once nothing is in flight there. */
+	readonly setCandidates: (candidates: readonly Candidate[]) => void;
+	readonly start: (permit: Permit) => void;
+	/** Ends an attempt and learns from it. */
+	readonly finish: (permit: Permit, end: AttemptEnd, nowMs: number) => void;
+	readonly views: (slotsPerInstance: number, nowMs: number) => readonly InstanceView[];
+	/** Slots of the instances that take requests, by their weight. */
+	readonly usableSlots: (slotsPerInstance: number, nowMs: number) => number;
+	/** Whether any instance takes requests. */
+	readonly hasEligible: () => boolean;
+};
+
+const createInstanceState = ({instanceId, weight}: Candidate): InstanceState => ({
+	instanceId,
+	idHash: hashText(instanceId),
+	latency: createPeakLatency(),
+	weight,
+	inFlight: 0,
+	suspectsInFlight: 0,
+	slotFactor: 1,
+	heldUntilMs: Number.NEGATIVE_INFINITY,
+});
+
+const slotsOf = (state: InstanceState, slotsPerInstance: number): number =>
+	state.weight * state.slotFactor * slotsPerInstance;
+
+const costOf = (state: InstanceState, nowMs: number): number => {
+	const latencyMs = state.latency.valueMs(nowMs) ?? unknownLatencyMs;
+	return (state.inFlight + 1) * Math.max(latencyMs, unknownLatencyMs) / (state.weight * state.slotFactor);
+};
+
+const toView = (state: InstanceState, slotsPerInstance: number, nowMs: number): InstanceView => ({
+	instanceId: state.instanceId,
+	idHash: state.idHash,
+	isEligible: state.weight > 0,
+	isHeld: nowMs < state.heldUntilMs,
+	hasRoom: state.inFlight < Math.max(1, Math.round(slotsOf(state, slotsPerInstance))),
+	hasSuspect: state.suspectsInFlight > 0,
+	cost: costOf(state, nowMs),
+});
+
+const learn = (state: InstanceState, permit: Permit, end: AttemptEnd, nowMs: number): void => {
+	switch (end) {
+		case 'answered': {
+			state.latency.observe(nowMs - permit.startedAtMs, nowMs);
+			state.slotFactor = Math.min(1, state.slotFactor + slotFactorStep);
+			break;
+		}
+
+		case 'timed-out': {
+			state.latency.observe(nowMs - permit.startedAtMs, nowMs);
+			break;
+		}
+
+		case 'shed': {
+			state.slotFactor *= shedSlotDecrease;
+			break;
+		}
+
+		case 'connect-failed':
+		case 'died': {
+			state.heldUntilMs = nowMs + deadHoldMs;
+			break;
+		}
+
+		case 'abandoned': {
+			break;
+		}
+	}
+};
+
+/** Creates the load of the instances of one service. */
+export const createInstanceLoads = (): InstanceLoads => {
+	const states = new Map<string, InstanceState>();
+	const candidateIds = new Set<string>();
+
+	const dropIfGone = (state: InstanceState): void => {
+		if (state.inFlight === 0 && !candidateIds.has(state.instanceId)) {
+			states.delete(state.instanceId);
+		}
+	};
+
+	return {
+		setCandidates(candidates) {
+			candidateIds.clear();
+			for (const candidate of candidates) {
+				candidateIds.add(candidate.instanceId);
+				const known = states.get(candidate.instanceId);
+				if (known === undefined) {
+					states.set(candidate.instanceId, createInstanceState(candidate));
+				} else {
+					known.weight = candidate.weight;
+				}
+			}
+
+			for (const state of states.values()) {
+				state.weight = candidateIds.has(state.instanceId) ? state.weight : 0;
+				dropIfGone(state);
+			}
+		},
+		start(permit) {
+			const state = states.get(permit.instanceId);
+			if (state === undefined) {
+				return;
+			}
+
+			state.inFlight++;
+			state.suspectsInFlight += permit.isSuspect ? 1 : 0;
+		},
+		finish(permit, end, nowMs) {
+			const state = states.get(permit.instanceId);
+			if (state === undefined) {
+				return;
+			}
+
+			state.inFlight--;
+			state.suspectsInFlight -= permit.isSuspect ? 1 : 0;
+			learn(state, permit, end, nowMs);
+			dropIfGone(state);
+		},
+		views: (slotsPerInstance, nowMs) =>
+			Array.from(states.values(), state => toView(state, slotsPerInstance, nowMs)),
+		usableSlots(slotsPerInstance, nowMs) {
+			let slots = 0;
+			for (const state of states.values()) {
+				slots += nowMs < state.heldUntilMs ? 0 : slotsOf(state, slotsPerInstance);
+			}
+
+			return slots;
+		},
+		hasEligible: () => [...states.values()].some(state => state.weight > 0),
+	};
+};
--- /dev/null
+++ b/packages/core/test/load/fake-service.ts
@@ -0,0 +1,302 @@
+/** A service with a few instances and entries on a manual clock, for load experiments. */
+
+import {createRandom, type Random} from '../../src/random.ts';
+import {createNaiveLoad} from '../../src/naive/load.ts';
+import {
+	createRetryBudget, createServiceLoad, decideRetry,
+	type AttemptEnd, type Candidate, type LoadRequest, type LoadSettings, type Permit, type Placement,
+} from '../../src/load/index.ts';
+
+/** What the instances do with requests beyond their slots. */
+export type ExcessWork = 'queue' | 'shed';
+
+/** One experiment. */
+export type Experiment = {
+	readonly seed: number;
+	readonly mode: 'egretwing' | 'naive';
+	readonly entries: number;
+	readonly instances: number;
+	readonly slots: number;
+	readonly serviceMs: number;
+	readonly deadlineMs: number;
+	readonly durationMs: number;
+	/** Start of the experiment that goodput leaves out: connections and averages are cold. */
+	readonly warmUpMs: number;
+	/** Offered load as a multiple of the capacity. */
+	readonly loadFactor: number;
+	readonly excess: ExcessWork;
+	/** Share of the load that arrives at the first entry; the others split the rest. */
+	readonly firstEntryShare?: number;
+	/** Share of attempts that fail after their work was done. */
+	readonly failureShare?: number;
+	readonly retryBudgetShare?: number;
+	/** Requests carry one of these; the first offers `hogShare` of all. */
+	readonly workspaces?: number;
+	readonly hogShare?: number;
+	readonly settings?: Partial<LoadSettings>;
+	readonly placement?: Placement;
+};
+
+/** What an experiment measured. */
+export type ExperimentResult = {
+	readonly offered: number;
+	/** Answers in time, as a share of what the slots can do. */
+	readonly goodput: number;
+	readonly retries: number;
+	readonly refused: ReadonlyMap<string, number>;
+	readonly answeredByWorkspace: ReadonlyMap<string, number>;
+	readonly offeredByWorkspace: ReadonlyMap<string, number>;
+	readonly maxQueueLength: number;
+	readonly maxWorkspaceState: number;
+	/** Highest number of requests at one instance at once, in work or waiting there. */
+	readonly maxAtInstance: number;
+};
+
+type Event = {readonly atMs: number; readonly run: () => void};
+
+const createTimeline = () => {
+	const heap: Event[] = [];
+	const before = (left: number, right: number): boolean => heap[left]!.atMs < heap[right]!.atMs;
+	const swap = (left: number, right: number): void => {
+		[heap[left], heap[right]] = [heap[right]!, heap[left]!];
+	};
+
+	const sift = (): void => {
+		let index = 0;
+		for (;;) {
+			const child = (2 * index) + 1;
+			if (child >= heap.length) {
+				return;
+			}
+
+			const smaller = child + 1 < heap.length && before(child + 1, child) ? child + 1 : child;
+			if (!before(smaller, index)) {
+				return;
+			}
+
+			swap(smaller, index);
+			index = smaller;
+		}
+	};
+
+	return {
+		add(event: Event): void {
+			heap.push(event);
+			let index = heap.length - 1;
+			while (index > 0 && before(index, Math.floor((index - 1) / 2))) {
+				swap(index, Math.floor((index - 1) / 2));
+				index = Math.floor((index - 1) / 2);
+			}
+		},
+		next(): Event | undefined {
+			const first = heap[0];
+			const last = heap.pop();
+			if (heap.length > 0 && last !== undefined) {
+				heap[0] = last;
+				sift();
+			}
+
+			return first;
+		},
+	};
+};
+
+const exponential = (random: Random, mean: number): number => -mean * Math.log(1 - random.next());
+
+type Work = {readonly done: (end: AttemptEnd) => void};
+
+/** An instance with `slots` workers; further work queues there without bound, or is shed. */
+const createInstance = (slots: number, excess: ExcessWork, runMs: () => number, later: (delayMs: number, run: () => void) => void) => {
+	const waiting: Work[] = [];
+	let busy = 0;
+	const begin = (work: Work): void => {
+		busy++;
+		later(runMs(), () => {
+			busy--;
+			work.done('answered');
+			const next = busy < slots ? waiting.shift() : undefined;
+			if (next !== undefined) {
+				begin(next);
+			}
+		});
+	};
+
+	return {
+		submit(work: Work): void {
+			if (busy < slots) {
+				begin(work);
+			} else if (excess === 'shed') {
+				later(1, () => {
+					work.done('shed');
+				});
+			} else {
+				waiting.push(work);
+			}
+		},
+		total: () => busy + waiting.length,
+	};
+};
+
+type Call = LoadRequest & {
+	readonly id: number;
+	readonly attemptedIds: string[];
+	readonly entry: number;
+	attempts: number;
+};
+
+/** Runs one experiment to its end. */
+export const runExperiment = (experiment: Experiment): ExperimentResult => {
+	const {entries, instances, slots, serviceMs, deadlineMs, durationMs, loadFactor, excess, mode} = experiment;
+	const random = createRandom(experiment.seed);
+	const timeline = createTimeline();
+	const maxAttempts = 3;
+	let nowMs = 0;
+	let goodAnswers = 0;
+	let offered = 0;
+	let retries = 0;
+	let maxQueueLength = 0;
+	let maxWorkspaceState = 0;
+	let maxAtInstance = 0;
+	const refused = new Map<string, number>();
+	const answeredByWorkspace = new Map<string, number>();
+	const offeredByWorkspace = new Map<string, number>();
+	const bump = (counts: Map<string, number>, key: string): void => {
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	};
+
+	const later = (delayMs: number, run: () => void): void => {
+		timeline.add({atMs: nowMs + delayMs, run});
+	};
+
+	const candidates: readonly Candidate[] = Array.from({length: instances}, (_, index) => ({instanceId: `instance-${index}`, weight: 1}));
+	const backends = new Map(candidates.map(({instanceId}) =>
+		[instanceId, createInstance(slots, excess, () => exponential(random, serviceMs), later)]));
+	const settings: LoadSettings = {
+		slotsPerInstance: slots, connectionsPerInstance: 400, queueLength: 64, queueWaitMs: 500, workspaceShare: 0.5, ...experiment.settings,
+	};
+	const naive = createNaiveLoad();
+	naive.setInstances(candidates.map(({instanceId}) => instanceId));
+	const placement: Placement = experiment.placement ?? {type: 'homes'};
+	const loads = Array.from({length: entries}, (_, index) => {
+		const load = createServiceLoad<Call>({random: createRandom(experiment.seed + index + 1), placementOf: () => placement});
+		load.configure(settings, candidates, entries);
+		return load;
+	});
+	const budgets = Array.from({length: entries}, () => createRetryBudget());
+
+	const finish = (call: Call, end: AttemptEnd, failed: boolean): void => {
+		if (end === 'answered' && !failed && nowMs <= call.deadlineMs) {
+			goodAnswers += nowMs >= experiment.warmUpMs ? 1 : 0;
+			bump(answeredByWorkspace, call.workspace);
+			return;
+		}
+
+		const decision = mode === 'naive'
+			? naive.shouldRetry(call.attempts, maxAttempts)
+			: decideRetry({
+				ran: end === 'shed' ? 'not-run' : 'unknown',
+				semantics: 'idempotent',
+				attempts: call.attempts,
+				maxAttempts,
+				remainingMs: call.deadlineMs - nowMs,
+				expectedMs: loads[call.entry]!.snapshot(nowMs).expectedMs,
+				canSendAgain: true,
+			}, budgets[call.entry]!).type === 'retry';
+		if (!decision) {
+			bump(refused, end);
+			return;
+		}
+
+		retries++;
+		submit(call);
+	};
+
+	const attempt = (call: Call, instanceId: string, permit?: Permit): void => {
+		call.attempts++;
+		call.attemptedIds.push(instanceId);
+		const backend = backends.get(instanceId)!;
+		backend.submit({
+			done(end) {
+				const failed = random.next() < (experiment.failureShare ?? 0);
+				if (permit !== undefined) {
+					loads[call.entry]!.release(permit, end, nowMs);
+				}
+
+				finish(call, end, failed);
+				drain(call.entry);
+			},
+		});
+		maxAtInstance = Math.max(maxAtInstance, backend.total());
+	};
+
+	const drain = (entry: number): void => {
+		for (const dispatch of loads[entry]!.dispatch(nowMs)) {
+			if (dispatch.type === 'run') {
+				attempt(dispatch.request, dispatch.permit.instanceId, dispatch.permit);
+			} else {
+				bump(refused, dispatch.kind);
+			}
+		}
+	};
+
+	const submit = (call: Call): void => {
+		if (mode === 'naive') {
+			attempt(call, naive.choose()!);
+			return;
+		}
+
+		const load = loads[call.entry]!;
+		const decision = load.admit(call, nowMs);
+		const {queueLength, workspaceCount} = load.snapshot(nowMs);
+		maxQueueLength = Math.max(maxQueueLength, queueLength);
+		maxWorkspaceState = Math.max(maxWorkspaceState, workspaceCount);
+		if (decision.type === 'run') {
+			attempt(call, decision.permit.instanceId, decision.permit);
+		} else if (decision.type === 'refuse') {
+			bump(refused, decision.kind);
+		}
+	};
+
+	const chooseEntry = (): number => {
+		if (random.next() < (experiment.firstEntryShare ?? 1 / entries)) {
+			return 0;
+		}
+
+		return entries === 1 ? 0 : 1 + Math.floor(random.next() * (entries - 1));
+	};
+
+	const chooseWorkspace = (): string => {
+		const isHog = random.next() < (experiment.hogShare ?? 0);
+		return isHog ? 'hog' : `workspace-${Math.floor(random.next() * (experiment.workspaces ?? 50))}`;
+	};
+
+	const capacityPerMs = instances * slots / serviceMs;
+	const arrive = (): void => {
+		offered++;
+		const call: Call = {
+			id: offered, workspace: chooseWorkspace(), fingerprint: `fingerprint-${offered}`, deadlineMs: nowMs + deadlineMs,
+			attemptedIds: [], attempts: 0, entry: chooseEntry(),
+		};
+		bump(offeredByWorkspace, call.workspace);
+		budgets[call.entry]!.deposit(experiment.retryBudgetShare ?? 0.1);
+		submit(call);
+		drain(call.entry);
+		later(exponential(random, 1 / (capacityPerMs * loadFactor)), arrive);
+	};
+
+	later(0, arrive);
+	for (;;) {
+		const event = timeline.next();
+		if (event === undefined || event.atMs > durationMs) {
+			break;
+		}
+
+		nowMs = event.atMs;
+		event.run();
+	}
+
+	return {
+		offered, goodput: goodAnswers / (capacityPerMs * (durationMs - experiment.warmUpMs)), retries, refused, answeredByWorkspace, offeredByWorkspace,
+		maxQueueLength, maxWorkspaceState, maxAtInstance,
+	};
+};
