--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,7 @@
 		},
 	},
 	{
+		files: ['**/*.ts'],
 		rules: {
 			// Option.String() and its kin are clipanion's declared interface.
 			'new-cap': ['error', {capIsNew: false, newIsCap: true}],
@@ -26,10 +27,17 @@
 			// The customary short names of the field and of Node.
 			'unicorn/prevent-abbreviations': 'off',
 			'unicorn/name-replacements': 'off',
+			// Sockets, HTTP and HMACs of Node deliver and take Buffer.
+			'@typescript-eslint/no-restricted-types': 'off',
+			// Messages are told apart by their `type` before they are read.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Event listeners may be async where they handle their own errors.
+			'@typescript-eslint/strict-void-return': 'off',
+			'@typescript-eslint/no-misused-promises': ['error', {checksVoidReturn: false}],
 		},
 	},
 	{
-		files: ['**/test/**/*.ts'],
+		files: ['**/test/**/*.ts', 'scripts/**/*.ts', 'test/**/*.ts'],
 		rules: {
 			// Test libraries are dependencies of the root, not of each package.
 			'import-x/no-extraneous-dependencies': 'off',
