fix(scenario): take the entry hosts out of the locate answer

Cause: the answer of the caller's library now carries key prefixes beside the entry hosts; the runner read it as a list. Before: 6 scenario checks failed with no entry host located.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,7 +31,6 @@
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
 export type {LocateAnswer, LocatedEntry, LocatedKey} from './locate/types.ts';
-export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
 export {createServiceHealth} from './health/service-health.ts';
 export type {HealthAttempt, HealthRules, ServiceHealth} from './health/service-health.ts';
 export type {
--- a/test/scenario/runner/callers.ts
+++ b/test/scenario/runner/callers.ts
@@ -75,7 +75,7 @@
 
 	/** Asks the entry hosts in turn for the prefix of a key. */
 	const issueKey = async (options: WorkOptions): Promise<string | undefined> => {
-		const entries = await locator.locate(options.service);
+		const {entries} = await locator.locate(options.service);
 		for (let turn = 0; turn < entries.length; turn++) {
 			const {address, port} = rotate(entries, options.index + turn)!;
 			try {
@@ -104,7 +104,7 @@
 	};
 
 	const send = async (options: WorkOptions, key: string | undefined, turn: number): Promise<Sending> => {
-		const entries = await locator.locate(options.service);
+		const {entries} = await locator.locate(options.service);
 		const entry = rotate(entries, options.index + turn);
 		const requestId = `${options.id}.${turn}`;
 		const sentAtMs = Date.now();
--- a/test/scenario/runner/transfers.ts
+++ b/test/scenario/runner/transfers.ts
@@ -63,7 +63,7 @@
 
 /** Sends one upload or download, once, through the entry host at `turn`. */
 export const transfer = async (callers: Callers, options: TransferOptions, turn: number): Promise<Transfer> => {
-	const entries = await callers.locator.locate(options.service);
+	const {entries} = await callers.locator.locate(options.service);
 	const entry = entries[turn % Math.max(1, entries.length)];
 	const title = `${options.direction} of ${options.totalBytes} bytes`;
 	if (!entry) {
