feat(entry): connect to backend servers and peers from the host's own address

Whoever is connected to sees which entry host it is; a cut between one entry host and one instance can be staged by source address.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -80,6 +80,8 @@
 export type AttemptLimits = {
 	/** Longest time without a byte of the body from the caller. */
 	readonly bodyIdleTimeoutMs: number;
+	/** Address that connections are made from; chosen by the system when absent. */
+	readonly localAddress?: string;
 	readonly nowMs: () => number;
 };
 
@@ -130,7 +132,7 @@
 };
 
 /** Creates the attempts; two pools of connections for each destination, one of them without reuse. */
-export const createAttempts = ({bodyIdleTimeoutMs, nowMs}: AttemptLimits): Attempts => {
+export const createAttempts = ({bodyIdleTimeoutMs, localAddress, nowMs}: AttemptLimits): Attempts => {
 	const pools = new Map<string, {readonly pool: Pool; readonly guarded: Dispatcher}>();
 
 	const dispatcherOf = (request: CallerRequest, {address, port}: Destination): Dispatcher => {
@@ -144,7 +146,7 @@
 		const pool = new Pool(`http://${address}:${port}`, {
 			connections: request.service.connectionsPerInstance,
 			pipelining: isReused ? 1 : 0,
-			connect: {timeout: request.service.connectTimeoutMs},
+			connect: {timeout: request.service.connectTimeoutMs, ...(localAddress !== undefined && {localAddress})},
 			headersTimeout: 0,
 		});
 		const guarded = pool.compose(guardWrites);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,7 +41,7 @@
 	const incarnation = Date.now();
 	const metrics = createEntryMetrics();
 	const view = createView();
-	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, nowMs: clock.nowMs});
+	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, localAddress: settings.address, nowMs: clock.nowMs});
 	const gate = createOnceGate({hostId, incarnation, startedAtMs: clock.nowMs()});
 	const forwarder = createForwarder({
 		hostId, members: view.members, sealer: createSealer(settings.fleetKeys), attempts,
