--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -146,7 +146,8 @@
 		const pool = new Pool(`http://${address}:${port}`, {
 			connections: request.service.connectionsPerInstance,
 			pipelining: isReused ? 1 : 0,
-			connect: {timeout: request.service.connectTimeoutMs, ...(localAddress !== undefined && {localAddress})},
+			connect: {timeout: request.service.connectTimeoutMs},
+			...(localAddress !== undefined && {localAddress}),
 			headersTimeout: 0,
 		});
 		const guarded = pool.compose(guardWrites);
--- a/test/scenario/language/expectations.ts
+++ b/test/scenario/language/expectations.ts
@@ -14,11 +14,11 @@
 	createSentence('answers whole and own', () => ({type: 'whole-and-own'})),
 	createSentence('every upload and download whole', () => ({type: 'transfers-whole'})),
 	createSentence(
-		'at least {share:number} percent of requests to {path:path} answered [from {from:duration}] [until {until:duration}]',
+		'at least {share:number} percent of requests to {path:path} answered [within {within:duration}] [from {from:duration}] [until {until:duration}]',
 		({
-			share, path, from, until,
+			share, path, within, from, until,
 		}) => ({
-			type: 'answered', share: share / percent, path, fromMs: from ?? 0, untilMs: until ?? Infinity,
+			type: 'answered', share: share / percent, path, withinMs: within ?? Infinity, fromMs: from ?? 0, untilMs: until ?? Infinity,
 		}),
 	),
 	createSentence('{instance:name} ejected within {within:duration}', ({instance, within}) => ({type: 'ejected', instance, withinMs: within})),
--- a/test/scenario/language/types.ts
+++ b/test/scenario/language/types.ts
@@ -68,8 +68,8 @@
 		| {readonly type: 'not-run-true'}
 		| {readonly type: 'whole-and-own'}
 		| {readonly type: 'transfers-whole'}
-		/** Of the works begun in the window, at least this share ended in a whole answer. */
-		| {readonly type: 'answered'; readonly share: number; readonly path: string; readonly fromMs: number; readonly untilMs: number}
+		/** Of the works begun in the window, at least this share ended in a whole answer in time. */
+		| {readonly type: 'answered'; readonly share: number; readonly path: string; readonly withinMs: number; readonly fromMs: number; readonly untilMs: number}
 		| {readonly type: 'ejected'; readonly instance: string; readonly withinMs: number}
 		| {readonly type: 'not-ejected'; readonly instances: readonly string[]}
 		| {readonly type: 'floor'; readonly service: string; readonly instances: number}
--- a/test/scenario/runner/judge.ts
+++ b/test/scenario/runner/judge.ts
@@ -9,9 +9,12 @@
 
 const routeOf = ({routes}: Scenario, path: string): RouteLine | undefined => routes.find(({pathPrefix}) => path.startsWith(pathPrefix));
 
-const wasAnswered = ({sendings}: Work): boolean => {
-	const last = sendings.at(-1)?.outcome;
-	return last?.type === 'answered' && last.statusCode === 200 && last.flaw === '';
+const wasAnswered = ({sendings, beganAtMs}: Work, withinMs: number): boolean => {
+	const last = sendings.at(-1);
+	return last?.outcome.type === 'answered'
+		&& last.outcome.statusCode === 200
+		&& last.outcome.flaw === ''
+		&& last.endedAtMs - beganAtMs <= withinMs;
 };
 
 const describeOutcome = ({outcome}: Sending): string => {
@@ -30,8 +33,8 @@
 	}
 };
 
-const describeWork = ({id, sendings}: Work): string =>
-	`${id}: ${sendings.map(sending => `${sending.hostId} ${describeOutcome(sending)}`).join(', ')}`;
+const describeWork = ({id, sendings, beganAtMs}: Work): string =>
+	`${id} (${(sendings.at(-1)?.endedAtMs ?? beganAtMs) - beganAtMs} ms): ${sendings.map(sending => `${sending.hostId} ${describeOutcome(sending)}`).join(', ')}`;
 
 const judgeDoubleRuns = (scenario: Scenario, {runs, works}: Observations): readonly string[] => {
 	const atMostOnce = new Set(works.filter(({path}) => routeOf(scenario, path)?.semantics === 'at-most-once').map(({id}) => id));
@@ -64,7 +67,7 @@
 		&& path === expectation.path
 		&& beganAtMs >= startedAtMs + expectation.fromMs
 		&& beganAtMs < startedAtMs + expectation.untilMs);
-	const unanswered = begun.filter(work => !wasAnswered(work));
+	const unanswered = begun.filter(work => !wasAnswered(work, expectation.withinMs));
 	const isEnough = begun.length > 0 && (begun.length - unanswered.length) / begun.length >= expectation.share;
 	return isEnough ? [] : [`${begun.length - unanswered.length} of ${begun.length} answered`, ...unanswered.map(work => describeWork(work))];
 };
