--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -85,6 +85,9 @@
 	readonly nowMs: () => number;
 };
 
+/** How long a connection without a request is kept for an at-most-once request. */
+const unusedConnectionMs = 100;
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -149,6 +152,7 @@
 			connect: {timeout: request.service.connectTimeoutMs},
 			...(localAddress !== undefined && {localAddress}),
 			headersTimeout: 0,
+			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
 		const guarded = pool.compose(guardWrites);
 		pools.set(id, {pool, guarded});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,13 +1,16 @@
 /** Puts the entry together: session with the agent, pipeline, callers' listener, operators' interface. */
 
 import http from 'node:http';
-import {createOnceGate, createRandom, hashText} from '@egretwing/core';
+import type net from 'node:net';
+import {
+	createOnceGate, createRandom, hashText, messageVersion,
+} from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
 } from '@egretwing/node';
 import {createAgentLink} from './agent-link.ts';
 import {createAttempts} from './attempt.ts';
-import {beatIntervalMs} from './constants.ts';
+import {beatIntervalMs, slowCallerCheckMs} from './constants.ts';
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
@@ -42,7 +45,10 @@
 	const metrics = createEntryMetrics();
 	const view = createView();
 	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, localAddress: settings.address, nowMs: clock.nowMs});
-	const gate = createOnceGate({hostId, incarnation, startedAtMs: clock.nowMs()});
+	const gate = createOnceGate(
+		{hostId, incarnation, startedAtMs: clock.nowMs()},
+		{maxKeys: settings.maxIdempotencyKeys, maxBytes: settings.maxIdempotencyKeyBytes},
+	);
 	const forwarder = createForwarder({
 		hostId, members: view.members, sealer: createSealer(settings.fleetKeys), attempts,
 	});
@@ -57,6 +63,8 @@
 		maxHeaderSize: settings.maxHeaderBytes,
 		requestTimeout: 0,
 		insecureHTTPParser: false,
+		requireHostHeader: false,
+		connectionsCheckingInterval: Math.min(settings.headersTimeoutMs, slowCallerCheckMs),
 	}, async (incoming, response) => {
 		if (serveKeyPrefix(incoming, response)) {
 			return;
@@ -69,13 +77,9 @@
 			response.destroy();
 		}
 	});
-	server.on('clientError', refuseUnreadable);
-	const beats = setInterval(() => {
-		gate.beat(clock.nowMs());
-		const {keys, bytes} = gate.usage();
-		metrics.keys.set(keys);
-		metrics.keyBytes.set(bytes);
-	}, beatIntervalMs);
+	server.on('clientError', (error, socket) => {
+		refuseUnreadable(error, socket as net.Socket);
+	});
 	const port = await listen(server, settings.entryPort, settings.address);
 	const operator = await createOperatorServer({
 		address: settings.operatorAddress,
@@ -103,6 +107,16 @@
 			metrics.configRevision.set(view.revision());
 		},
 	});
+	const beats = setInterval(() => {
+		const clockMs = clock.nowMs();
+		gate.beat(clockMs);
+		link.send({
+			type: 'key-clock', version: messageVersion, hostId, incarnation, clockMs,
+		});
+		const {keys, bytes} = gate.usage();
+		metrics.keys.set(keys);
+		metrics.keyBytes.set(bytes);
+	}, beatIntervalMs);
 	logger.info('entry listens', {address: settings.address, port, operatorPort: operator.port});
 	return {
 		port,
--- a/test/scenario/runner/monitor.ts
+++ b/test/scenario/runner/monitor.ts
@@ -16,7 +16,10 @@
 type EntryStatus = {
 	readonly ready: boolean;
 	readonly revision: number;
-	readonly ejected?: readonly string[];
+};
+
+type Explanations = {
+	readonly instances: ReadonlyArray<{readonly instanceId: string; readonly standing: {readonly kind: string}}>;
 };
 
 const fetchOrNothing = async <T>(url: string): Promise<T | undefined> => {
@@ -28,7 +31,7 @@
 	}
 };
 
-const isAnswered = async (url: string): Promise<readonly string[] | undefined> => {
+const fetchLocated = async (url: string): Promise<readonly string[] | undefined> => {
 	try {
 		const response = await fetch(url, {signal: AbortSignal.timeout(answerTimeoutMs)});
 		const {entries} = await response.json() as {readonly entries: ReadonlyArray<{readonly hostId: string}>};
@@ -39,7 +42,7 @@
 };
 
 const locateAll = async (host: EntryHost, services: readonly string[]): Promise<Sample['located']> => {
-	const answers = await Promise.all(services.map(async service => isAnswered(`http://${host.address}:${host.locatePort}/v1/locate?service=${service}`)));
+	const answers = await Promise.all(services.map(async service => fetchLocated(`http://${host.address}:${host.locatePort}/v1/locate?service=${service}`)));
 	if (answers.includes(undefined)) {
 		return undefined;
 	}
@@ -47,15 +50,25 @@
 	return Object.fromEntries(services.map((service, index) => [service, answers[index] ?? []]));
 };
 
+/** Instances that the entry holds ejected, over all services. */
+const fetchEjected = async (operatorUrl: string, services: readonly string[]): Promise<readonly string[]> => {
+	const answers = await Promise.all(services.map(async service => fetchOrNothing<Explanations>(`${operatorUrl}/v1/explain?service=${service}`)));
+	return answers.flatMap(answer => answer?.instances ?? [])
+		.filter(({standing}) => standing.kind === 'ejected')
+		.map(({instanceId}) => instanceId);
+};
+
 const sampleHost = async (host: EntryHost, services: readonly string[]): Promise<Sample> => {
-	const [status, located] = await Promise.all([
-		fetchOrNothing<EntryStatus>(`http://${host.address}:${hostPorts.entryOperatorPort}/v1/status`),
+	const operatorUrl = `http://${host.address}:${hostPorts.entryOperatorPort}`;
+	const [status, ejected, located] = await Promise.all([
+		fetchOrNothing<EntryStatus>(`${operatorUrl}/v1/status`),
+		fetchEjected(operatorUrl, services),
 		locateAll(host, services),
 	]);
 	return {
 		atMs: Date.now(),
 		hostId: host.hostId,
-		...(status?.ready && {revision: status.revision, ejected: status.ejected ?? []}),
+		...(status?.ready && {revision: status.revision, ejected}),
 		...(located && {located}),
 	};
 };
