--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -13,7 +13,7 @@
 import {
 	fetchJson, hostPorts, startFleet, type Fleet, type FleetOptions,
 } from './lib/fleet.ts';
-import {fetchSum} from './lib/metrics.ts';
+import {fetchEjected} from './lib/standing.ts';
 
 const hostCount = 3;
 const recordingBytes = 67_108_864;
@@ -22,7 +22,6 @@
 const killAtMs = 8000;
 const requestGapMs = 25;
 const pollMs = 100;
-const ejectionsMetric = 'egretwing_ejections_total';
 
 type Account = {
 	answered: number;
@@ -141,22 +140,24 @@
 	await downloadRecording(region, service, digest);
 };
 
-const sumEjections = async ({options}: Region): Promise<number> => {
-	const sums = await Promise.all(options.hosts.map(async ({address}) => fetchSum(`http://${address}:${hostPorts.entryOperatorPort}`, ejectionsMetric)));
-	return sums.reduce((total, sum) => total + sum, 0);
+/** True once an entry host holds the stalled instance ejected. */
+const isEjected = async ({options, account}: Region, service: string): Promise<boolean> => {
+	const ejected = await Promise.all(options.hosts.map(async ({address}) => fetchEjected(`http://${address}:${hostPorts.entryOperatorPort}`, [service])));
+	return ejected.flat().includes(account.stalledInstance);
 };
 
 /** Stalls an instance, which goes on answering its health check, and watches for the first ejection. */
 const failGrayly = async (region: Region): Promise<void> => {
 	await delay(stallAtMs);
 	const {account, fleet, deployment} = region;
-	account.stalledInstance = `${deployment.services[0]!.name}-2`;
+	const service = deployment.services[0]!.name;
+	account.stalledInstance = `${service}-2`;
 	await fetchJson(`${fleet.backendOperatorUrl}/v1/fault`, {
 		method: 'POST', body: JSON.stringify({instances: [account.stalledInstance], fault: {type: 'stall'}}),
 	});
 	const stalledMs = Date.now();
 	while (Date.now() - stalledMs < loadMs - stallAtMs) {
-		if (await sumEjections(region) > 0) {
+		if (await isEjected(region, service)) {
 			account.noticedAfterMs = Date.now() - stalledMs;
 			return;
 		}
--- a/test/scenario/runner/monitor.ts
+++ b/test/scenario/runner/monitor.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {EntryHost} from '@egretwing/core';
 import {hostPorts} from '../../../scripts/lib/fleet.ts';
+import {fetchEjected, fetchOrNothing} from '../../../scripts/lib/standing.ts';
 import type {Sample} from './observations.ts';
 
 const pollMs = 200;
@@ -18,19 +19,6 @@
 	readonly revision: number;
 };
 
-type Explanations = {
-	readonly instances: ReadonlyArray<{readonly instanceId: string; readonly standing: {readonly kind: string}}>;
-};
-
-const fetchOrNothing = async <T>(url: string): Promise<T | undefined> => {
-	try {
-		const response = await fetch(url, {signal: AbortSignal.timeout(answerTimeoutMs)});
-		return response.ok ? await response.json() as T : undefined;
-	} catch {
-		return undefined;
-	}
-};
-
 const fetchLocated = async (url: string): Promise<readonly string[] | undefined> => {
 	try {
 		const response = await fetch(url, {signal: AbortSignal.timeout(answerTimeoutMs)});
@@ -50,14 +38,6 @@
 	return Object.fromEntries(services.map((service, index) => [service, answers[index] ?? []]));
 };
 
-/** Instances that the entry holds ejected, over all services. */
-const fetchEjected = async (operatorUrl: string, services: readonly string[]): Promise<readonly string[]> => {
-	const answers = await Promise.all(services.map(async service => fetchOrNothing<Explanations>(`${operatorUrl}/v1/explain?service=${service}`)));
-	return answers.flatMap(answer => answer?.instances ?? [])
-		.filter(({standing}) => standing.kind === 'ejected')
-		.map(({instanceId}) => instanceId);
-};
-
 const sampleHost = async (host: EntryHost, services: readonly string[]): Promise<Sample> => {
 	const operatorUrl = `http://${host.address}:${hostPorts.entryOperatorPort}`;
 	const [status, ejected, located] = await Promise.all([
