--- a/test/scenario/runner/monitor.ts
+++ b/test/scenario/runner/monitor.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {EntryHost} from '@egretwing/core';
 import {hostPorts} from '../../../scripts/lib/fleet.ts';
+import {fetchEjected, fetchOrNothing} from '../../../scripts/lib/standing.ts';
 import type {Sample} from './observations.ts';
 
 const pollMs = 200;
@@ -16,19 +17,9 @@
 type EntryStatus = {
 	readonly ready: boolean;
 	readonly revision: number;
-	readonly ejected?: readonly string[];
 };
 
-const fetchOrNothing = async <T>(url: string): Promise<T | undefined> => {
-	try {
-		const response = await fetch(url, {signal: AbortSignal.timeout(answerTimeoutMs)});
-		return response.ok ? await response.json() as T : undefined;
-	} catch {
-		return undefined;
-	}
-};
-
-const isAnswered = async (url: string): Promise<readonly string[] | undefined> => {
+const fetchLocated = async (url: string): Promise<readonly string[] | undefined> => {
 	try {
 		const response = await fetch(url, {signal: AbortSignal.timeout(answerTimeoutMs)});
 		const {entries} = await response.json() as {readonly entries: ReadonlyArray<{readonly hostId: string}>};
@@ -39,7 +30,7 @@
 };
 
 const locateAll = async (host: EntryHost, services: readonly string[]): Promise<Sample['located']> => {
-	const answers = await Promise.all(services.map(async service => isAnswered(`http://${host.address}:${host.locatePort}/v1/locate?service=${service}`)));
+	const answers = await Promise.all(services.map(async service => fetchLocated(`http://${host.address}:${host.locatePort}/v1/locate?service=${service}`)));
 	if (answers.includes(undefined)) {
 		return undefined;
 	}
@@ -48,14 +39,16 @@
 };
 
 const sampleHost = async (host: EntryHost, services: readonly string[]): Promise<Sample> => {
-	const [status, located] = await Promise.all([
-		fetchOrNothing<EntryStatus>(`http://${host.address}:${hostPorts.entryOperatorPort}/v1/status`),
+	const operatorUrl = `http://${host.address}:${hostPorts.entryOperatorPort}`;
+	const [status, ejected, located] = await Promise.all([
+		fetchOrNothing<EntryStatus>(`${operatorUrl}/v1/status`),
+		fetchEjected(operatorUrl, services),
 		locateAll(host, services),
 	]);
 	return {
 		atMs: Date.now(),
 		hostId: host.hostId,
-		...(status?.ready && {revision: status.revision, ejected: status.ejected ?? []}),
+		...(status?.ready && {revision: status.revision, ejected}),
 		...(located && {located}),
 	};
 };
