--- a/test/scenario/language/expectations.ts
+++ b/test/scenario/language/expectations.ts
@@ -25,8 +25,12 @@
 	createSentence('{instances:list} never ejected', ({instances}) => ({type: 'not-ejected', instances})),
 	createSentence('at least {instances:int} instances of {service:name} in use', ({instances, service}) => ({type: 'floor', service, instances})),
 	createSentence('no new work at {instance:name} from {from:duration}', ({instance, from}) => ({type: 'no-new-work', instance, fromMs: from})),
-	createSentence('entry host {host:int} not located from {from:duration}', ({host, from}) => ({type: 'not-located', host, fromMs: from})),
-	createSentence('entry host {host:int} located from {from:duration}', ({host, from}) => ({type: 'located', host, fromMs: from})),
+	createSentence('entry host {host:int} not located from {from:duration} [until {until:duration}]', ({host, from, until}) => ({
+		type: 'not-located', host, fromMs: from, untilMs: until ?? Infinity,
+	})),
+	createSentence('entry host {host:int} located from {from:duration} [until {until:duration}]', ({host, from, until}) => ({
+		type: 'located', host, fromMs: from, untilMs: until ?? Infinity,
+	})),
 	createSentence('revision {revision:int} in force everywhere within {within:duration}', ({revision, within}) => ({type: 'in-force', revision, withinMs: within})),
 	createSentence('revisions never to go back', () => ({type: 'never-back'})),
 	createSentence('at most {atMost:int} crashes', ({atMost}) => ({type: 'crashes', atMost})),
--- a/test/scenario/language/types.ts
+++ b/test/scenario/language/types.ts
@@ -74,8 +74,8 @@
 		| {readonly type: 'not-ejected'; readonly instances: readonly string[]}
 		| {readonly type: 'floor'; readonly service: string; readonly instances: number}
 		| {readonly type: 'no-new-work'; readonly instance: string; readonly fromMs: number}
-		| {readonly type: 'not-located'; readonly host: number; readonly fromMs: number}
-		| {readonly type: 'located'; readonly host: number; readonly fromMs: number}
+		| {readonly type: 'not-located'; readonly host: number; readonly fromMs: number; readonly untilMs: number}
+		| {readonly type: 'located'; readonly host: number; readonly fromMs: number; readonly untilMs: number}
 		| {readonly type: 'in-force'; readonly revision: number; readonly withinMs: number}
 		| {readonly type: 'never-back'}
 		| {readonly type: 'crashes'; readonly atMost: number}
--- a/test/scenario/runner/callers.ts
+++ b/test/scenario/runner/callers.ts
@@ -22,6 +22,12 @@
 	readonly index: number;
 };
 
+/** A load whose work is named after it. */
+export type LoadOptions = LoadLine & {
+	readonly name: string;
+	readonly service: string;
+};
+
 /** Sends work. */
 export type Callers = {
 	readonly locator: Locator;
@@ -29,8 +35,8 @@
 	readonly sendWork: (options: WorkOptions) => Promise<Work>;
 	/** Sends the same work `times` times through one entry host after another, whatever is answered. */
 	readonly insist: (options: WorkOptions, times: number) => Promise<Work>;
-	/** Sends at a steady rate until `untilMs` of `performance.now()`; resolves with all work once each has ended. */
-	readonly sendLoad: (load: LoadLine, service: string, originMs: number, untilMs: number) => Promise<readonly Work[]>;
+	/** Sends work named `name-0`, `name-1`, ... at a steady rate until `untilMs` of `performance.now()`; resolves with all work once each has ended. */
+	readonly sendLoad: (load: LoadOptions, originMs: number, untilMs: number) => Promise<readonly Work[]>;
 	readonly close: () => Promise<void>;
 };
 
@@ -168,15 +174,15 @@
 
 			return createWork(options, 'insist', beganAtMs, sendings);
 		},
-		async sendLoad(load, service, originMs, untilMs) {
+		async sendLoad(load, originMs, untilMs) {
 			const pending: Array<Promise<Work>> = [];
 			const endMs = Math.min(untilMs, originMs + load.untilMs);
 			const gapMs = msPerSecond / load.ratePerSecond;
 			for (let index = 0, dueMs = originMs + load.fromMs; dueMs < endMs; index++, dueMs += gapMs) {
 				await delay(Math.max(0, dueMs - performance.now()));
-				const id = `${load.method}-${service}-${index}`.toLowerCase();
+				const id = `${load.name}-${index}`;
 				pending.push(sendWork({
-					...load, service, id, index,
+					...load, id, index,
 				}));
 			}
 
--- a/test/scenario/runner/judge.ts
+++ b/test/scenario/runner/judge.ts
@@ -95,7 +95,10 @@
 
 const judgeLocated = (expectation: Extract<Expectation, {type: 'located' | 'not-located'}>, {samples, startedAtMs}: Observations): readonly string[] => {
 	const hostId = hostIdOf(expectation.host);
-	const later = samples.filter(({atMs, located, hostId: asked}) => located && asked !== hostId && atMs >= startedAtMs + expectation.fromMs);
+	const later = samples.filter(({atMs, located, hostId: asked}) => located
+		&& asked !== hostId
+		&& atMs >= startedAtMs + expectation.fromMs
+		&& atMs < startedAtMs + expectation.untilMs);
 	if (later.length === 0) {
 		return ['no agent answered'];
 	}
--- a/test/scenario/runner/run.ts
+++ b/test/scenario/runner/run.ts
@@ -201,8 +201,9 @@
 	const originMs = performance.now();
 	const startedAtMs = Date.now();
 	const untilMs = originMs + scenario.durationMs;
-	for (const load of scenario.loads) {
-		stage.works.push(callers.sendLoad(load, serviceOf(scenario, load.path), originMs, untilMs));
+	for (const [index, load] of scenario.loads.entries()) {
+		const name = `${load.method.toLowerCase()}${load.path.replaceAll('/', '-')}-${index + 1}`;
+		stage.works.push(callers.sendLoad({...load, name, service: serviceOf(scenario, load.path)}, originMs, untilMs));
 	}
 
 	for (const [index, {atMs, action}] of scenario.steps.entries()) {
