--- /dev/null
+++ b/packages/agent/src/peers.ts
@@ -0,0 +1,104 @@
+/** Messages between agents: small ones as UDP datagrams, others over TCP, all sealed and numbered. */
+
+import dgram from 'node:dgram';
+import type {PeerAddress} from '@egretwing/core';
+import {createSealer} from '@egretwing/node';
+import {createEnvelopeCodec, type EnvelopeError, type PeerEndpoint} from './envelope.ts';
+import {createPeerStreams} from './peer-streams.ts';
+
+/** Largest sealed message that is sent as a datagram, in bytes. */
+const maxDatagramBytes = 1200;
+
+/** Bytes and messages since the start. */
+export type PeerTraffic = {
+	readonly sentBytes: number;
+	readonly receivedBytes: number;
+	readonly sentMessages: number;
+	readonly receivedMessages: number;
+};
+
+/** The agent's channel to other agents. */
+export type Peers = {
+	/** Sends `message` without waiting; it may be lost. */
+	readonly sendTo: (to: PeerEndpoint, message: unknown) => void;
+	readonly traffic: () => PeerTraffic;
+	readonly close: () => void;
+};
+
+/** Who listens, with which keys, and who takes messages. */
+export type PeersOptions = PeerEndpoint & {
+	readonly hostId: string;
+	/** The first seals, all open. */
+	readonly fleetKeys: readonly [string, ...string[]];
+	readonly startedMs: number;
+	readonly onMessage: (from: PeerAddress, message: unknown) => void;
+	readonly onRefused: (reason: EnvelopeError) => void;
+};
+
+const bind = async (socket: dgram.Socket, port: number, address: string): Promise<void> => new Promise((resolve, reject) => {
+	socket.once('error', reject);
+	socket.bind(port, address, () => {
+		socket.off('error', reject);
+		resolve();
+	});
+});
+
+/** Starts listening on UDP and TCP at the same port; rejects when it can't be bound. */
+export const createPeers = async (options: PeersOptions): Promise<Peers> => {
+	const {address, peerPort, hostId, startedMs} = options;
+	const codec = createEnvelopeCodec({
+		hostId, startedMs, endpoint: {address, peerPort}, sealer: createSealer(options.fleetKeys),
+	});
+	const traffic = {
+		sentBytes: 0, receivedBytes: 0, sentMessages: 0, receivedMessages: 0,
+	};
+
+	const take = (bytes: Uint8Array): boolean => {
+		traffic.receivedBytes += bytes.length;
+		traffic.receivedMessages++;
+		const opened = codec.open(bytes);
+		if (opened.isErr()) {
+			options.onRefused(opened.error);
+			return false;
+		}
+
+		const {endpoint, message} = opened.value;
+		options.onMessage({hostId: opened.value.hostId, ...endpoint}, message);
+		return true;
+	};
+
+	const datagrams = dgram.createSocket('udp4');
+	await bind(datagrams, peerPort, address);
+	datagrams.on('message', take);
+	datagrams.on('error', () => {
+		// A datagram that could not be sent counts as lost.
+	});
+	const streams = await createPeerStreams({address, peerPort, onSealed: take});
+	let closed = false;
+
+	return {
+		sendTo(to, message) {
+			if (closed) {
+				return;
+			}
+
+			const sealed = codec.seal(to, message);
+			traffic.sentBytes += sealed.length;
+			traffic.sentMessages++;
+			if (sealed.length > maxDatagramBytes) {
+				streams.send(to, sealed);
+				return;
+			}
+
+			datagrams.send(sealed, to.peerPort, to.address, () => {
+				// A datagram that could not be sent counts as lost.
+			});
+		},
+		traffic: () => ({...traffic}),
+		close() {
+			closed = true;
+			datagrams.close();
+			streams.close();
+		},
+	};
+};
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -23,6 +23,21 @@
 		readonly hostId: string;
 		readonly incarnation: number;
 	}
+	| {
+		/** What the entry's clock shows, for issuing idempotency keys that name it. Sent about once a second. */
+		readonly type: 'key-clock';
+		readonly version: number;
+		readonly hostId: string;
+		readonly incarnation: number;
+		readonly clockMs: number;
+	}
+	| {
+		/** For the entries of the hosts `to`; passed on without being read, and lost when one can't be reached. */
+		readonly type: 'publish';
+		readonly version: number;
+		readonly to: readonly string[];
+		readonly body: unknown;
+	}
 	| {
 		/** The entry takes no new requests; stop naming it in locate answers. */
 		readonly type: 'draining';
@@ -49,4 +64,11 @@
 		readonly type: 'members';
 		readonly version: number;
 		readonly members: readonly FleetMember[];
+	}
+	| {
+		/** What the entry of the host `from` published. */
+		readonly type: 'delivered';
+		readonly version: number;
+		readonly from: string;
+		readonly body: unknown;
 	};
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -42,6 +42,7 @@
 		/** The backend server said by its status that it did not run the request. */
 		readonly type: 'shed';
 		readonly statusCode: number;
+		readonly headers: Headers;
 	}
 	| {
 		/** The connection was lost or timed out after something may have been written. */
@@ -83,6 +84,9 @@
 	readonly nowMs: () => number;
 };
 
+/** How long a connection without a request is kept for an at-most-once request. */
+const unusedConnectionMs = 100;
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -146,6 +150,7 @@
 			pipelining: isReused ? 1 : 0,
 			connect: {timeout: request.service.connectTimeoutMs},
 			headersTimeout: 0,
+			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
 		const guarded = pool.compose(guardWrites);
 		pools.set(id, {pool, guarded});
@@ -238,7 +243,7 @@
 			timer = undefined;
 			if (options.notRunStatusCodes?.includes(answer.statusCode)) {
 				answer.body.on('error', () => undefined).destroy();
-				return {type: 'shed', statusCode: answer.statusCode};
+				return {type: 'shed', statusCode: answer.statusCode, headers: answer.headers};
 			}
 
 			if (!answerIsBounded(request.method, answer.statusCode, answer.headers)) {
