fix(core): a stalled request that is avoided by the choice still counts

A request that stands still counts once more at twice the limit, and no further, so that one slow request ejects nothing.

Failed before: four requests held at one instance left it in use at the default number of one count per request.

--- a/packages/core/src/health/constants.ts
+++ b/packages/core/src/health/constants.ts
@@ -101,6 +101,9 @@
 /** A request is stalled at this multiple of the typical latency and age of the service. */
 export const stallFactor = 5;
 
+/** How often one request counts as stalled at most; too few for one slow request to eject an instance. */
+export const maxStallCount = 2;
+
 /** Number of latencies kept for the median of the service. */
 export const latencySamples = 128;
 
--- a/packages/core/src/health/service-health.ts
+++ b/packages/core/src/health/service-health.ts
@@ -186,7 +186,7 @@
 
 	const begin = (instanceId: string, nowMs: number): HealthAttempt => {
 		const request: InFlight = {
-			instanceId, startedAtMs: nowMs, progressAtMs: nowMs, stalled: false,
+			instanceId, startedAtMs: nowMs, progressAtMs: nowMs, stallCount: 0,
 		};
 		inFlight.add(request);
 		return {
@@ -194,7 +194,7 @@
 				request.progressAtMs = atMs;
 			},
 			finish(observation, atMs) {
-				if (inFlight.delete(request) && !request.stalled) {
+				if (inFlight.delete(request) && request.stallCount === 0) {
 					observe(instanceId, observation, atMs);
 				}
 			},
--- a/packages/core/src/health/stalls.ts
+++ b/packages/core/src/health/stalls.ts
@@ -1,6 +1,6 @@
 /** Requests in flight, and which of them are stalled measured against the service's other requests. */
 
-import {stallFactor} from './constants.ts';
+import {maxStallCount, stallFactor} from './constants.ts';
 import {median} from './median.ts';
 
 /** A request in flight to one instance. */
@@ -9,8 +9,8 @@
 	readonly startedAtMs: number;
 	/** Last time a byte moved in either direction. */
 	progressAtMs: number;
-	/** True once it was counted as stalled. */
-	stalled: boolean;
+	/** How often it was counted as stalled. */
+	stallCount: number;
 };
 
 /** Age above which a request is stalled: never below the setting, and far above what the service shows elsewhere. */
@@ -31,16 +31,20 @@
 	return [...ages.values()];
 };
 
-/** Finds the requests that have become stalled and marks them. Each is found once. */
+/**
+ * Finds the requests that are stalled and counts that. One that goes on standing still is found again at the next
+ * multiple of the limit, a few times: a choice by requests in flight sends a stalled instance little more work.
+ */
 export const findStalled = (
 	inFlight: ReadonlySet<InFlight>,
 	service: {readonly instanceIds: readonly string[]; readonly stallThresholdMs: number; readonly medianLatencyMs: number},
 	nowMs: number,
 ): readonly InFlight[] => {
 	const limitMs = stallAgeMs(service.stallThresholdMs, service.medianLatencyMs, oldestAges(inFlight, service.instanceIds, nowMs));
-	const found = [...inFlight].filter(request => !request.stalled && nowMs - request.progressAtMs > limitMs);
+	const found = [...inFlight].filter(request =>
+		request.stallCount < maxStallCount && nowMs - request.progressAtMs > limitMs * (request.stallCount + 1));
 	for (const request of found) {
-		request.stalled = true;
+		request.stallCount++;
 	}
 
 	return found;
--- a/packages/core/test/health-service.test.ts
+++ b/packages/core/test/health-service.test.ts
@@ -124,6 +124,27 @@
 		});
 	}
 
+	const heldCases = [
+		{title: 'ejects an instance that holds four requests and gets no more', heldCount: 4, expected: 'ejected'},
+		{title: 'does not eject an instance for one slow request', heldCount: 1, expected: 'use'},
+	];
+	for (const {title, heldCount, expected} of heldCases) {
+		it(title, () => {
+			const entry = createEntry('a');
+			const held = Array.from({length: heldCount}, () => entry.begin('i1', 10_000));
+			run([entry], {fromMs: 0, untilMs: 20_000}, (_entry, _index, nowMs) => {
+				for (const id of ids.filter(some => some !== 'i1' || nowMs < 10_000)) {
+					entry.begin(id, nowMs).finish(succeeded, nowMs);
+				}
+
+				for (const attempt of nowMs < 10_000 ? held : []) {
+					attempt.progress(nowMs);
+				}
+			});
+			expect(entry.standing('i1')!.kind).to.equal(expected);
+		});
+	}
+
 	it('does not take a long upload that moves for a stall', () => {
 		const entry = createEntry('a');
 		const upload = entry.begin('i0', 0);
