--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -4,8 +4,8 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Agent, request as sendRequest} from 'undici';
-import type {LocatedEntry, LocatedKey, RunOutcome} from '@egretwing/core';
-import {createLocator} from './locate.ts';
+import type {LocatedEntry, RunOutcome} from '@egretwing/core';
+import {createLocator, type Located} from './locate.ts';
 import type {ClientOptions, ClientRequest, ClientResult} from './types.ts';
 
 /** Sends requests. */
@@ -38,14 +38,14 @@
 	readonly hostId: string;
 };
 
-const takeKey = (request: ClientRequest, key: LocatedKey | undefined): RequestKey | undefined =>
+const takeKey = (request: ClientRequest, {key}: Located): RequestKey | undefined =>
 	request.idempotent || !key ? undefined : {text: key.prefix + randomUUID(), hostId: key.hostId};
 
 const keyHeaders = (key: RequestKey | undefined, sends: number): Readonly<Record<string, string>> =>
 	key ? {'idempotency-key': key.text, 'egretwing-first-send': String(sends === 1)} : {};
 
 /** The entry that runs the key comes first, then the others in turn. */
-const chooseEntry = (entries: readonly LocatedEntry[], key: RequestKey | undefined, sends: number): LocatedEntry | undefined => {
+const chooseEntry = ({entries}: Located, key: RequestKey | undefined, sends: number): LocatedEntry | undefined => {
 	const owner = sends === 1 ? entries.find(entry => entry.hostId === key?.hostId) : undefined;
 	return owner ?? entries[(sends - 1) % Math.max(1, entries.length)];
 };
@@ -88,9 +88,9 @@
 			let mayHaveRun = false;
 			let key: RequestKey | undefined;
 			for (let sends = 1; sends <= config.maxSends; sends++) {
-				const entries = await locator.locate(request.service);
-				key ??= takeKey(request, locator.keyOf(request.service));
-				const entry = chooseEntry(entries, key, sends);
+				const located = await locator.locate(request.service);
+				key ??= takeKey(request, located);
+				const entry = chooseEntry(located, key, sends);
 				if (entry) {
 					result = await sendOnce(request, entry, keyHeaders(key, sends));
 				}
--- a/packages/client/src/locate.ts
+++ b/packages/client/src/locate.ts
@@ -18,12 +18,17 @@
 	key: z.object({hostId: z.string(), prefix: z.string(), lifetimeMs: z.number()}).optional(),
 });
 
+/** Where to send requests for a service. */
+export type Located = {
+	readonly entries: readonly LocatedEntry[];
+	/** Absent when no key was handed out, or once keys of this prefix would expire. */
+	readonly key?: LocatedKey;
+};
+
 /** Finds entry hosts for services. */
 export type Locator = {
 	/** Entry hosts in the order to try; empty when no agent answers and nothing is kept. */
-	readonly locate: (service: string) => Promise<readonly LocatedEntry[]>;
-	/** Prefix of idempotency keys as last located; `undefined` when none was handed out or its keys would expire soon. */
-	readonly keyOf: (service: string) => LocatedKey | undefined;
+	readonly locate: (service: string) => Promise<Located>;
 	/** Forgets what is kept for `service`, after an entry host failed. */
 	readonly forget: (service: string) => void;
 };
@@ -44,11 +49,17 @@
 export const createLocator = (addresses: readonly LocateAddress[], clock: Clock): Locator => {
 	const kept = new Map<string, {readonly answer: LocateAnswer; readonly atMs: number; readonly untilMs: number}>();
 	let preferred = 0;
+
+	const toLocated = ({entries, key}: LocateAnswer, atMs: number): Located => {
+		const isFresh = key !== undefined && clock.nowMs() - atMs < key.lifetimeMs / 2;
+		return {entries, ...(isFresh && {key})};
+	};
+
 	return {
 		async locate(service) {
 			const known = kept.get(service);
 			if (known && clock.nowMs() < known.untilMs) {
-				return known.answer.entries;
+				return toLocated(known.answer, known.atMs);
 			}
 
 			for (let offset = 0; offset < addresses.length; offset++) {
@@ -58,17 +69,11 @@
 				if (answer && answer.entries.length > 0) {
 					preferred = index;
 					kept.set(service, {answer, atMs: askedAtMs, untilMs: clock.nowMs() + answer.keepMs});
-					return answer.entries;
+					return toLocated(answer, askedAtMs);
 				}
 			}
 
-			return known?.answer.entries ?? [];
-		},
-		keyOf(service) {
-			const known = kept.get(service);
-			const key = known?.answer.key;
-			const isFresh = known !== undefined && key !== undefined && clock.nowMs() - known.atMs < key.lifetimeMs / 2;
-			return isFresh ? key : undefined;
+			return known ? toLocated(known.answer, known.atMs) : {entries: []};
 		},
 		forget(service) {
 			const known = kept.get(service);
