--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,11 @@
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
+export {createServiceHealth} from './health/service-health.ts';
+export type {HealthAttempt, HealthRules, ServiceHealth} from './health/service-health.ts';
+export type {
+	EvidenceReport, Explanation, HealthEvent, Observation, Standing,
+} from './health/types.ts';
 export {createConfigStore} from './config/store.ts';
 export type {
 	ConfigStore, MergeReport, RefusedRecord, StoreCounters,
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -42,6 +42,7 @@
 		/** The backend server said by its status that it did not run the request. */
 		readonly type: 'shed';
 		readonly statusCode: number;
+		readonly headers: Headers;
 	}
 	| {
 		/** The connection was lost or timed out after something may have been written. */
@@ -80,6 +81,8 @@
 export type AttemptLimits = {
 	/** Longest time without a byte of the body from the caller. */
 	readonly bodyIdleTimeoutMs: number;
+	/** Address that connections are made from; chosen by the system when absent. */
+	readonly localAddress?: string;
 	readonly nowMs: () => number;
 };
 
@@ -133,7 +136,7 @@
 };
 
 /** Creates the attempts; two pools of connections for each destination, one of them without reuse. */
-export const createAttempts = ({bodyIdleTimeoutMs, nowMs}: AttemptLimits): Attempts => {
+export const createAttempts = ({bodyIdleTimeoutMs, localAddress, nowMs}: AttemptLimits): Attempts => {
 	const pools = new Map<string, {readonly pool: Pool; readonly guarded: Dispatcher}>();
 
 	const dispatcherOf = (request: CallerRequest, {address, port}: Destination): Dispatcher => {
@@ -148,6 +151,7 @@
 			connections: request.service.connectionsPerInstance,
 			pipelining: isReused ? 1 : 0,
 			connect: {timeout: request.service.connectTimeoutMs},
+			...(localAddress !== undefined && {localAddress}),
 			headersTimeout: 0,
 			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
@@ -242,7 +246,7 @@
 			timer = undefined;
 			if (options.notRunStatusCodes?.includes(answer.statusCode)) {
 				answer.body.on('error', () => undefined).destroy();
-				return {type: 'shed', statusCode: answer.statusCode};
+				return {type: 'shed', statusCode: answer.statusCode, headers: answer.headers};
 			}
 
 			if (!answerIsBounded(request.method, answer.statusCode, answer.headers)) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,10 +13,13 @@
 import {beatIntervalMs, slowCallerCheckMs} from './constants.ts';
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
+import {createEntryHealth} from './health.ts';
+import {explainHealth} from './health-explain.ts';
+import {createHealthMetrics} from './health-metrics.ts';
+import {createHealthSelection} from './health-selection.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
 import {createPipeline} from './pipeline.ts';
 import {refuseUnreadable} from './refuse-unreadable.ts';
-import {createSelection} from './selection.ts';
 import type {EntrySettings} from './settings.ts';
 import {createView} from './view.ts';
 
@@ -44,7 +47,7 @@
 	const incarnation = Date.now();
 	const metrics = createEntryMetrics();
 	const view = createView();
-	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, nowMs: clock.nowMs});
+	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, localAddress: settings.address, nowMs: clock.nowMs});
 	const gate = createOnceGate(
 		{hostId, incarnation, startedAtMs: clock.nowMs()},
 		{maxKeys: settings.maxIdempotencyKeys, maxBytes: settings.maxIdempotencyKeyBytes},
@@ -52,9 +55,20 @@
 	const forwarder = createForwarder({
 		hostId, members: view.members, sealer: createSealer(settings.fleetKeys), attempts,
 	});
-	const selection = createSelection(view, createRandom(hashText(`${hostId}/${incarnation}`)));
+	const health = createEntryHealth({
+		hostId,
+		incarnation,
+		nowMs: clock.nowMs,
+		view,
+		metrics: createHealthMetrics(metrics.registry),
+		logger,
+		send(message) {
+			link.send(message);
+		},
+	});
+	const selection = createHealthSelection(view, health, createRandom(hashText(`${hostId}/${incarnation}`)));
 	const servePipeline = createPipeline({
-		clock, view, selection, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
+		clock, view, selection, health, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
 	});
 	const serveKeyPrefix = createKeyPrefixHandler({clock, gate, view});
 	const server = http.createServer({
@@ -85,12 +99,24 @@
 		address: settings.operatorAddress,
 		port: settings.operatorPort,
 		registry: metrics.registry,
-		handle: (_method, url) => url.pathname === '/v1/status'
-			? {
-				program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
-				services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
+		handle(_method, url) {
+			switch (url.pathname) {
+				case '/v1/status': {
+					return {
+						program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
+						services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
+					};
+				}
+
+				case '/v1/explain': {
+					return explainHealth(health, url.searchParams);
+				}
+
+				default: {
+					return undefined;
+				}
 			}
-			: undefined,
+		},
 	});
 	const link = createAgentLink({
 		address: settings.agentAddress,
@@ -100,6 +126,7 @@
 		logger,
 		onMessage(message) {
 			view.apply(message);
+			health.onMessage(message);
 			if (message.type === 'members') {
 				gate.updateMembers(message.members, clock.nowMs());
 			}
@@ -126,6 +153,7 @@
 			await closeServer(server);
 			await attempts.close();
 			clearInterval(beats);
+			health.close();
 			link.close();
 			operator.close();
 			logger.info('entry stopped');
