--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -21,6 +21,7 @@
 import {createPipeline} from './pipeline.ts';
 import {refuseUnreadable} from './refuse-unreadable.ts';
 import type {EntrySettings} from './settings.ts';
+import {createShutdown} from './shutdown.ts';
 import {createView} from './view.ts';
 
 /** A running entry. */
@@ -28,17 +29,10 @@
 	/** Port that callers connect to. */
 	readonly port: number;
 	readonly operatorPort: number;
-	/** Stops accepting, lets requests in flight end, then closes everything. */
+	/** Leaves the answers to callers, lets requests in flight end, then closes everything. */
 	readonly shutdown: () => Promise<void>;
 };
 
-const closeServer = async (server: http.Server): Promise<void> => new Promise(resolve => {
-	server.close(() => {
-		resolve();
-	});
-	server.closeIdleConnections();
-});
-
 /** Starts an entry; rejects when an address can't be bound. */
 export const startEntry = async (settings: EntrySettings): Promise<Entry> => {
 	const {hostId} = settings;
@@ -145,18 +139,26 @@
 		metrics.keyBytes.set(bytes);
 	}, beatIntervalMs);
 	logger.info('entry listens', {address: settings.address, port, operatorPort: operator.port});
+	const shutdown = createShutdown({
+		server,
+		announce() {
+			link.send({type: 'draining', version: messageVersion});
+		},
+		acceptMs: settings.drainAcceptMs,
+		drainTimeoutMs: settings.drainTimeoutMs,
+		logger,
+	});
 	return {
 		port,
 		operatorPort: operator.port,
 		async shutdown() {
-			link.send({type: 'draining', version: 1});
-			await closeServer(server);
+			const outcome = await shutdown.run();
 			await attempts.close();
 			clearInterval(beats);
 			health.close();
 			link.close();
 			operator.close();
-			logger.info('entry stopped');
+			logger.info('entry stopped', {outcome});
 		},
 	};
 };
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -57,6 +57,16 @@
 	 * @default 16384
 	 */
 	maxHeaderBytes: z.int().min(1024).default(16_384),
+	/**
+	 * How long a draining entry accepts new requests: as long as callers keep a locate answer, and the word takes to spread.
+	 * @default 4000
+	 */
+	drainAcceptMs: z.number().min(0).default(4000),
+	/**
+	 * Longest wait for requests in flight, long uploads included, before a draining entry cuts them off.
+	 * @default 600000
+	 */
+	drainTimeoutMs: z.number().positive().default(600_000),
 	/**
 	 * Detail of the logs, from 0 (errors) to 5 (everything).
 	 * @default 3
--- a/packages/entry/test/support/harness.ts
+++ b/packages/entry/test/support/harness.ts
@@ -146,6 +146,8 @@
 		headersTimeoutMs: 10_000,
 		maxHeaderBytes: 16_384,
 		bodyIdleTimeoutMs: 30_000,
+		drainAcceptMs: 0,
+		drainTimeoutMs: 5000,
 		maxIdempotencyKeys: 16_384,
 		maxIdempotencyKeyBytes: 8_388_608,
 		logLevel: 0,
