fix(entry): not ready without a host list, and no older list after an agent restart

Cause: the scenario agent-killed lost 6 of 481 requests to no-capacity within its first 200 ms: the entry was ready on records alone, before its agent had read the host list. An agent that restarts while the host list is down would likewise have emptied the instances of its entry. Ruled out: ejection (nothing had been tried).

--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -7,6 +7,7 @@
 
 /** The current view. Readers take it afresh for each request. */
 export type View = {
+	/** True once the entry holds a whole configuration and a host list. */
 	readonly ready: () => boolean;
 	readonly routes: () => RouteTable;
 	readonly service: (name: string) => ServiceRecord | undefined;
@@ -28,7 +29,8 @@
 	let instancesByService = new Map<string, Instance[]>();
 	let members: readonly FleetMember[] = [];
 	let table = createRouteTable([]);
-	let ready = false;
+	let hasConfig = false;
+	let instancesSequence = 0;
 	let revision = 0;
 
 	const applyRecords = (message: Extract<AgentToEntry, {type: 'config'}>): void => {
@@ -60,10 +62,16 @@
 		}
 
 		table = createRouteTable([...routes.values()]);
-		ready ||= message.ready;
+		hasConfig ||= message.ready;
 	};
 
-	const applyInstances = (instances: readonly Instance[]): void => {
+	/** An agent that has just started may hold an older list than this entry, or none. */
+	const applyInstances = ({sequence, instances}: Extract<AgentToEntry, {type: 'instances'}>): void => {
+		if (sequence === 0 || sequence < instancesSequence) {
+			return;
+		}
+
+		instancesSequence = sequence;
 		instancesByService = new Map();
 		for (const instance of instances) {
 			const same = instancesByService.get(instance.service) ?? [];
@@ -73,7 +81,7 @@
 	};
 
 	return {
-		ready: () => ready,
+		ready: () => hasConfig && instancesSequence > 0,
 		routes: () => table,
 		service: name => services.get(name),
 		services: () => services,
@@ -88,7 +96,7 @@
 				}
 
 				case 'instances': {
-					applyInstances(message.instances);
+					applyInstances(message);
 					break;
 				}
 
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,8 +1,9 @@
-/** Runs an experiment on stand-ins: `npm run bench -- added-latency [--rates A,B] [--seconds N] [--json]`. */
+/** Runs an experiment on stand-ins: `npm run bench -- added-latency|control-cost [--rates A,B] [--seconds N] [--json]`. */
 
 import {execFileSync, spawn} from 'node:child_process';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {measureControlCost, type ControlSize} from './experiments/control-cost.ts';
 import {createEntryHost, hostPorts, startFleet} from './lib/fleet.ts';
 import {programFile} from './lib/processes.ts';
 
@@ -66,8 +67,32 @@
 	}
 };
 
+const controlSizes: readonly ControlSize[] = [
+	...[5, 11, 22, 44].map(agents => ({
+		agents, services: 6, instancesPerService: 12, routes: 60,
+	})),
+	{
+		agents: 11, services: 340, instancesPerService: 12, routes: 60,
+	},
+	{
+		agents: 11, services: 6, instancesPerService: 600, routes: 60,
+	},
+	{
+		agents: 11, services: 6, instancesPerService: 12, routes: 11_000,
+	},
+];
+
+/** Prints one JSON line a size. */
+const measureControl = async (): Promise<void> => {
+	for (const size of controlSizes) {
+		const cost = await measureControlCost(size);
+		process.stdout.write(`${JSON.stringify({label: commit(), ...cost})}\n`);
+	}
+};
+
 const experiments: Readonly<Record<string, (options: BenchOptions) => Promise<void>>> = {
 	'added-latency': measureAddedLatency,
+	'control-cost': measureControl,
 };
 
 const {values, positionals} = parseArgs({
--- a/scripts/lib/fleet.ts
+++ b/scripts/lib/fleet.ts
@@ -36,6 +36,11 @@
 	/** Records as written. */
 	readonly records: readonly unknown[];
 	readonly overrides?: HostOverrides;
+	/**
+	 * Names the instances in the host list without running them.
+	 * @default false
+	 */
+	readonly listedOnly?: boolean;
 	readonly logs?: 'ignore' | 'inherit';
 };
 
@@ -107,13 +112,19 @@
 
 const standinSettings = ({region: _region, dataCentre: _dataCentre, ...settings}: InstanceSettings): unknown => settings;
 
+const startBackends = async (processes: Processes, instances: readonly InstanceSettings[]): Promise<number> => {
+	const child = processes.start('backend', 'standin', {instances: instances.map(instance => standinSettings(instance))}, ['backend']);
+	const {operatorPort} = await readReadyLine<{readonly operatorPort: number}>(child);
+	return operatorPort;
+};
+
 /** Starts everything and resolves once every host is ready; what was started is ended when that fails. */
 export const startFleet = async (options: FleetOptions): Promise<Fleet> => {
 	const {hosts, instances, records, overrides = {}} = options;
 	const processes = createProcesses(options.logs);
 	try {
 		const platform = await readReadyLine<{readonly port: number; readonly operatorPort: number}>(processes.start('platform', 'standin', {records, hosts: createHostList(options)}, ['platform']));
-		const backend = await readReadyLine<{readonly operatorPort: number}>(processes.start('backend', 'standin', {instances: instances.map(instance => standinSettings(instance))}, ['backend']));
+		const backendOperatorPort = options.listedOnly ? undefined : await startBackends(processes, instances);
 		const platformUrl = `http://127.0.0.1:${platform.port}`;
 		const operatorPort = overrides.entry === 'none' ? hostPorts.agentOperatorPort : hostPorts.entryOperatorPort;
 		for (const host of hosts) {
@@ -125,7 +136,7 @@
 			processes,
 			platformUrl,
 			platformOperatorUrl: `http://127.0.0.1:${platform.operatorPort}`,
-			backendOperatorUrl: `http://127.0.0.1:${backend.operatorPort}`,
+			backendOperatorUrl: `http://127.0.0.1:${backendOperatorPort}`,
 		};
 	} catch (error) {
 		processes.kill();
