--- a/packages/core/test/health-service.test.ts
+++ b/packages/core/test/health-service.test.ts
@@ -125,7 +125,7 @@
 	}
 
 	const heldCases = [
-		{title: 'ejects an instance that holds four requests and gets no more', heldCount: 4, expected: 'ejected'},
+		{title: 'ejects an instance that holds three requests and gets no more', heldCount: 3, expected: 'ejected'},
 		{title: 'does not eject an instance for one slow request', heldCount: 1, expected: 'use'},
 	];
 	for (const {title, heldCount, expected} of heldCases) {
