fix(core): an instance that a third of the entries can not reach stays in use at the others

Cause: two agreeing entries were enough for an ejection by all. With two of six entries cut off, chance runs of failures reached the threshold before eight successes of the others spoke against it. Now most of the active entries must see a failure themselves, or for 5 s none may see the instance work in a greater number; what an entry saw counts by its likelihood. An entry sets an instance back before the decision only for failures of its own that are nearly in a row.

--- a/packages/core/src/health/constants.ts
+++ b/packages/core/src/health/constants.ts
@@ -72,6 +72,9 @@
 /** Successes of an entry since a score began to rise by which it objects to an ejection. */
 export const objectionSuccesses = 8;
 
+/** Longest wait for most of the entries to see a failure themselves. */
+export const majorityWaitMs = 5 * msPerSecond;
+
 /** Longest wait for the other entries' evidence before an ejection. */
 export const replyWaitMs = msPerSecond;
 
--- a/packages/core/src/health/instance-score.ts
+++ b/packages/core/src/health/instance-score.ts
@@ -4,7 +4,6 @@
 import {nextScore, type ScoreSteps} from './likelihood.ts';
 
 const failuresToAgree = 0.9;
-const dissentFailureShare = 0.05;
 
 /** Observations of one entry since a score left zero. */
 type Tally = {succeeded: number; failed: number};
@@ -23,8 +22,12 @@
 	readonly add: (observations: Observations, steps: ScoreSteps, nowMs: number) => void;
 	/** What the observations since the score left zero weigh with other steps. */
 	readonly valueWith: (steps: ScoreSteps) => number;
-	/** Entries that saw a failure since the score left zero. */
-	readonly failingAt: () => readonly string[];
+	/** Entries whose observations since the score left zero speak for a failure. */
+	readonly failingAt: (steps: ScoreSteps) => readonly string[];
+	/** Number of entries whose observations since the score left zero speak against a failure. */
+	readonly workingCount: (steps: ScoreSteps) => number;
+	/** What the observations of one entry since the score left zero weigh; negative if they speak against a failure. */
+	readonly weightOf: (entryId: string, steps: ScoreSteps) => number;
 	/** True when entries that see the instance work speak against a failure for all. */
 	readonly isContradicted: (steps: ScoreSteps) => boolean;
 	/** When the score left zero; undefined while it is zero. */
@@ -38,6 +41,9 @@
 	let score = 0;
 	let roseAtMs: number | undefined;
 
+	const weigh = ({succeeded, failed}: Tally, steps: ScoreSteps): number =>
+		(succeeded * steps.succeeded) + (failed * steps.failed);
+
 	const reset = (): void => {
 		score = 0;
 		roseAtMs = undefined;
@@ -61,19 +67,22 @@
 		},
 		valueWith(steps) {
 			let value = 0;
-			for (const {succeeded, failed} of tallies.values()) {
-				value += (succeeded * steps.succeeded) + (failed * steps.failed);
+			for (const tally of tallies.values()) {
+				value += weigh(tally, steps);
 			}
 
 			return Math.min(score, value);
 		},
-		failingAt: () => [...tallies].filter(([, {failed}]) => failed >= failuresToAgree).map(([entryId]) => entryId),
+		failingAt: steps => [...tallies].filter(([, tally]) => tally.failed >= failuresToAgree && weigh(tally, steps) > 0).map(([entryId]) => entryId),
+		workingCount: steps => [...tallies.values()].filter(tally => weigh(tally, steps) < 0).length,
+		weightOf(entryId, steps) {
+			const tally = tallies.get(entryId);
+			return tally ? weigh(tally, steps) : 0;
+		},
 		isContradicted(steps) {
 			let dissent = 0;
-			for (const {succeeded, failed} of tallies.values()) {
-				if (failed <= dissentFailureShare * (succeeded + failed)) {
-					dissent += (succeeded * -steps.succeeded) - (failed * steps.failed);
-				}
+			for (const tally of tallies.values()) {
+				dissent -= Math.min(0, weigh(tally, steps));
 			}
 
 			return dissent >= dissentLimit;
--- a/packages/core/src/health/service-health.ts
+++ b/packages/core/src/health/service-health.ts
@@ -7,7 +7,7 @@
 import type {Instance} from '../platform/types.ts';
 import {createBaseline} from './baseline.ts';
 import {
-	pauseGapMs, probeFailureWeight, probeScoreShare, probeSuccessWeight, proofMs, repeatRounds, replyWaitMs, reportIntervalMs,
+	majorityWaitMs, pauseGapMs, probeFailureWeight, probeScoreShare, probeSuccessWeight, proofMs, repeatRounds, replyWaitMs, reportIntervalMs,
 	slowStartMs, trialIntervalMs, urgentReportIntervalMs, wholeReportRounds,
 } from './constants.ts';
 import {floorCount} from './floor.ts';
@@ -205,12 +205,17 @@
 	const isFailingForAll = (tracked: TrackedInstance, nowMs: number): boolean => {
 		const active = peers.active(nowMs);
 		const vantages = active.length + (nowMs - ownActivityAtMs <= proofMs ? 1 : 0);
-		const failingAt = tracked.pooled.failingAt();
-		if (failingAt.length < Math.min(minVantages, vantages) || tracked.pooled.isContradicted(steps)) {
+		const failingCount = tracked.pooled.failingAt(steps).length;
+		const isOutvoted = failingCount <= tracked.pooled.workingCount(steps);
+		if (failingCount < Math.min(minVantages, vantages) || isOutvoted || tracked.pooled.isContradicted(steps)) {
 			return false;
 		}
 
 		const waitedMs = nowMs - (tracked.pooled.roseAtMs() ?? nowMs);
+		if (failingCount <= vantages / 2 && waitedMs < majorityWaitMs) {
+			return false;
+		}
+
 		return waitedMs >= replyWaitMs || active.every(peerId => peers.heardRoundOf(peerId) >= tracked.roseRound);
 	};
 
@@ -548,7 +553,7 @@
 				localScore: tracked.local.value(),
 				threshold,
 				medianScore,
-				failingAt: tracked.pooled.failingAt(),
+				failingAt: tracked.pooled.failingAt(steps),
 				listedCount: listed().length,
 				provenCount: listed().filter(some => isProven(some, {isFreshPeer, nowMs})).length,
 				floorCount: floorCount(listed().length, rules.floorShare),
--- a/packages/core/src/health/standings.ts
+++ b/packages/core/src/health/standings.ts
@@ -6,6 +6,9 @@
 import {slowStartWeightAt, type TrackedInstance} from './tracked-instance.ts';
 import type {Standing} from './types.ts';
 
+/** Own failures, nearly in a row, by which an entry spares an instance before the entries have agreed. */
+const ownFailures = 1.2;
+
 /** What the standings depend on besides the instances. */
 export type StandingsInput = {
 	readonly service: string;
@@ -52,7 +55,7 @@
 		return {kind: 'avoided'};
 	}
 
-	const fails = tracked.pooled.valueWith(input.steps) >= input.threshold && tracked.pooled.failingAt().includes(input.entryId);
+	const fails = tracked.pooled.valueWith(input.steps) >= input.threshold && tracked.pooled.weightOf(input.entryId, input.steps) >= ownFailures * input.steps.failed;
 	const isFailing = tracked.spell !== undefined || tracked.cut !== undefined;
 	if (isFailing || fails) {
 		return {kind: 'spared'};
--- a/packages/core/test/support/health-experiment.ts
+++ b/packages/core/test/support/health-experiment.ts
@@ -113,13 +113,14 @@
 	};
 };
 
+/** Ours, and the naive version with several settings. */
+export const ways: ReadonlyArray<{readonly name: string; readonly create: (config: ModelConfig, entry: number) => ModelPolicy}> = [
+	{name: 'egretwing', create: createFleetPolicy},
+	{name: 'naive 3', create: config => createNaivePolicy(config, 3)},
+	{name: 'naive 5', create: config => createNaivePolicy(config, 5)},
+];
+
 /** Runs ours and the naive version with several settings over the same seeded runs. */
-export const compare = (dial: Dial, kind: FaultKind, seeds: readonly number[], cycles: number): readonly Figures[] => {
-	const ways: ReadonlyArray<{readonly name: string; readonly create: (config: ModelConfig, entry: number) => ModelPolicy}> = [
-		{name: 'egretwing', create: createFleetPolicy},
-		{name: 'naive 3', create: config => createNaivePolicy(config, 3)},
-		{name: 'naive 5', create: config => createNaivePolicy(config, 5)},
-	];
-	return ways.map(({name, create}) =>
+export const compare = (dial: Dial, kind: FaultKind, seeds: readonly number[], cycles: number): readonly Figures[] =>
+	ways.map(({name, create}) =>
 		summarize(name, dial, seeds.map(seed => runModel(faultRun(dial, kind, seed, cycles), create)), faultRun(dial, kind, 0, cycles).durationMs));
-};
