fix(entry): unused pools are closed, slow backend servers are not taken for slow readers

The limit for a caller that takes nothing of its answer counted while the backend server was silent, too; it now includes the time that the backend server may take. Pools of connections to hosts that were replaced stayed for ever. The rest of an upload whose answer came early is bounded in time. Tests: answers without a body, after a 103, and before the upload has ended.

--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -77,6 +77,7 @@
 		writeHead(response, answer, instanceId);
 		boundSlowReader(response, idleTimeoutMs);
 		await pipeline(answer.body, response);
+		boundUnreadBody(response);
 		return 'whole';
 	} catch {
 		response.destroy();
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -88,6 +88,15 @@
 /** How long a connection without a request is kept for an at-most-once request. */
 const unusedConnectionMs = 100;
 
+/** How long the connections to a destination are kept without any request to it. */
+const unusedPoolMs = 600_000;
+
+type DestinationPool = {
+	readonly pool: Pool;
+	readonly guarded: Dispatcher;
+	usedAtMs: number;
+};
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -136,16 +145,28 @@
 
 /** Creates the attempts; two pools of connections for each destination, one of them without reuse. */
 export const createAttempts = ({bodyIdleTimeoutMs, localAddress, nowMs}: AttemptLimits): Attempts => {
-	const pools = new Map<string, {readonly pool: Pool; readonly guarded: Dispatcher}>();
+	const pools = new Map<string, DestinationPool>();
+
+	const closeUnused = (): void => {
+		for (const [id, {pool, usedAtMs}] of pools) {
+			if (nowMs() - usedAtMs > unusedPoolMs && pool.stats.running + pool.stats.queued === 0) {
+				pools.delete(id);
+				void pool.close();
+			}
+		}
+	};
 
 	const dispatcherOf = (request: CallerRequest, {address, port}: Destination): Dispatcher => {
 		const isReused = request.route.semantics === 'idempotent';
 		const id = `${address}:${port} ${isReused}`;
 		const existing = pools.get(id);
 		if (existing) {
+			existing.usedAtMs = nowMs();
 			return existing.guarded;
 		}
 
+		closeUnused();
+
 		const pool = new Pool(`http://${address}:${port}`, {
 			connections: request.service.connectionsPerInstance,
 			pipelining: isReused ? 1 : 0,
@@ -155,7 +176,7 @@
 			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
 		const guarded = pool.compose(guardWrites);
-		pools.set(id, {pool, guarded});
+		pools.set(id, {pool, guarded, usedAtMs: nowMs()});
 		return guarded;
 	};
 
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -91,9 +91,9 @@
 		return refusal.kind;
 	};
 
-	const passAndSettle = async (served: Extract<Served, {type: 'answered'}>, response: http.ServerResponse, ticket: OnceTicket): Promise<string> => {
+	const passAndSettle = async (served: Extract<Served, {type: 'answered'}>, {request, response}: Exchange, ticket: OnceTicket): Promise<string> => {
 		const {result, stored, finish} = await passAndKeepAnswer(response, served.answer, {
-			maxAnswerBytes: parts.maxAnswerBytes, instanceId: served.instanceId, idleTimeoutMs: parts.bodyIdleTimeoutMs,
+			maxAnswerBytes: parts.maxAnswerBytes, instanceId: served.instanceId, idleTimeoutMs: parts.bodyIdleTimeoutMs + request.service.requestTimeoutMs,
 		});
 		served.release();
 		gate.settle(ticket, result === 'whole' ? {type: 'ran', ...(stored && {answer: stored})} : {type: 'unknown'});
@@ -127,7 +127,7 @@
 			});
 			if (served.type === 'answered') {
 				refusal = undefined;
-				return await passAndSettle(served, response, ticket);
+				return await passAndSettle(served, {request, response, signal}, ticket);
 			}
 
 			refusal = served.refusal;
@@ -190,7 +190,7 @@
 		const outcome = await forwarder.send(request, owner, {signal, mayWrite: () => clock.nowMs() < request.deadlineAtMs});
 		switch (outcome.type) {
 			case 'answered': {
-				return passAnswer(response, outcome, undefined, parts.bodyIdleTimeoutMs);
+				return passAnswer(response, outcome, undefined, parts.bodyIdleTimeoutMs + request.service.requestTimeoutMs);
 			}
 
 			case 'not-written': {
--- a/packages/entry/src/pipeline.ts
+++ b/packages/entry/src/pipeline.ts
@@ -139,7 +139,7 @@
 			}
 
 			case 'answered': {
-				const result = await passAnswer(response, served.answer, served.instanceId, bodyIdleTimeoutMs);
+				const result = await passAnswer(response, served.answer, served.instanceId, bodyIdleTimeoutMs + request.service.requestTimeoutMs);
 				served.release();
 				return result;
 			}
--- a/packages/entry/test/whole-answers.test.ts
+++ b/packages/entry/test/whole-answers.test.ts
@@ -1,8 +1,10 @@
+import http from 'node:http';
 import type net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
+import {listen} from '@egretwing/node';
 import {call, until} from './support/caller.ts';
-import {startHarness, type Harness} from './support/harness.ts';
+import {instanceAt, startHarness, type Harness} from './support/harness.ts';
 import {startRawBackend, type RawBackend, type RawRequest} from './support/raw-backend.ts';
 
 const service = {
@@ -153,6 +155,54 @@
 		}
 	}
 
+	const bodiless: ReadonlyArray<{readonly title: string; readonly method: string; readonly head: string; readonly statusCode: number}> = [
+		{
+			title: 'to HEAD', method: 'HEAD', head: 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n', statusCode: 200,
+		},
+		{
+			title: 'with status 204', method: 'POST', head: 'HTTP/1.1 204 No Content\r\n\r\n', statusCode: 204,
+		},
+		{
+			title: 'with status 304', method: 'GET', head: 'HTTP/1.1 304 Not Modified\r\netag: "a"\r\n\r\n', statusCode: 304,
+		},
+		{
+			title: 'after a status 103', method: 'GET', head: 'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n', statusCode: 200,
+		},
+	];
+	for (const {title, method, head, statusCode} of bodiless) {
+		it(`pass without a body ${title}`, async () => {
+			await withBackends(socket => socket.write(head), 1, async harness => {
+				expect(await call(`${harness.url}/seats/1`, {method})).to.include({statusCode, text: '', isWhole: true});
+			});
+		});
+	}
+
+	it('that come before the upload has ended reach the caller', async () => {
+		const early = http.createServer((_request, response) => {
+			response.writeHead(413, {'content-length': 3, connection: 'close'});
+			response.end('big');
+		});
+		const port = await listen(early, 0, '127.0.0.1');
+		const harness = await startHarness({records: [service, ...routes], instances: [instanceAt('b0', 'seatledger', port)], settings: {headersTimeoutMs: 1000}});
+		const upload = http.request(`${harness.url}/seats/1`, {method: 'PUT', headers: {'content-length': 1_000_000}});
+		upload.on('error', () => undefined);
+		upload.write(new Uint8Array(1000));
+		const response = await new Promise<http.IncomingMessage>(resolve => {
+			upload.on('response', resolve);
+		});
+		let text = '';
+		for await (const chunk of response as AsyncIterable<Uint8Array>) {
+			text += new TextDecoder().decode(chunk);
+		}
+
+		expect(response.statusCode).to.equal(413);
+		expect(text).to.equal('big');
+		upload.destroy();
+		early.close();
+		early.closeAllConnections();
+		await harness.close();
+	});
+
 	const excess: ReadonlyArray<{readonly title: string; readonly script: (socket: net.Socket) => void}> = [
 		{title: 'longer than its length', script: socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nownmore')},
 		{title: 'followed by a second one', script: socket => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nownHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother')},
