--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -42,6 +42,7 @@
 		/** The backend server said by its status that it did not run the request. */
 		readonly type: 'shed';
 		readonly statusCode: number;
+		readonly headers: Headers;
 	}
 	| {
 		/** The connection was lost or timed out after something may have been written. */
@@ -266,7 +267,7 @@
 			timer = undefined;
 			if (options.notRunStatusCodes?.includes(answer.statusCode)) {
 				answer.body.on('error', () => undefined).destroy();
-				return {type: 'shed', statusCode: answer.statusCode};
+				return {type: 'shed', statusCode: answer.statusCode, headers: answer.headers};
 			}
 
 			if (!answerIsBounded(request.method, answer.statusCode, answer.headers)) {
--- a/packages/entry/src/pipeline.ts
+++ b/packages/entry/src/pipeline.ts
@@ -7,6 +7,7 @@
 import {passAnswer, refuse} from './answer.ts';
 import type {AttemptOutcome, Attempts} from './attempt.ts';
 import {idempotencyKeyHeader} from './constants.ts';
+import type {EntryHealth} from './health.ts';
 import type {Forwarder} from './forward.ts';
 import type {EntryMetrics} from './metrics.ts';
 import {createOnceStage, type RunOptions, type Served} from './once.ts';
@@ -19,6 +20,7 @@
 	readonly clock: Clock;
 	readonly view: View;
 	readonly selection: Selection;
+	readonly health: EntryHealth;
 	readonly attempts: Attempts;
 	readonly gate: OnceGate;
 	readonly forwarder: Forwarder;
@@ -79,7 +81,7 @@
 /** Creates the pipeline from its parts. */
 export const createPipeline = (parts: PipelineParts): Pipeline => {
 	const {
-		clock, view, selection, attempts, gate, metrics, bodyIdleTimeoutMs,
+		clock, view, selection, health, attempts, gate, metrics, bodyIdleTimeoutMs,
 	} = parts;
 
 	const attemptUntilServed = async (request: CallerRequest, options: RunOptions): Promise<Served> => {
@@ -103,8 +105,15 @@
 
 			const {instance, release} = reservation;
 			tried.add(instance.hostId);
+			const watch = health.begin(request, instance);
 			const outcome = await attempts.send(request, instance, {...options, notRunStatusCodes: request.service.notRunStatusCodes});
+			watch.finish(outcome);
 			if (outcome.type === 'answered') {
+				outcome.body.once('error', () => {
+					if (!options.signal.aborted) {
+						watch.answerCut();
+					}
+				});
 				return {
 					type: 'answered', answer: outcome, instanceId: instance.hostId, release,
 				};
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -96,6 +96,10 @@
 					members = message.members;
 					break;
 				}
+
+				case 'delivered': {
+					break;
+				}
 			}
 		},
 	};
