feat(core): memory for requests that crash instances

A request that crashes whatever runs it took one instance per send. Entries now count the instances that died under a fingerprint, exchange the counts, and refuse the request from the second on. A request without a recent answer runs on its two home instances only, the same ones from every entry, so that copies sent at once can't reach a third.

--- /dev/null
+++ b/packages/core/src/crash/crash-memory.ts
@@ -0,0 +1,105 @@
+/**
+ * Remembers which requests were in flight at instances that died.
+ *
+ * A request seen at one crash runs on a single further instance, with no other suspect there; one seen at two is
+ * refused. An answer since the crash clears it. Entries exchange reports; a report received twice counts once.
+ */
+
+import type {Placement} from '../load/types.ts';
+import {
+	maxInstancesLost, maxSuccesses, maxSuspects, sameCrashMs, successLifetimeMs, suspectLifetimeMs,
+} from './constants.ts';
+import {createRecentMap} from './recent-map.ts';
+import type {CrashReport} from './types.ts';
+
+/** Memory of one entry for all of its services. */
+export type CrashMemory = {
+	/** Counts a crash seen by this entry, or told by another. True when it was not known yet. */
+	readonly record: (report: CrashReport, nowMs: number) => boolean;
+	/** Notes an answer to a request. */
+	readonly recordAnswer: (fingerprint: string, nowMs: number) => void;
+	/** Takes back a crash that this entry recorded, when the instance turns out to live. */
+	readonly withdraw: (fingerprint: string, instanceId: string) => void;
+	/** Where a request with this fingerprint may run. */
+	readonly placementOf: (fingerprint: string, nowMs: number) => Placement;
+	/** Fingerprints held, of any kind. */
+	readonly size: () => number;
+};
+
+type Crash = {
+	readonly instanceId: string;
+	readonly atMs: number;
+};
+
+type Suspect = {
+	readonly crashes: readonly Crash[];
+	readonly seenAtMs: number;
+};
+
+/** Creates an empty memory, bounded in size and time. */
+export const createCrashMemory = (): CrashMemory => {
+	const suspects = createRecentMap<Suspect>(maxSuspects);
+	const refused = createRecentMap<Suspect>(maxSuspects);
+	const answeredAtMs = createRecentMap<number>(maxSuccesses);
+
+	const find = (fingerprint: string, nowMs: number): Suspect | undefined => {
+		const suspect = refused.get(fingerprint) ?? suspects.get(fingerprint);
+		return suspect !== undefined && nowMs - suspect.seenAtMs < suspectLifetimeMs ? suspect : undefined;
+	};
+
+	const forget = (fingerprint: string): void => {
+		suspects.delete(fingerprint);
+		refused.delete(fingerprint);
+	};
+
+	const store = (fingerprint: string, suspect: Suspect): void => {
+		forget(fingerprint);
+		if (suspect.crashes.length >= maxInstancesLost) {
+			refused.set(fingerprint, suspect);
+		} else if (suspect.crashes.length > 0) {
+			suspects.set(fingerprint, suspect);
+		}
+	};
+
+	return {
+		record({fingerprint, instanceId, ageMs}, nowMs) {
+			const atMs = nowMs - Math.max(0, ageMs);
+			const isCleared = (answeredAtMs.get(fingerprint) ?? Number.NEGATIVE_INFINITY) > atMs;
+			const known = find(fingerprint, nowMs)?.crashes ?? [];
+			const isKnown = known.some(crash => crash.instanceId === instanceId && Math.abs(crash.atMs - atMs) < sameCrashMs);
+			if (isKnown || isCleared || ageMs >= suspectLifetimeMs) {
+				return false;
+			}
+
+			answeredAtMs.delete(fingerprint);
+			if (known.length < maxInstancesLost) {
+				store(fingerprint, {crashes: [...known, {instanceId, atMs}], seenAtMs: nowMs});
+			}
+
+			return true;
+		},
+		recordAnswer(fingerprint, nowMs) {
+			forget(fingerprint);
+			answeredAtMs.set(fingerprint, nowMs);
+		},
+		withdraw(fingerprint, instanceId) {
+			const suspect = refused.get(fingerprint) ?? suspects.get(fingerprint);
+			if (suspect !== undefined) {
+				store(fingerprint, {...suspect, crashes: suspect.crashes.filter(crash => crash.instanceId !== instanceId)});
+			}
+		},
+		placementOf(fingerprint, nowMs) {
+			const suspect = find(fingerprint, nowMs);
+			if (suspect === undefined) {
+				const answeredMs = answeredAtMs.get(fingerprint);
+				return {type: answeredMs !== undefined && nowMs - answeredMs < successLifetimeMs ? 'anywhere' : 'homes'};
+			}
+
+			store(fingerprint, {...suspect, seenAtMs: nowMs});
+			return suspect.crashes.length >= maxInstancesLost
+				? {type: 'refused', kind: 'crash-suspect'}
+				: {type: 'alone', exceptIds: suspect.crashes.map(crash => crash.instanceId)};
+		},
+		size: () => suspects.size() + refused.size() + answeredAtMs.size(),
+	};
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,3 +31,10 @@
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
 export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
+export {createServiceLoad, createRetryBudget, decideRetry} from './load/index.ts';
+export type {
+	AdmissionDecision, AttemptEnd, Candidate, Dispatch, FailedAttempt, LoadRefusalKind, LoadRequest, LoadSettings, LoadSnapshot, Permit,
+	Placement, RetryBudget, RetryDecision, RetryRefusal, ServiceLoad, ServiceLoadDependencies,
+} from './load/index.ts';
+export {createCrashMemory, createFingerprint} from './crash/index.ts';
+export type {CrashMemory, CrashReport, FingerprintParts} from './crash/index.ts';
--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -12,6 +12,12 @@
 /** An instance that refused a connection or died keeps its place, unused, for this long. */
 export const deadHoldMs = 300;
 
+/** Shortest time for which an instance that refused a connection or died is avoided; doubles with each failure. */
+export const minAvoidMs = 500;
+
+/** Longest time for which such an instance is avoided. */
+export const maxAvoidMs = 8000;
+
 /** How many instances a request without a recent success may run on. */
 export const homeCount = 2;
 
--- a/packages/core/src/load/instances.ts
+++ b/packages/core/src/load/instances.ts
@@ -2,7 +2,7 @@
 
 import {hashText} from '../random.ts';
 import {
-	deadHoldMs, shedSlotDecrease, slotFactorStep, unknownLatencyMs,
+	deadHoldMs, maxAvoidMs, minAvoidMs, shedSlotDecrease, slotFactorStep, unknownLatencyMs,
 } from './constants.ts';
 import {createPeakLatency, type LatencyAverage} from './latency.ts';
 import type {InstanceView} from './selection.ts';
@@ -18,6 +18,9 @@
 	/** Part of its slots that an instance gets work for, lowered when it sheds. */
 	slotFactor: number;
 	heldUntilMs: number;
+	avoidedUntilMs: number;
+	/** Times in a row that it refused a connection or died. */
+	failures: number;
 };
 
 /** Load of the instances of a service. */
@@ -43,6 +46,8 @@
 	suspectsInFlight: 0,
 	slotFactor: 1,
 	heldUntilMs: Number.NEGATIVE_INFINITY,
+	avoidedUntilMs: Number.NEGATIVE_INFINITY,
+	failures: 0,
 });
 
 const slotsOf = (state: InstanceState, slotsPerInstance: number): number =>
@@ -56,18 +61,34 @@
 const toView = (state: InstanceState, slotsPerInstance: number, nowMs: number): InstanceView => ({
 	instanceId: state.instanceId,
 	idHash: state.idHash,
-	isEligible: state.weight > 0,
+	isEligible: state.weight > 0 && nowMs >= state.avoidedUntilMs,
 	isHeld: nowMs < state.heldUntilMs,
 	hasRoom: state.inFlight < Math.max(1, Math.round(slotsOf(state, slotsPerInstance))),
 	hasSuspect: state.suspectsInFlight > 0,
 	cost: costOf(state, nowMs),
 });
 
+/** Avoids an instance for a while; it keeps its place among the homes only at the first failure. */
+const avoid = (state: InstanceState, nowMs: number): void => {
+	if (nowMs < state.avoidedUntilMs) {
+		return;
+	}
+
+	if (state.failures === 0) {
+		state.heldUntilMs = nowMs + deadHoldMs;
+	}
+
+	state.avoidedUntilMs = nowMs + Math.min(maxAvoidMs, minAvoidMs * (2 ** state.failures));
+	state.failures++;
+};
+
 const learn = (state: InstanceState, permit: Permit, end: AttemptEnd, nowMs: number): void => {
 	switch (end) {
 		case 'answered': {
 			state.latency.observe(nowMs - permit.startedAtMs, nowMs);
 			state.slotFactor = Math.min(1, state.slotFactor + slotFactorStep);
+			state.failures = 0;
+			state.avoidedUntilMs = nowMs;
 			break;
 		}
 
@@ -83,7 +104,7 @@
 
 		case 'connect-failed':
 		case 'died': {
-			state.heldUntilMs = nowMs + deadHoldMs;
+			avoid(state, nowMs);
 			break;
 		}
 
@@ -142,12 +163,19 @@
 			learn(state, permit, end, nowMs);
 			dropIfGone(state);
 		},
-		views: (slotsPerInstance, nowMs) =>
-			Array.from(states.values(), state => toView(state, slotsPerInstance, nowMs)),
+		views(slotsPerInstance, nowMs) {
+			const views = Array.from(states.values(), state => toView(state, slotsPerInstance, nowMs));
+			if (views.some(view => view.isEligible || view.isHeld)) {
+				return views;
+			}
+
+			// With every instance avoided, trying one is better than refusing.
+			return views.map(view => ({...view, isEligible: (states.get(view.instanceId)?.weight ?? 0) > 0}));
+		},
 		usableSlots(slotsPerInstance, nowMs) {
 			let slots = 0;
 			for (const state of states.values()) {
-				slots += nowMs < state.heldUntilMs ? 0 : slotsOf(state, slotsPerInstance);
+				slots += nowMs < state.avoidedUntilMs ? 0 : slotsOf(state, slotsPerInstance);
 			}
 
 			return slots;
--- a/packages/core/src/load/selection.ts
+++ b/packages/core/src/load/selection.ts
@@ -137,7 +137,7 @@
 		return {type: 'refused', kind: placement.kind};
 	}
 
-	if (!views.some(view => view.isEligible)) {
+	if (!views.some(view => view.isEligible || view.isHeld)) {
 		return {type: 'none'};
 	}
 
--- a/packages/core/test/load/fake-service.ts
+++ b/packages/core/test/load/fake-service.ts
@@ -6,6 +6,7 @@
 	createRetryBudget, createServiceLoad, decideRetry,
 	type AttemptEnd, type Candidate, type LoadRequest, type LoadSettings, type Permit, type Placement,
 } from '../../src/load/index.ts';
+import {createTimeline} from './timeline.ts';
 
 /** What the instances do with requests beyond their slots. */
 export type ExcessWork = 'queue' | 'shed';
@@ -52,55 +53,6 @@
 	readonly maxAtInstance: number;
 };
 
-type Event = {readonly atMs: number; readonly run: () => void};
-
-const createTimeline = () => {
-	const heap: Event[] = [];
-	const before = (left: number, right: number): boolean => heap[left]!.atMs < heap[right]!.atMs;
-	const swap = (left: number, right: number): void => {
-		[heap[left], heap[right]] = [heap[right]!, heap[left]!];
-	};
-
-	const sift = (): void => {
-		let index = 0;
-		for (;;) {
-			const child = (2 * index) + 1;
-			if (child >= heap.length) {
-				return;
-			}
-
-			const smaller = child + 1 < heap.length && before(child + 1, child) ? child + 1 : child;
-			if (!before(smaller, index)) {
-				return;
-			}
-
-			swap(smaller, index);
-			index = smaller;
-		}
-	};
-
-	return {
-		add(event: Event): void {
-			heap.push(event);
-			let index = heap.length - 1;
-			while (index > 0 && before(index, Math.floor((index - 1) / 2))) {
-				swap(index, Math.floor((index - 1) / 2));
-				index = Math.floor((index - 1) / 2);
-			}
-		},
-		next(): Event | undefined {
-			const first = heap[0];
-			const last = heap.pop();
-			if (heap.length > 0 && last !== undefined) {
-				heap[0] = last;
-				sift();
-			}
-
-			return first;
-		},
-	};
-};
-
 const exponential = (random: Random, mean: number): number => -mean * Math.log(1 - random.next());
 
 type Work = {readonly done: (end: AttemptEnd) => void};
