--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -42,6 +42,7 @@
 		/** The backend server said by its status that it did not run the request. */
 		readonly type: 'shed';
 		readonly statusCode: number;
+		readonly headers: Headers;
 	}
 	| {
 		/** The connection was lost or timed out after something may have been written. */
@@ -80,9 +81,14 @@
 export type AttemptLimits = {
 	/** Longest time without a byte of the body from the caller. */
 	readonly bodyIdleTimeoutMs: number;
+	/** Address that connections are made from; chosen by the system when absent. */
+	readonly localAddress?: string;
 	readonly nowMs: () => number;
 };
 
+/** How long a connection without a request is kept for an at-most-once request. */
+const unusedConnectionMs = 100;
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -130,7 +136,7 @@
 };
 
 /** Creates the attempts; two pools of connections for each destination, one of them without reuse. */
-export const createAttempts = ({bodyIdleTimeoutMs, nowMs}: AttemptLimits): Attempts => {
+export const createAttempts = ({bodyIdleTimeoutMs, localAddress, nowMs}: AttemptLimits): Attempts => {
 	const pools = new Map<string, {readonly pool: Pool; readonly guarded: Dispatcher}>();
 
 	const dispatcherOf = (request: CallerRequest, {address, port}: Destination): Dispatcher => {
@@ -145,7 +151,9 @@
 			connections: request.service.connectionsPerInstance,
 			pipelining: isReused ? 1 : 0,
 			connect: {timeout: request.service.connectTimeoutMs},
+			...(localAddress !== undefined && {localAddress}),
 			headersTimeout: 0,
+			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
 		const guarded = pool.compose(guardWrites);
 		pools.set(id, {pool, guarded});
@@ -238,7 +246,7 @@
 			timer = undefined;
 			if (options.notRunStatusCodes?.includes(answer.statusCode)) {
 				answer.body.on('error', () => undefined).destroy();
-				return {type: 'shed', statusCode: answer.statusCode};
+				return {type: 'shed', statusCode: answer.statusCode, headers: answer.headers};
 			}
 
 			if (!answerIsBounded(request.method, answer.statusCode, answer.headers)) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,19 +1,25 @@
 /** Puts the entry together: session with the agent, pipeline, callers' listener, operators' interface. */
 
 import http from 'node:http';
-import {createOnceGate, createRandom, hashText} from '@egretwing/core';
+import type net from 'node:net';
+import {
+	createOnceGate, createRandom, hashText, messageVersion,
+} from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
 } from '@egretwing/node';
 import {createAgentLink} from './agent-link.ts';
 import {createAttempts} from './attempt.ts';
-import {beatIntervalMs} from './constants.ts';
+import {beatIntervalMs, slowCallerCheckMs} from './constants.ts';
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
+import {createEntryHealth} from './health.ts';
+import {explainHealth} from './health-explain.ts';
+import {createHealthMetrics} from './health-metrics.ts';
+import {createHealthSelection} from './health-selection.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
 import {createPipeline} from './pipeline.ts';
 import {refuseUnreadable} from './refuse-unreadable.ts';
-import {createSelection} from './selection.ts';
 import type {EntrySettings} from './settings.ts';
 import {createView} from './view.ts';
 
@@ -41,14 +47,28 @@
 	const incarnation = Date.now();
 	const metrics = createEntryMetrics();
 	const view = createView();
-	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, nowMs: clock.nowMs});
-	const gate = createOnceGate({hostId, incarnation, startedAtMs: clock.nowMs()});
+	const attempts = createAttempts({bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs, localAddress: settings.address, nowMs: clock.nowMs});
+	const gate = createOnceGate(
+		{hostId, incarnation, startedAtMs: clock.nowMs()},
+		{maxKeys: settings.maxIdempotencyKeys, maxBytes: settings.maxIdempotencyKeyBytes},
+	);
 	const forwarder = createForwarder({
 		hostId, members: view.members, sealer: createSealer(settings.fleetKeys), attempts,
 	});
-	const selection = createSelection(view, createRandom(hashText(`${hostId}/${incarnation}`)));
+	const health = createEntryHealth({
+		hostId,
+		incarnation,
+		nowMs: clock.nowMs,
+		view,
+		metrics: createHealthMetrics(metrics.registry),
+		logger,
+		send(message) {
+			link.send(message);
+		},
+	});
+	const selection = createHealthSelection(view, health, createRandom(hashText(`${hostId}/${incarnation}`)));
 	const servePipeline = createPipeline({
-		clock, view, selection, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
+		clock, view, selection, health, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
 	});
 	const serveKeyPrefix = createKeyPrefixHandler({clock, gate, view});
 	const server = http.createServer({
@@ -57,6 +77,8 @@
 		maxHeaderSize: settings.maxHeaderBytes,
 		requestTimeout: 0,
 		insecureHTTPParser: false,
+		requireHostHeader: false,
+		connectionsCheckingInterval: Math.min(settings.headersTimeoutMs, slowCallerCheckMs),
 	}, async (incoming, response) => {
 		if (serveKeyPrefix(incoming, response)) {
 			return;
@@ -69,24 +91,32 @@
 			response.destroy();
 		}
 	});
-	server.on('clientError', refuseUnreadable);
-	const beats = setInterval(() => {
-		gate.beat(clock.nowMs());
-		const {keys, bytes} = gate.usage();
-		metrics.keys.set(keys);
-		metrics.keyBytes.set(bytes);
-	}, beatIntervalMs);
+	server.on('clientError', (error, socket) => {
+		refuseUnreadable(error, socket as net.Socket);
+	});
 	const port = await listen(server, settings.entryPort, settings.address);
 	const operator = await createOperatorServer({
 		address: settings.operatorAddress,
 		port: settings.operatorPort,
 		registry: metrics.registry,
-		handle: (_method, url) => url.pathname === '/v1/status'
-			? {
-				program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
-				services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
+		handle(_method, url) {
+			switch (url.pathname) {
+				case '/v1/status': {
+					return {
+						program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
+						services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
+					};
+				}
+
+				case '/v1/explain': {
+					return explainHealth(health, url.searchParams);
+				}
+
+				default: {
+					return undefined;
+				}
 			}
-			: undefined,
+		},
 	});
 	const link = createAgentLink({
 		address: settings.agentAddress,
@@ -96,6 +126,7 @@
 		logger,
 		onMessage(message) {
 			view.apply(message);
+			health.onMessage(message);
 			if (message.type === 'members') {
 				gate.updateMembers(message.members, clock.nowMs());
 			}
@@ -103,6 +134,16 @@
 			metrics.configRevision.set(view.revision());
 		},
 	});
+	const beats = setInterval(() => {
+		const clockMs = clock.nowMs();
+		gate.beat(clockMs);
+		link.send({
+			type: 'key-clock', version: messageVersion, hostId, incarnation, clockMs,
+		});
+		const {keys, bytes} = gate.usage();
+		metrics.keys.set(keys);
+		metrics.keyBytes.set(bytes);
+	}, beatIntervalMs);
 	logger.info('entry listens', {address: settings.address, port, operatorPort: operator.port});
 	return {
 		port,
@@ -112,6 +153,7 @@
 			await closeServer(server);
 			await attempts.close();
 			clearInterval(beats);
+			health.close();
 			link.close();
 			operator.close();
 			logger.info('entry stopped');
