fix(agent): a restarted agent takes the host list from its peers

Cause: the fleet test restarts a host while platform and host list are down; its agent took the records from its peers but had nobody to give it instances, so that its entry was not ready (before: not ready after 20 s; with readiness on records alone it would have refused all as no-capacity). Ruled out: records (the agent itself was ready).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -3,7 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	createRandom, hashText, messageVersion,
-	type ConfigRecord, type EntryHost, type EntryToAgent,
+	type ConfigRecord, type EntryHost, type EntryToAgent, type HostList,
 } from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, type Logger,
@@ -107,6 +107,10 @@
 				logger.warn('record refused', record);
 			}
 		},
+		hostList: () => world.hostList(),
+		onHostList(list) {
+			takeHostList(list);
+		},
 		onEntryMessage(from, body) {
 			sendToEntry({
 				type: 'delivered', version: messageVersion, from, body,
@@ -173,6 +177,13 @@
 		}
 	};
 
+	const takeHostList = (list: HostList): void => {
+		if (world.applyHosts(list)) {
+			exchange.setHostList(world.entryHosts());
+			sendHosts();
+		}
+	};
+
 	sendToEntry = entryLink.send;
 
 	const tick = (): void => {
@@ -200,12 +211,7 @@
 		onFailure: exchange.feedSkipped,
 		isWanted: createReadRule(exchange, nowMs),
 	}, logger);
-	const hostsFeed = followHosts(settings.hostListUrl, hosts => {
-		if (world.applyHosts(hosts)) {
-			exchange.setHostList(world.entryHosts());
-			sendHosts();
-		}
-	}, logger);
+	const hostsFeed = followHosts(settings.hostListUrl, takeHostList, logger);
 
 	const locate = await createLocateServer({
 		address: settings.address,
--- a/packages/agent/src/exchange.ts
+++ b/packages/agent/src/exchange.ts
@@ -2,16 +2,18 @@
 
 import {
 	createConfigStore, createConfigSync, createMembership, selectRelays,
-	type ConfigMessage, type ConfigRecord, type ConfigStore, type EntryHost, type EntryState, type MemberMessage,
+	type ConfigMessage, type ConfigRecord, type ConfigStore, type EntryHost, type EntryState, type HostList, type MemberMessage,
 	type MemberSend, type MembershipCounters, type MemberView, type PeerAddress, type Random, type RefusedRecord,
 	type SyncStep,
 } from '@egretwing/core';
+import {createHostListExchange, type HostListMessage} from './host-list-exchange.ts';
 import type {Peers} from './peers.ts';
 
 /** A message between agents. Unknown kinds are ignored. */
 type PeerMessage
 	= | {readonly kind: 'member'; readonly body: MemberMessage}
 		| {readonly kind: 'config'; readonly body: ConfigMessage}
+		| {readonly kind: 'hosts'; readonly body: HostListMessage}
 		/** From the entry of the sender to the entry of the receiver. */
 		| {readonly kind: 'entry'; readonly body: unknown};
 
@@ -20,6 +22,8 @@
 	readonly onRecords: (records: readonly ConfigRecord[]) => void;
 	readonly onRefused: (refused: readonly RefusedRecord[]) => void;
 	readonly onEntryMessage: (from: string, body: unknown) => void;
+	/** A host list that a peer holds; it may be older than the one held here. */
+	readonly onHostList: (list: HostList) => void;
 };
 
 /** Who takes part. */
@@ -30,6 +34,8 @@
 	readonly nowMs: () => number;
 	readonly peers: () => Peers;
 	readonly relaysPerDataCentre: number;
+	/** The host list held; its sequence is below 0 before any was read. */
+	readonly hostList: () => HostList;
 };
 
 /** The agent's part in the fleet. */
@@ -120,6 +126,16 @@
 		}
 	};
 
+	const hostListExchange = createHostListExchange({
+		random,
+		current: options.hostList,
+		onList: options.onHostList,
+		peers: otherIds,
+		send(hostId, body) {
+			sendToHost(hostId, {kind: 'hosts', body});
+		},
+	});
+
 	const receive = (from: PeerAddress, message: PeerMessage): void => {
 		switch (message.kind) {
 			case 'member': {
@@ -133,6 +149,11 @@
 				return;
 			}
 
+			case 'hosts': {
+				hostListExchange.receive(from.hostId, message.body);
+				return;
+			}
+
 			case 'entry': {
 				options.onEntryMessage(from.hostId, message.body);
 			}
@@ -147,6 +168,7 @@
 		tick() {
 			applySends(membership.tick(nowMs()));
 			applyStep(sync.tick(nowMs()));
+			hostListExchange.tick(nowMs());
 		},
 		setHostList: membership.setHostList,
 		setEntry(state, incarnation) {
--- a/test/thin-path.test.ts
+++ b/test/thin-path.test.ts
@@ -1,6 +1,5 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import process from 'node:process';
 import {Readable} from 'node:stream';
 import {expect} from 'chai';
 import {recordingDigest} from '@egretwing/standin';
@@ -8,15 +7,14 @@
 import {
 	createEntryHost, hostPorts, startFleet, type Fleet,
 } from '../scripts/lib/fleet.ts';
+import {networkOf} from './support/network.ts';
 
 const recordingBytes = 67_108_864;
 const chunkBytes = 65_536;
-/** Loopback addresses of this test process alone. */
-const network = `127.${100 + (process.pid % 100)}`;
 const services = ['rosterview', 'seatledger', 'scorevault'];
-const hosts = [1, 2, 3].map(index => createEntryHost(`entry-${index}`, `${network}.1.${index}`, 'ga-north', `ga-north-${index}`));
+const hosts = [1, 2, 3].map(index => createEntryHost(`entry-${index}`, `${networkOf(1)}.${index}`, 'ga-north', `ga-north-${index}`));
 const instances = services.flatMap((service, index) => [1, 2].map(number => ({
-	hostId: `${service}-${number}`, service, address: `${network}.2.${(10 * index) + number}`, port: 9000,
+	hostId: `${service}-${number}`, service, address: `${networkOf(2)}.${(10 * index) + number}`, port: 9000,
 })));
 
 const records = [
@@ -70,7 +68,7 @@
 
 	before(async () => {
 		fleet = await startFleet({hosts, instances, records});
-		client = createClient({locateAddresses: [{address: `${network}.1.1`, port: hostPorts.locatePort}], sendTimeoutMs: 20_000});
+		client = createClient({locateAddresses: [{address: `${networkOf(1)}.1`, port: hostPorts.locatePort}], sendTimeoutMs: 20_000});
 	});
 	after(async () => {
 		await client.close();
