test(core): an entry gives way to an earlier claim of a peer

Failed before with the claims of peers left out of the choice; the union test had not told this apart. The entry also no longer relies on a service that was removed between routing and the attempt.

--- a/packages/core/test/health-service.test.ts
+++ b/packages/core/test/health-service.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createServiceHealth, type ServiceHealth} from '../src/health/service-health.ts';
+import {ejectionOrder} from '../src/health/floor.ts';
 import {stallAgeMs} from '../src/health/stalls.ts';
 import type {Observation} from '../src/health/types.ts';
 import {modelInstances} from './support/health-model.ts';
@@ -207,6 +208,35 @@
 		expect(outMs[2]).to.be.above(outMs[1]! * 1.5);
 	});
 
+	const order = ejectionOrder('svc', ids);
+	const claimCases = [
+		{
+			title: 'gives way to an earlier claim of a peer where the floor allows one', claimed: order[0]!, failing: order[1]!, expected: 'spared',
+		},
+		{
+			title: 'goes before a later claim of a peer where the floor allows one', claimed: order[1]!, failing: order[0]!, expected: 'ejected',
+		},
+	];
+	for (const {title, claimed, failing, expected} of claimCases) {
+		it(title, () => {
+			const entry = createEntry('a');
+			entry.setRules({...rules, floorShare: 0.8});
+			let round = 0;
+			run([entry], {fromMs: 0, untilMs: 14_000}, (_entry, index, nowMs) => {
+				requestAll(instance => ids[instance] === failing && nowMs >= 10_000 ? failed(nowMs) : succeeded)(entry, index, nowMs);
+				const heard = entry.report(nowMs);
+				round++;
+				entry.receive({
+					service: 'svc', entryId: 'b', incarnation: 1, round, heard: [{entryId: 'a', incarnation: 1, round: heard.round}], whole: true,
+					instances: [{
+						instanceId: claimed, succeeded: 0, failed: 0, spell: 0, spellEnded: true, claimed: true,
+					}],
+				}, nowMs);
+			});
+			expect(entry.standing(failing)!.kind).to.equal(expected);
+		});
+	}
+
 	it('ejects an instance that fails from the first request on', () => {
 		const entries = [createEntry('a'), createEntry('b')];
 		run(entries, {fromMs: 0, untilMs: 8000}, healthyUntil(0, 2));
--- a/packages/entry/src/health.ts
+++ b/packages/entry/src/health.ts
@@ -70,6 +70,9 @@
 	readonly report: EvidenceReport;
 };
 
+/** For a request whose service was removed after it was routed. */
+const unwatched: AttemptWatch = {finish: () => undefined, answerCut: () => undefined};
+
 const unknownStanding: Standing = {kind: 'use', weight: 1};
 
 const rulesOf = ({floorShare, falseEjectionsPerInstanceDay, stallThresholdMs}: ServiceRecord): HealthRules =>
@@ -244,7 +247,11 @@
 
 	const begin = (request: CallerRequest, instance: Instance): AttemptWatch => {
 		const startedAtMs = nowMs();
-		const {health} = (watch(request.service.name)!);
+		const health = watch(request.service.name)?.health;
+		if (!health) {
+			return unwatched;
+		}
+
 		const {incoming} = request;
 		const attempt = health.begin(instance.hostId, startedAtMs);
 		const some: Moving = {attempt, incoming, bytesRead: incoming.socket.bytesRead};
