--- a/test/scenario/language/actions.ts
+++ b/test/scenario/language/actions.ts
@@ -137,6 +137,18 @@
 			},
 		}),
 	),
+	createSentence(
+		'lengthen {share:number} percent of answers of {targets:list}',
+		({targets, share}) => fault(targets, {type: 'longAnswer', share: share / percent}),
+	),
+	createSentence(
+		'a caller sends {method:method} {path:path} through every entry host at once, {times:int} times [with plain keys]',
+		({method, path, times}, wasSaid) => ({
+			action: {
+				type: 'send-everywhere', method, path, times, keys: wasSaid('with plain keys') ? 'plain' : 'issued',
+			},
+		}),
+	),
 	createSentence(
 		'a caller insists on {method:method} {path:path} {times:int} times',
 		({method, path, times}) => ({
--- a/test/scenario/language/types.ts
+++ b/test/scenario/language/types.ts
@@ -53,7 +53,9 @@
 		| {readonly type: 'leave-host'; readonly host: number}
 		| {readonly type: 'transfer'; readonly direction: 'upload' | 'download'; readonly path: string; readonly totalBytes: number; readonly durationMs: number}
 		/** One piece of work, sent again and again through one entry host after another. */
-		| {readonly type: 'insist'; readonly method: string; readonly path: string; readonly times: number};
+		| {readonly type: 'insist'; readonly method: string; readonly path: string; readonly times: number}
+		/** Pieces of work, each sent through every entry host at the same moment with the same key. */
+		| {readonly type: 'send-everywhere'; readonly method: string; readonly path: string; readonly times: number; readonly keys: KeyUse};
 
 /** An action and its time. */
 export type Step = {
--- a/test/scenario/runner/callers.ts
+++ b/test/scenario/runner/callers.ts
@@ -35,6 +35,8 @@
 	readonly sendWork: (options: WorkOptions) => Promise<Work>;
 	/** Sends the same work `times` times through one entry host after another, whatever is answered. */
 	readonly insist: (options: WorkOptions, times: number) => Promise<Work>;
+	/** Sends the work through every entry host at the same moment, with one key. */
+	readonly sendEverywhere: (options: WorkOptions) => Promise<Work>;
 	/** Sends work named `name-0`, `name-1`, ... at a steady rate until `untilMs` of `performance.now()`; resolves with all work once each has ended. */
 	readonly sendLoad: (load: LoadOptions, originMs: number, untilMs: number) => Promise<readonly Work[]>;
 	readonly close: () => Promise<void>;
@@ -113,7 +115,7 @@
 		return creators[options.keys]();
 	};
 
-	const send = async (options: WorkOptions, key: string | undefined, turn: number): Promise<Sending> => {
+	const send = async (options: WorkOptions, key: string | undefined, turn: number, isFirst = turn === 0): Promise<Sending> => {
 		const {entries} = await locator.locate(options.service);
 		const entry = rotate(entries, options.index + turn);
 		const requestId = `${options.id}.${turn}`;
@@ -121,7 +123,7 @@
 		const outcome: SendOutcome = entry
 			? await sendOnce(options, entry, {
 				'x-request-id': requestId,
-				...(key !== undefined && {'idempotency-key': key, 'egretwing-first-send': String(turn === 0)}),
+				...(key !== undefined && {'idempotency-key': key, 'egretwing-first-send': String(isFirst)}),
 			})
 			: {type: 'lost', reason: 'no entry host located'};
 		return {
@@ -174,6 +176,13 @@
 
 			return createWork(options, 'insist', beganAtMs, sendings);
 		},
+		async sendEverywhere(options) {
+			const beganAtMs = Date.now();
+			const {entries} = await locator.locate(options.service);
+			const key = await createKey(options);
+			const sendings = await Promise.all(entries.map(async (_entry, turn) => send(options, key, turn, false)));
+			return createWork(options, 'insist', beganAtMs, sendings);
+		},
 		async sendLoad(load, originMs, untilMs) {
 			const pending: Array<Promise<Work>> = [];
 			const endMs = Math.min(untilMs, originMs + load.untilMs);
--- a/test/scenario/runner/run.ts
+++ b/test/scenario/runner/run.ts
@@ -191,6 +191,14 @@
 				method: action.method, path: action.path, keys: 'none', resend: false, timeoutMs: insistTimeoutMs, service: serviceOf(scenario, action.path), id: `insist-${index}`, index,
 			}, action.times);
 			stage.works.push(work.then(done => [done]));
+			return;
+		}
+
+		case 'send-everywhere': {
+			const service = serviceOf(scenario, action.path);
+			stage.works.push(Promise.all(Array.from({length: action.times}, async (_, number) => callers.sendEverywhere({
+				...action, resend: false, timeoutMs: insistTimeoutMs, service, id: `everywhere-${index}-${number}`, index: number,
+			}))));
 		}
 	}
 };
