feat(entry): admission, retry budget and crash memory in the data path

The entry chose the less loaded of two live instances and had neither limit, queue, retry budget nor memory of crashing requests. Each attempt now asks the admission of its service, with the standings of health as weights; each failed one asks the retry budget; a connection lost to an instance that then refuses connections is published to the other entries.

A request with a recent answer now takes the better of two random instances instead of its homes: with homes, a hot path kept the others without proof of health and four ejection tests saw 'spared' for 'ejected'. A failed instance is not tried again for the same request, as before. The choice by health alone is replaced by admission and removed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,7 +30,6 @@
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
-export type {LocateAnswer, LocatedEntry} from './locate/types.ts';
 export {createServiceLoad, createRetryBudget, decideRetry} from './load/index.ts';
 export type {
 	AdmissionDecision, AttemptEnd, Candidate, Dispatch, FailedAttempt, LoadRefusalKind, LoadRequest, LoadSettings, LoadSnapshot, Permit,
--- a/packages/core/src/load/selection.ts
+++ b/packages/core/src/load/selection.ts
@@ -4,7 +4,7 @@
  * The two are the request's home instances, the first two by rendezvous of its fingerprint over the host list. For
  * varied requests this spreads the load as two random choices do, and identical requests meet on the same two
  * instances from whichever entry they come, so that a request that crashes instances can't reach a third before the
- * entries have heard of it. A request that succeeded lately may run elsewhere when its homes are busy.
+ * entries have heard of it. A request that succeeded lately runs on the better of two random instances.
  */
 
 import {hashText, type Random} from '../random.ts';
@@ -78,15 +78,13 @@
 	return best.map(({view}) => view);
 };
 
+const isCounted = (view: InstanceView): boolean => view.isEligible || view.isHeld;
+
 const isUsable = (view: InstanceView): boolean => view.isEligible && !view.isHeld && view.hasRoom;
 
-/** The cheapest usable instance, those not yet attempted first. */
-const pickCheapest = (views: readonly InstanceView[], attemptedIds: readonly string[]): InstanceView | undefined => {
-	const usable = views.filter(view => isUsable(view));
-	const fresh = usable.filter(view => !attemptedIds.includes(view.instanceId));
-	const pool = fresh.length > 0 ? fresh : usable;
+const findCheapest = (views: readonly InstanceView[]): InstanceView | undefined => {
 	let cheapest: InstanceView | undefined;
-	for (const view of pool) {
+	for (const view of views) {
 		if (cheapest === undefined || view.cost < cheapest.cost) {
 			cheapest = view;
 		}
@@ -108,19 +106,10 @@
 const asSelection = (view: InstanceView | undefined): Selection =>
 	view === undefined ? {type: 'busy'} : {type: 'chosen', instanceId: view.instanceId};
 
-const selectAnywhere = (request: SelectionRequest, homes: readonly InstanceView[], views: readonly InstanceView[], random: Random): Selection => {
-	const home = pickCheapest(homes.filter(view => !request.attemptedIds.includes(view.instanceId)), []);
-	if (home !== undefined) {
-		return asSelection(home);
-	}
-
-	const usable = views.filter(view => isUsable(view));
-	const fresh = usable.filter(view => !request.attemptedIds.includes(view.instanceId));
-	return asSelection(pickCheapest(pickTwoAtRandom(fresh.length > 0 ? fresh : usable, random), []));
-};
+const selectAnywhere = (views: readonly InstanceView[], random: Random): Selection =>
+	asSelection(findCheapest(pickTwoAtRandom(views.filter(view => isUsable(view)), random)));
 
 const selectAlone = (request: SelectionRequest, exceptIds: readonly string[], views: readonly InstanceView[]): Selection => {
-	const isCounted = (view: InstanceView) => view.isEligible || view.isHeld;
 	const others = views.filter(view => !exceptIds.includes(view.instanceId));
 	const [home] = findHomes(request.fingerprint, others.some(view => isCounted(view)) ? others : views, 1, isCounted);
 	return asSelection(home !== undefined && isUsable(home) && !home.hasSuspect ? home : undefined);
@@ -137,18 +126,23 @@
 		return {type: 'refused', kind: placement.kind};
 	}
 
-	if (!views.some(view => view.isEligible || view.isHeld)) {
+	if (!views.some(view => isCounted(view))) {
 		return {type: 'none'};
 	}
 
-	const homes = () => findHomes(request.fingerprint, views, homeCount, view => view.isEligible || view.isHeld);
+	const isAttempted = (view: InstanceView) => request.attemptedIds.includes(view.instanceId);
 	switch (placement.type) {
 		case 'anywhere': {
-			return selectAnywhere(request, homes(), views, random);
+			const others = views.filter(view => !isAttempted(view));
+			return others.some(view => isCounted(view)) ? selectAnywhere(others, random) : {type: 'none'};
 		}
 
 		case 'homes': {
-			return asSelection(pickCheapest(homes(), request.attemptedIds));
+			const homes = findHomes(request.fingerprint, views, homeCount, isCounted);
+			// A home that was attempted and is not held answered or stalled; there is no third one to go to.
+			return homes.every(view => isAttempted(view) && !view.isHeld)
+				? {type: 'none'}
+				: asSelection(findCheapest(homes.filter(view => isUsable(view) && !isAttempted(view))));
 		}
 
 		case 'alone': {
--- a/packages/core/src/load/service-load.ts
+++ b/packages/core/src/load/service-load.ts
@@ -198,9 +198,23 @@
 			}
 
 			const selection = selectInstance(request, placement, currentViews(nowMs), random);
-			return selection.type === 'chosen'
-				? {type: 'run', permit: start(request, selection.instanceId, placement, nowMs)}
-				: enqueue(request, nowMs);
+			switch (selection.type) {
+				case 'chosen': {
+					return {type: 'run', permit: start(request, selection.instanceId, placement, nowMs)};
+				}
+
+				case 'busy': {
+					return enqueue(request, nowMs);
+				}
+
+				case 'none': {
+					return {type: 'refuse', kind: 'no-capacity'};
+				}
+
+				case 'refused': {
+					return {type: 'refuse', kind: selection.kind};
+				}
+			}
 		},
 		release(permit, end, nowMs) {
 			instances.finish(permit, end, nowMs);
--- a/packages/core/src/load/types.ts
+++ b/packages/core/src/load/types.ts
@@ -32,7 +32,7 @@
 /** Where a request may run, by what is known of its fingerprint. */
 export type Placement
 	= | {
-		/** It succeeded lately: it prefers its home instances and may run on any other. */
+		/** It succeeded lately: it may run on any instance. */
 		readonly type: 'anywhere';
 	}
 	| {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,17 +8,20 @@
 import {
 	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
 } from '@egretwing/node';
+import {createAdmission} from './admission.ts';
+import {createAdmissionMetrics} from './admission-metrics.ts';
 import {createAgentLink} from './agent-link.ts';
 import {createAttempts} from './attempt.ts';
 import {beatIntervalMs, slowCallerCheckMs} from './constants.ts';
+import {createEntryCrash} from './crash.ts';
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
 import {createEntryHealth} from './health.ts';
 import {explainHealth} from './health-explain.ts';
 import {createHealthMetrics} from './health-metrics.ts';
-import {createHealthSelection} from './health-selection.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
 import {createPipeline} from './pipeline.ts';
+import {createRetries} from './retry.ts';
 import {refuseUnreadable} from './refuse-unreadable.ts';
 import type {EntrySettings} from './settings.ts';
 import {createView} from './view.ts';
@@ -66,9 +69,21 @@
 			link.send(message);
 		},
 	});
-	const selection = createHealthSelection(view, health, createRandom(hashText(`${hostId}/${incarnation}`)));
+	const crash = createEntryCrash({
+		hostId,
+		nowMs: clock.nowMs,
+		view,
+		logger,
+		send(message) {
+			link.send(message);
+		},
+	});
+	const admissionMetrics = createAdmissionMetrics(metrics.registry);
+	const admission = createAdmission({
+		nowMs: clock.nowMs, view, health, crash, random: createRandom(hashText(`${hostId}/${incarnation}`)), metrics: admissionMetrics,
+	});
 	const servePipeline = createPipeline({
-		clock, view, selection, health, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
+		clock, view, admission, admissionMetrics, retries: createRetries(), crash, health, attempts, gate, forwarder, metrics, bodyIdleTimeoutMs: settings.bodyIdleTimeoutMs,
 	});
 	const serveKeyPrefix = createKeyPrefixHandler({clock, gate, view});
 	const server = http.createServer({
@@ -127,6 +142,7 @@
 		onMessage(message) {
 			view.apply(message);
 			health.onMessage(message);
+			crash.onMessage(message);
 			if (message.type === 'members') {
 				gate.updateMembers(message.members, clock.nowMs());
 			}
@@ -154,6 +170,7 @@
 			await attempts.close();
 			clearInterval(beats);
 			health.close();
+			admission.close();
 			link.close();
 			operator.close();
 			logger.info('entry stopped');
--- a/packages/entry/src/pipeline.ts
+++ b/packages/entry/src/pipeline.ts
@@ -5,21 +5,27 @@
 	createRefusal, errorAnswers, resolveOnceConfig, type Clock, type ErrorKind, type OnceGate, type Refusal,
 } from '@egretwing/core';
 import {passAnswer, refuse} from './answer.ts';
-import type {AttemptOutcome, Attempts} from './attempt.ts';
+import type {Admission} from './admission.ts';
+import type {AdmissionMetrics} from './admission-metrics.ts';
+import type {Attempts} from './attempt.ts';
 import {idempotencyKeyHeader} from './constants.ts';
+import type {EntryCrash} from './crash.ts';
 import type {EntryHealth} from './health.ts';
 import type {Forwarder} from './forward.ts';
 import type {EntryMetrics} from './metrics.ts';
 import {createOnceStage, type RunOptions, type Served} from './once.ts';
 import {readMark, readRequest, type CallerRequest} from './request.ts';
-import type {Selection} from './selection.ts';
+import type {FailedOutcome, Retries} from './retry.ts';
 import type {View} from './view.ts';
 
 /** What the stages need. */
 export type PipelineParts = {
 	readonly clock: Clock;
 	readonly view: View;
-	readonly selection: Selection;
+	readonly admission: Admission;
+	readonly admissionMetrics: AdmissionMetrics;
+	readonly retries: Retries;
+	readonly crash: EntryCrash;
 	readonly health: EntryHealth;
 	readonly attempts: Attempts;
 	readonly gate: OnceGate;
@@ -31,29 +37,6 @@
 /** Serves one request to its end. */
 export type Pipeline = (incoming: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
 
-type FailedOutcome = Exclude<AttemptOutcome, {type: 'answered'}>;
-
-/** True when another attempt can't run the request a second time, or may do so. */
-const mayRetry = (request: CallerRequest, outcome: FailedOutcome): boolean => {
-	switch (outcome.type) {
-		case 'not-written': {
-			return outcome.reason === 'connect-failed';
-		}
-
-		case 'shed': {
-			return !request.hasBody;
-		}
-
-		case 'unknown': {
-			return !request.hasBody && request.route.semantics === 'idempotent' && outcome.reason !== 'answer-unbounded';
-		}
-
-		case 'caller-failed': {
-			return false;
-		}
-	}
-};
-
 const refusalOf = (outcome: FailedOutcome): Refusal => {
 	switch (outcome.type) {
 		case 'not-written': {
@@ -81,7 +64,7 @@
 /** Creates the pipeline from its parts. */
 export const createPipeline = (parts: PipelineParts): Pipeline => {
 	const {
-		clock, view, selection, health, attempts, gate, metrics, bodyIdleTimeoutMs,
+		clock, view, admission, retries, crash, health, attempts, gate, metrics, bodyIdleTimeoutMs,
 	} = parts;
 
 	const attemptUntilServed = async (request: CallerRequest, options: RunOptions): Promise<Served> => {
@@ -92,22 +75,32 @@
 			refusal = refusal.ran === 'not-run' || next.ran !== 'not-run' ? next : refusal;
 		};
 
-		while (tried.size < request.service.maxAttempts) {
+		const fingerprint = crash.fingerprintOf(request);
+		retries.begin(request);
+		for (let attempt = 1; ; attempt++) {
 			if (clock.nowMs() >= request.deadlineAtMs) {
 				refuseAs(createRefusal('deadline-expired'));
 				break;
 			}
 
-			const reservation = selection.reserve(request, tried);
-			if (!reservation) {
+			const admitted = await admission.acquire(request, fingerprint, tried, options.signal);
+			if (admitted.type === 'refused') {
+				// Without an instance left to try, the last failure says more.
+				if (attempt === 1 || admitted.kind !== 'no-capacity') {
+					refuseAs(createRefusal(admitted.kind));
+				}
+
 				break;
 			}
 
-			const {instance, release} = reservation;
+			const {instance, release} = admitted;
 			tried.add(instance.hostId);
 			const watch = health.begin(request, instance);
 			const outcome = await attempts.send(request, instance, {...options, notRunStatusCodes: request.service.notRunStatusCodes});
 			watch.finish(outcome);
+			crash.finish(outcome, {
+				request, fingerprint, instance, signal: options.signal,
+			});
 			if (outcome.type === 'answered') {
 				outcome.body.once('error', () => {
 					if (!options.signal.aborted) {
@@ -115,17 +108,22 @@
 					}
 				});
 				return {
-					type: 'answered', answer: outcome, instanceId: instance.hostId, release,
+					type: 'answered', answer: outcome, instanceId: instance.hostId,
+					release() {
+						release(outcome);
+					},
 				};
 			}
 
-			release();
+			release(outcome);
 			if (outcome.type === 'shed') {
 				options.onShed?.();
 			}
 
 			refuseAs(refusalOf(outcome));
-			if (!mayRetry(request, outcome)) {
+			const decision = retries.decide(request, outcome, attempt, clock.nowMs());
+			if (decision.type === 'give-up') {
+				parts.admissionMetrics.retriesRefused.inc({service: request.service.name, reason: decision.reason});
 				break;
 			}
 
