fix(core): an agent that restarts without a host list finds the fleet by who probes it

Seen with five real hosts: restarted while the platform was down, an agent was not ready after 20 s, since only a random comparison reached it. Now it introduces itself to whoever probes it.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -54,6 +54,9 @@
 	readonly counters: () => MembershipCounters;
 };
 
+/** Sequence of a ping whose answer nobody waits for. */
+const noProbe = 0;
+
 /** Sequence of a state that answers no comparison of its receiver. */
 const noComparison = 0;
 
@@ -76,6 +79,7 @@
 	let lastMs = options.nowMs;
 	let nextProbeMs = options.nowMs + (random.next() * probePeriodMs);
 	let nextContactMs = options.nowMs;
+	let nextIntroductionMs = options.nowMs;
 	let nextCompareMs = options.nowMs + (random.next() * compareIntervalMs);
 	let nextGossipMs = options.nowMs;
 	let lastComparison = 0;
@@ -368,7 +372,7 @@
 		});
 		for (let count = isAlone ? gossipFanout : 1; count > 0 && absent.length > 0; count--) {
 			const [host] = absent.splice(Math.floor(random.next() * absent.length), 1);
-			sendPing(host!, 0, true);
+			sendPing(host!, noProbe, true);
 		}
 	};
 
@@ -493,6 +497,14 @@
 		}
 	};
 
+	/** A host that is probed by one it does not know has started without a host list; the prober tells it the rest. */
+	const introduceTo = (from: PeerAddress, nowMs: number): void => {
+		if (table.get(from.hostId) === undefined && nowMs >= nextIntroductionMs) {
+			nextIntroductionMs = nowMs + startContactIntervalMs;
+			sendPing(from, noProbe, true);
+		}
+	};
+
 	const handle = (from: PeerAddress, message: MemberMessage, nowMs: number): void => {
 		switch (message.type) {
 			case 'ping': {
@@ -570,6 +582,7 @@
 			noteTime(nowMs);
 			hearing.note(from.hostId, nowMs);
 			takeUpdates(message, nowMs);
+			introduceTo(from, nowMs);
 			handle(from, message, nowMs);
 			return drain();
 		},
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -177,6 +177,16 @@
 		expect(seen.every(member => member?.usable && member.entryIncarnation === incarnation)).to.be.true;
 	});
 
+	it('an agent that restarts while the host list is absent finds the others within 3 s', () => {
+		for (const seed of seeds) {
+			const fleet = startFleet({count: 5, seed});
+			fleet.network.stop('a2');
+			fleet.startHost(createHost(2), []);
+			fleet.run(unnamedTargetMs);
+			expectAllNamed(fleet, 5);
+		}
+	});
+
 	it('a stale host list neither brings a dead host back nor hides a host that it lacks', () => {
 		const fleet = startFleet({count: 11, seed: 79, listed: hosts => [...hosts.slice(0, 9), createHost(50), createHost(51)]});
 		fleet.run(10_000);
