--- a/packages/agent/test/peers.test.ts
+++ b/packages/agent/test/peers.test.ts
@@ -9,8 +9,8 @@
 import {createPeers, type Peers} from '../src/peers.ts';
 import {createReplayGuard} from '../src/replay-guard.ts';
 
-const left = {address: '127.0.82.1', peerPort: 8082};
-const right = {address: '127.0.82.2', peerPort: 8082};
+const left = {address: '127.31.82.1', peerPort: 8082};
+const right = {address: '127.31.82.2', peerPort: 8082};
 const codecOf = (endpoint: typeof left, keys: readonly [string, ...string[]], startedMs = 1) => createEnvelopeCodec({
 	hostId: endpoint.address, endpoint, startedMs, sealer: createSealer(keys),
 });
@@ -111,7 +111,7 @@
 			peers[0]!.sendTo(right, 'small');
 			peers[0]!.sendTo(right, large);
 			await waitFor(() => received.length === 2);
-			expect(received).to.have.deep.members([['127.0.82.1', 'small'], ['127.0.82.1', large]]);
+			expect(received).to.have.deep.members([['127.31.82.1', 'small'], ['127.31.82.1', large]]);
 		});
 
 		const intrusions = [
