fix(core): the mark of a first send that lay unread is not believed, nor passed on

Cause: an entry that was frozen past its callers' patience passed a first send on with its mark; the owner of the key, which had not paused, found the key expired and said not-run although a resend had run. The mark is believed only before the deadline and without a pause over one second, and is dropped when the request is passed on in doubt. The same for an owner that can't be reached.

--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -24,7 +24,7 @@
 		readonly incarnation: number;
 	}
 	| {
-		/** What the entry's clock shows, for issuing idempotency keys that name it. Sent about once a second. */
+		/** What the entry's clock shows, for issuing idempotency keys that name it. Sent a few times a second. */
 		readonly type: 'key-clock';
 		readonly version: number;
 		readonly hostId: string;
--- a/packages/core/src/once/config.ts
+++ b/packages/core/src/once/config.ts
@@ -12,6 +12,7 @@
 	plainMarginMs: 60_000,
 	ownerSettleMs: 10_000,
 	pauseToleranceMs: 5000,
+	markToleranceMs: 1000,
 	doubtMs: 1000,
 };
 
--- a/packages/core/src/once/gate.ts
+++ b/packages/core/src/once/gate.ts
@@ -14,7 +14,7 @@
 import {createKeyMemory, type KeyRecord} from './memory.ts';
 import {createKeyOwners} from './owners.ts';
 import type {
-	IssuedKey, OnceDecision, OnceOptions, OnceOutcome, OnceRequest, OnceTicket, WriteDecision,
+	IssuedKey, OnceDecision, OnceOptions, OnceOutcome, OnceRequest, OnceTicket, SendMark, WriteDecision,
 } from './types.ts';
 
 /** The entry process that a gate decides for. */
@@ -41,7 +41,7 @@
 	readonly noteBody: (id: string, bodyDigest: string) => void;
 	/** False when the body that ran is known to differ. */
 	readonly matchesBody: (id: string, bodyDigest: string) => boolean;
-	/** The refusal when the owner could not be asked; `written` tells whether any byte may have reached it. */
+	/** The refusal when the owner could not be asked, `request` with the mark of the decision; `written` tells whether any byte may have reached it. */
 	readonly ownerNotReached: (request: OnceRequest, written: boolean, nowMs: number) => Refusal;
 	/** What may be said of a request that is refused before its key was looked up. */
 	readonly beforeLookup: (request: Pick<OnceRequest, 'mark'>, ran: RunOutcome, nowMs: number) => RunOutcome;
@@ -85,12 +85,17 @@
 	const owners = createKeyOwners(self, plainWindowMs);
 	let lastBeatMs = self.startedAtMs;
 	let doubtUntilMs = Number.NEGATIVE_INFINITY;
+	let markDoubtUntilMs = Number.NEGATIVE_INFINITY;
 
 	const beat = (nowMs: number): void => {
 		if (nowMs - lastBeatMs > config.pauseToleranceMs) {
 			doubtUntilMs = nowMs + config.doubtMs;
 		}
 
+		if (nowMs - lastBeatMs > config.markToleranceMs) {
+			markDoubtUntilMs = nowMs + config.doubtMs;
+		}
+
 		lastBeatMs = nowMs;
 	};
 
@@ -100,8 +105,15 @@
 		return nowMs < doubtUntilMs;
 	};
 
-	/** A first send has not run before, unless it lay unread during a pause. */
-	const ranBefore = (mark: OnceRequest['mark'], nowMs: number): RunOutcome => mark === 'first' && !inDoubt(nowMs) ? 'not-run' : 'unknown';
+	/** A first send has not run before, unless it lay unread during a pause or its caller may have sent again by now. */
+	const ranBefore = ({mark, deadlineMs}: Pick<OnceRequest, 'mark' | 'deadlineMs'>, nowMs: number): RunOutcome => {
+		beat(nowMs);
+		return mark === 'first' && nowMs < deadlineMs && nowMs >= markDoubtUntilMs ? 'not-run' : 'unknown';
+	};
+
+	/** The mark that another entry may rely on. */
+	const passedMark = (request: OnceRequest, nowMs: number): SendMark =>
+		request.mark === 'first' && ranBefore(request, nowMs) === 'unknown' ? 'unmarked' : request.mark;
 
 	const admit = (request: OnceRequest, expiresAtMs: number): OnceDecision => {
 		const id = idOf(request);
@@ -123,7 +135,7 @@
 
 		const expiresAtMs = key.issuedAtMs + key.lifetimeMs;
 		if (nowMs >= expiresAtMs) {
-			return refuse('key-expired', ranBefore(request.mark, nowMs));
+			return refuse('key-expired', ranBefore(request, nowMs));
 		}
 
 		return admit(request, expiresAtMs);
@@ -132,14 +144,14 @@
 	const decideForeignIssued = (request: OnceRequest, key: IssuedKey, nowMs: number): OnceDecision => {
 		const known = owners.byHostId(key.hostId);
 		if (known && known.incarnation > key.incarnation) {
-			return refuse('key-owner-gone', ranBefore(request.mark, nowMs));
+			return refuse('key-owner-gone', ranBefore(request, nowMs));
 		}
 
 		if (request.forwarded || !known || key.hostId === self.hostId) {
-			return refuse('key-owner-unreachable', ranBefore(request.mark, nowMs));
+			return refuse('key-owner-unreachable', ranBefore(request, nowMs));
 		}
 
-		return {type: 'forward', owner: {hostId: key.hostId, incarnation: key.incarnation}};
+		return {type: 'forward', owner: {hostId: key.hostId, incarnation: key.incarnation}, mark: passedMark(request, nowMs)};
 	};
 
 	const isSuperseded = (): boolean => (owners.byHostId(self.hostId)?.incarnation ?? 0) > self.incarnation;
@@ -153,7 +165,7 @@
 	const decideOwnPlain = (request: OnceRequest, nowMs: number): OnceDecision => {
 		const lifetimeMs = Math.min(request.lifetimeMs, config.maxLifetimeMs);
 		if (!isKnownOwner(nowMs) || inDoubt(nowMs)) {
-			return refuse('key-owner-unreachable', ranBefore(request.mark, nowMs));
+			return refuse('key-owner-unreachable', ranBefore(request, nowMs));
 		}
 
 		// A resend of a key that is not remembered here never starts a run: some copy of it was sent before.
@@ -172,10 +184,10 @@
 		}
 
 		if (request.forwarded || owner.goneAtMs !== undefined || inDoubt(nowMs)) {
-			return refuse('key-owner-unreachable', ranBefore(request.mark, nowMs));
+			return refuse('key-owner-unreachable', ranBefore(request, nowMs));
 		}
 
-		return {type: 'forward', owner: {hostId: owner.hostId}};
+		return {type: 'forward', owner: {hostId: owner.hostId}, mark: passedMark(request, nowMs)};
 	};
 
 	const decideNew = (request: OnceRequest, nowMs: number): OnceDecision => {
@@ -232,9 +244,9 @@
 			return ranDigest === undefined || ranDigest === bodyDigest;
 		},
 		ownerNotReached(request, written, nowMs) {
-			return createRefusal('key-owner-unreachable', written ? 'unknown' : ranBefore(request.mark, nowMs));
+			return createRefusal('key-owner-unreachable', written ? 'unknown' : ranBefore(request, nowMs));
 		},
-		beforeLookup: (request, ran, nowMs) => ran === 'not-run' ? ranBefore(request.mark, nowMs) : ran,
+		beforeLookup: ({mark}, ran, nowMs) => ran === 'not-run' ? ranBefore({mark, deadlineMs: Number.POSITIVE_INFINITY}, nowMs) : ran,
 		issue(lifetimeMs, nowMs) {
 			const boundedMs = Math.floor(Math.min(lifetimeMs, config.maxLifetimeMs));
 			const keyPrefix = formatKeyPrefix({...self, issuedAtMs: nowMs, lifetimeMs: boundedMs});
--- a/packages/core/src/once/types.ts
+++ b/packages/core/src/once/types.ts
@@ -25,7 +25,8 @@
 /**
  * What the caller says about earlier copies of the request.
  *
- * `first`: no copy was sent before, and none is sent until this one is answered or its deadline has passed.
+ * `first`: no copy was sent before, and none is sent until this one is answered or its
+ * deadline passed two seconds ago.
  * `resend`: a copy was sent before. `unmarked`: the caller says nothing.
  */
 export type SendMark = 'first' | 'resend' | 'unmarked';
@@ -94,7 +95,12 @@
 			readonly id: string;
 		}
 		| {readonly type: 'replay'; readonly id: string; readonly answer: StoredAnswer}
-		| {readonly type: 'forward'; readonly owner: KeyOwner}
+		| {
+			readonly type: 'forward';
+			readonly owner: KeyOwner;
+			/** What the owner is told; a first send that may have lain unread is passed on without its mark. */
+			readonly mark: SendMark;
+		}
 		| {readonly type: 'refuse'; readonly refusal: Refusal};
 
 /** Whether a permitted request may be written now. */
@@ -122,6 +128,8 @@
 	readonly ownerSettleMs?: number;
 	/** Longest pause of the process after which arrival times are still believed. @default 5000 */
 	readonly pauseToleranceMs?: number;
+	/** Longest pause of the process after which the mark of a first send is still believed. @default 1000 */
+	readonly markToleranceMs?: number;
 	/** How long arrival times are doubted after a longer pause. @default 1000 */
 	readonly doubtMs?: number;
 };
--- a/packages/core/test/once-model.test.ts
+++ b/packages/core/test/once-model.test.ts
@@ -98,6 +98,34 @@
 		expect(runModel(lateFirstSend, [false], 'no-doubt').violations).to.not.be.empty;
 	});
 
+	// Found by 53,081 sequences of seed 11: the entry that was frozen passed the mark on, and the owner believed it.
+	const lateMark: readonly Step[] = [
+		{op: 'freeze', entry: 2},
+		{
+			op: 'send', key: 0, entries: [2], mark: 'first', deadlineMs: 500,
+		},
+		{op: 'advance', durationMs: 3000},
+		{
+			op: 'send', key: 0, entries: [0], mark: 'unmarked', deadlineMs: 500,
+		},
+		{
+			op: 'progress', entry: 0, ticket: 0, result: 'ran',
+		},
+		{
+			op: 'progress', entry: 0, ticket: 0, result: 'ran',
+		},
+		{op: 'advance', durationMs: 130_000},
+		{
+			op: 'send', key: 0, entries: [0], mark: 'unmarked', deadlineMs: 500,
+		},
+		{op: 'wake', entry: 2},
+	];
+
+	it('does not believe the mark of a first send that lay unread, however it is passed on', () => {
+		expect(runModel(lateMark, [true]).violations).to.deep.equal([]);
+		expect(runModel(lateMark, [true], 'believing').violations).to.not.be.empty;
+	});
+
 	const mutations: readonly Mutation[] = ['no-owner', 'no-memory', 'no-incarnation', 'no-write-check', 'no-settling', 'lying-refusal'];
 	for (const mutation of mutations) {
 		it(`finds the fault when a mechanism is off: ${mutation}`, () => {
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -25,7 +25,7 @@
 /** How often connections are checked for callers that are slow to send their headers. */
 export const slowCallerCheckMs = 1000;
 /** How often the entry looks at its clock to notice that it was paused. */
-export const beatIntervalMs = 1000;
+export const beatIntervalMs = 250;
 
 /** Delay before the session to the agent is opened again. */
 export const agentRetryDelayMs = 100;
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -5,10 +5,10 @@
  * marked request is never passed on again.
  */
 
-import type {FleetMember, KeyOwner} from '@egretwing/core';
+import type {FleetMember, KeyOwner, SendMark} from '@egretwing/core';
 import type {Sealer} from '@egretwing/node';
 import type {AttemptOptions, AttemptOutcome, Attempts} from './attempt.ts';
-import {forwardHeader} from './constants.ts';
+import {firstSendHeader, forwardHeader} from './constants.ts';
 import type {CallerRequest} from './request.ts';
 
 /** Sends requests to peer entries. */
@@ -27,6 +27,9 @@
 	readonly attempts: Attempts;
 };
 
+/** Header text of each mark; the one of `unmarked` reads as no mark. */
+const markTexts: Readonly<Record<SendMark, string>> = {first: 'true', resend: 'false', unmarked: 'unmarked'};
+
 const provenText = (ownerId: string, {method, target, idempotencyKey, workspace}: CallerRequest): string =>
 	JSON.stringify([ownerId, method, target, workspace, idempotencyKey]);
 
@@ -41,7 +44,10 @@
 		const {address, entryPort} = member.host;
 		return attempts.send(request, {address, port: entryPort}, {
 			...options,
-			extraHeaders: {[forwardHeader]: sealer.sign(provenText(owner.hostId, request))},
+			extraHeaders: {
+				[forwardHeader]: sealer.sign(provenText(owner.hostId, request)),
+				[firstSendHeader]: markTexts[request.mark],
+			},
 		});
 	},
 	originOf(request) {
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -187,7 +187,7 @@
 	};
 
 	const forward = async ({request, response, signal}: Exchange, asked: OnceRequest, owner: KeyOwner): Promise<string> => {
-		const outcome = await forwarder.send(request, owner, {signal, mayWrite: () => clock.nowMs() < request.deadlineAtMs});
+		const outcome = await forwarder.send({...request, mark: asked.mark}, owner, {signal, mayWrite: () => clock.nowMs() < request.deadlineAtMs});
 		switch (outcome.type) {
 			case 'answered': {
 				return passAnswer(response, outcome, undefined, parts.bodyIdleTimeoutMs + request.service.requestTimeoutMs);
@@ -237,7 +237,7 @@
 			}
 
 			case 'forward': {
-				return forward(exchange, asked, decision.owner);
+				return forward(exchange, {...asked, mark: decision.mark}, decision.owner);
 			}
 
 			case 'refuse': {
