fix(agent): agents pass the host list on to each other

With the platform down, a restarted host got its configuration from its peers in about a second but no host list, so its entry, which waits for one, was not ready after 20 s (fleet of five, 'never goes back to an older record', failed twice). Each agent now asks a random peer for a newer list once a second; the test passes.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -3,7 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	createRandom, hashText, messageVersion,
-	type ConfigRecord, type EntryHost, type EntryToAgent,
+	type ConfigRecord, type EntryHost, type EntryToAgent, type HostList,
 } from '@egretwing/core';
 import {
 	createLogger, createOperatorServer, createProcessClock, type Logger,
@@ -107,6 +107,10 @@
 				logger.warn('record refused', record);
 			}
 		},
+		hostList: () => world.hostList(),
+		onHosts(hosts) {
+			takeHosts(hosts);
+		},
 		onEntryMessage(from, body) {
 			sendToEntry({
 				type: 'delivered', version: messageVersion, from, body,
@@ -139,6 +143,17 @@
 		lookAtEntry();
 	};
 
+	const takeHosts = (hosts: HostList): void => {
+		if (!world.applyHosts(hosts)) {
+			return;
+		}
+
+		exchange.setHostList(world.entryHosts());
+		for (const message of world.hostMessages()) {
+			sendToEntry(message);
+		}
+	};
+
 	const peers = await startPeers(settings, exchange, reason => {
 		metrics.refusedMessages.inc({reason});
 		logRefused(logger, reason);
@@ -167,12 +182,6 @@
 		});
 	};
 
-	const sendHosts = (): void => {
-		for (const message of world.hostMessages()) {
-			sendToEntry(message);
-		}
-	};
-
 	sendToEntry = entryLink.send;
 
 	const tick = (): void => {
@@ -200,12 +209,7 @@
 		onFailure: exchange.feedSkipped,
 		isWanted: createReadRule(exchange, nowMs),
 	}, logger);
-	const hostsFeed = followHosts(settings.hostListUrl, hosts => {
-		if (world.applyHosts(hosts)) {
-			exchange.setHostList(world.entryHosts());
-			sendHosts();
-		}
-	}, logger);
+	const hostsFeed = followHosts(settings.hostListUrl, takeHosts, logger);
 
 	const locate = await createLocateServer({
 		address: settings.address,
--- a/packages/agent/src/exchange.ts
+++ b/packages/agent/src/exchange.ts
@@ -2,7 +2,7 @@
 
 import {
 	createConfigStore, createConfigSync, createMembership, selectRelays,
-	type ConfigMessage, type ConfigRecord, type ConfigStore, type EntryHost, type EntryState, type MemberMessage,
+	type ConfigMessage, type ConfigRecord, type ConfigStore, type EntryHost, type EntryState, type HostList, type MemberMessage,
 	type MemberSend, type MembershipCounters, type MemberView, type PeerAddress, type Random, type RefusedRecord,
 	type SyncStep,
 } from '@egretwing/core';
@@ -12,6 +12,9 @@
 type PeerMessage
 	= | {readonly kind: 'member'; readonly body: MemberMessage}
 		| {readonly kind: 'config'; readonly body: ConfigMessage}
+		/** Asks for a host list newer than the sender's. */
+		| {readonly kind: 'hosts-request'; readonly body: number}
+		| {readonly kind: 'hosts'; readonly body: HostList}
 		/** From the entry of the sender to the entry of the receiver. */
 		| {readonly kind: 'entry'; readonly body: unknown};
 
@@ -19,6 +22,9 @@
 export type ExchangeHandlers = {
 	readonly onRecords: (records: readonly ConfigRecord[]) => void;
 	readonly onRefused: (refused: readonly RefusedRecord[]) => void;
+	/** The newest host list held here. */
+	readonly hostList: () => HostList;
+	readonly onHosts: (hosts: HostList) => void;
 	readonly onEntryMessage: (from: string, body: unknown) => void;
 };
 
@@ -58,6 +64,9 @@
 	readonly counters: () => MembershipCounters;
 };
 
+/** Time between two questions for a newer host list. */
+const hostsRequestIntervalMs = 1000;
+
 const isPresent = ({status}: MemberView): boolean => status === 'alive' || status === 'suspect';
 
 /** Creates the exchange; messages flow once `peers` can be asked. */
@@ -71,6 +80,7 @@
 	let members: readonly MemberView[] = [];
 	let present = new Map<string, EntryHost>();
 	let relay = false;
+	let nextHostsRequestMs = nowMs();
 
 	const refresh = (): void => {
 		if (membership.version() === cachedVersion) {
@@ -120,6 +130,20 @@
 		}
 	};
 
+	/** A peer may have read a newer host list, or any at all while the platform is down. */
+	const askForHosts = (): void => {
+		if (nowMs() < nextHostsRequestMs) {
+			return;
+		}
+
+		nextHostsRequestMs = nowMs() + hostsRequestIntervalMs;
+		const ids = otherIds();
+		const chosen = ids[Math.floor(random.next() * ids.length)];
+		if (chosen !== undefined) {
+			sendToHost(chosen, {kind: 'hosts-request', body: options.hostList().sequence});
+		}
+	};
+
 	const receive = (from: PeerAddress, message: PeerMessage): void => {
 		switch (message.kind) {
 			case 'member': {
@@ -133,6 +157,20 @@
 				return;
 			}
 
+			case 'hosts-request': {
+				const hosts = options.hostList();
+				if (hosts.sequence > message.body) {
+					peers().sendTo(from, {kind: 'hosts', body: hosts} satisfies PeerMessage);
+				}
+
+				return;
+			}
+
+			case 'hosts': {
+				options.onHosts(message.body);
+				return;
+			}
+
 			case 'entry': {
 				options.onEntryMessage(from.hostId, message.body);
 			}
@@ -147,6 +185,7 @@
 		tick() {
 			applySends(membership.tick(nowMs()));
 			applyStep(sync.tick(nowMs()));
+			askForHosts();
 		},
 		setHostList: membership.setHostList,
 		setEntry(state, incarnation) {
--- a/packages/agent/src/world.ts
+++ b/packages/agent/src/world.ts
@@ -19,6 +19,8 @@
 export type World = {
 	/** Takes a host list unless an equal or newer one was seen; true when it was taken. */
 	readonly applyHosts: (hosts: HostList) => boolean;
+	/** The newest host list. */
+	readonly hostList: () => HostList;
 	/** Entry hosts of the list. */
 	readonly entryHosts: () => readonly EntryHost[];
 	/** The record in force of a service. */
@@ -77,6 +79,7 @@
 			instances = next.hosts.filter(host => host.role === 'backend');
 			return true;
 		},
+		hostList: () => hosts,
 		entryHosts: () => entryHosts,
 		service,
 		members,
