feat(entry): drain on demand through the operators' interface

Cause: the command line offered drain and the entry did not know it; the command failed with 404. The shutdown now runs once however often it is asked for.

--- a/packages/core/test/crash/crash-memory.test.ts
+++ b/packages/core/test/crash/crash-memory.test.ts
@@ -34,7 +34,10 @@
 			title: 'refuses a request in flight at crashes of two instances', reports: [[0, createReport('a')], [5, createReport('b')]], askedAtMs: 6, expected: 'refused',
 		},
 		{
-			title: 'counts one crash once, however often and late it is told', reports: [[0, createReport('a')], [5, createReport('a', 4)], [1000, createReport('a', 999)]], askedAtMs: 1001, expected: 'alone',
+			title: 'counts one crash once, however often and late it is told',
+			reports: [[0, createReport('a')], [5, createReport('a', 4)], [1000, createReport('a', 999)]],
+			askedAtMs: 1001,
+			expected: 'alone',
 		},
 		{
 			title: 'counts a second crash of an instance that came back', reports: [[0, createReport('a')], [3000, createReport('a')]], askedAtMs: 3001, expected: 'refused',
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,9 +17,9 @@
 import {createForwarder} from './forward.ts';
 import {createEntryMetrics} from './metrics.ts';
 import {createEntryHealth} from './health.ts';
-import {explainHealth} from './health-explain.ts';
 import {createHealthMetrics} from './health-metrics.ts';
 import {createKeyPrefixHandler} from './once-key.ts';
+import {createEntryOperator} from './operator.ts';
 import {createPipeline} from './pipeline.ts';
 import {createRetries} from './retry.ts';
 import {refuseUnreadable} from './refuse-unreadable.ts';
@@ -108,24 +108,16 @@
 		address: settings.operatorAddress,
 		port: settings.operatorPort,
 		registry: metrics.registry,
-		handle(_method, url) {
-			switch (url.pathname) {
-				case '/v1/status': {
-					return {
-						program: 'egretwing-entry', hostId, incarnation, ready: view.ready(), revision: view.revision(),
-						services: [...view.services().values()].map(({name}) => ({name, instances: view.instances(name).length})),
-					};
-				}
-
-				case '/v1/explain': {
-					return explainHealth(health, url.searchParams);
-				}
-
-				default: {
-					return undefined;
-				}
-			}
-		},
+		handle: createEntryOperator({
+			hostId,
+			incarnation,
+			view,
+			health,
+			isDraining: () => shutdown.isDraining(),
+			drain() {
+				void end();
+			},
+		}),
 	});
 	const link = createAgentLink({
 		address: settings.agentAddress,
@@ -164,18 +156,22 @@
 		drainTimeoutMs: settings.drainTimeoutMs,
 		logger,
 	});
-	return {
-		port,
-		operatorPort: operator.port,
-		async shutdown() {
-			const outcome = await shutdown.run();
-			await attempts.close();
-			clearInterval(beats);
-			health.close();
-			admission.close();
-			link.close();
-			operator.close();
-			logger.info('entry stopped', {outcome});
-		},
+	const closeAll = async (): Promise<void> => {
+		const outcome = await shutdown.run();
+		await attempts.close();
+		clearInterval(beats);
+		health.close();
+		admission.close();
+		link.close();
+		operator.close();
+		logger.info('entry stopped', {outcome});
+	};
+
+	let ending: Promise<void> | undefined;
+	const end = async (): Promise<void> => {
+		ending ??= closeAll();
+		return ending;
 	};
+
+	return {port, operatorPort: operator.port, shutdown: end};
 };
--- a/packages/entry/test/admission.test.ts
+++ b/packages/entry/test/admission.test.ts
@@ -146,7 +146,8 @@
 
 	it('costs at most two instances when sent at once through two entries, and blocks no other request', async () => {
 		await withTwoEntries(async (harnesses, died) => {
-			await Promise.all(harnesses.flatMap(({url}) => Array.from({length: 4}, async () => call(`${url}/crash`))));
+			const urls = harnesses.flatMap(({url}) => Array.from({length: 4}, () => `${url}/crash`));
+			await Promise.all(urls.map(async url => call(url)));
 			await until(() => new Set(died).size === 2);
 			for (const {url} of harnesses) {
 				for (let index = 0; index < 5; index++) {
