test(agent): give the service of the fleet tests room for every upload

Cause: with admission in force one of five entries holds four long uploads and truthfully refuses two more as not run (queue-timeout), seen in the trace; none reached the leaving instance, which is what the test is about. Before: 4 of 6 answered by b2, 2 refused. The expectations stay as they were; the service has 64 slots instead of 4.

--- a/packages/agent/test/fleet.test.ts
+++ b/packages/agent/test/fleet.test.ts
@@ -16,7 +16,7 @@
 	kind: 'route', schemaVersion: 2, name: 'uploads', revision, pathPrefix: '/', service: 'scorevault', semantics: 'at-most-once',
 });
 const records = [{
-	kind: 'service', schemaVersion: 2, name: 'scorevault', revision: 1, requestTimeoutMs: 60_000,
+	kind: 'service', schemaVersion: 2, name: 'scorevault', revision: 1, requestTimeoutMs: 60_000, slotsPerInstance: 64,
 }, route(1)];
 
 const locate = async (address: string): Promise<readonly string[]> => {
@@ -93,7 +93,7 @@
 		fleet = await startFleet({
 			hosts,
 			instances: ['b1', 'b2'].map((hostId, index) => ({
-				hostId, service: 'scorevault', address: `${networkOf(80)}.${index + 1}`, port: 9000, dataCentre: 'dc-0',
+				hostId, service: 'scorevault', address: `${networkOf(80)}.${index + 1}`, port: 9000, dataCentre: 'dc-0', slots: 64,
 			})),
 			records,
 			overrides: {agent: {logLevel: 0}, entry: {logLevel: 0}},
--- a/packages/entry/test/admission.test.ts
+++ b/packages/entry/test/admission.test.ts
@@ -30,6 +30,9 @@
 	usable: true,
 });
 
+/** True once exactly two instances died. */
+const areTwo = (died: readonly string[]) => (): boolean => new Set(died).size === 2;
+
 describe('admission at an entry', function () {
 	this.timeout(20_000);
 
@@ -148,7 +151,7 @@
 		await withTwoEntries(async (harnesses, died) => {
 			const urls = harnesses.flatMap(({url}) => Array.from({length: 4}, () => `${url}/crash`));
 			await Promise.all(urls.map(async url => call(url)));
-			await until(() => new Set(died).size === 2);
+			await until(areTwo(died));
 			for (const {url} of harnesses) {
 				for (let index = 0; index < 5; index++) {
 					expect(await call(`${url}/crash`)).to.include({kind: 'crash-suspect', ran: 'not-run'});
@@ -165,7 +168,7 @@
 		await withTwoEntries(async ([first, second], died) => {
 			await call(`${first.url}/crash`);
 			await call(`${first.url}/crash`);
-			await until(() => new Set(died).size === 2);
+			await until(areTwo(died));
 			await delay(500);
 			expect(await call(`${second.url}/crash`)).to.include({kind: 'crash-suspect', ran: 'not-run'});
 			expect(died.length).to.equal(2);
