--- a/packages/agent/test/fleet.test.ts
+++ b/packages/agent/test/fleet.test.ts
@@ -11,7 +11,7 @@
 
 /** Time from the first sign of a loss until no answer names the host, and for a record to be in force everywhere. */
 const targetMs = 3000;
-const hosts = [0, 1, 2, 3, 4].map(index => createEntryHost(`e${index}`, `${networkOf(79)}.${index + 1}`, 'region-1', `dc-${index % 3}`));
+const hosts = [0, 1, 2, 3, 4].map(index => createEntryHost(`e${index}`, `${networkOf(203)}.${index + 1}`, 'region-1', `dc-${index % 3}`));
 const route = (revision: number) => ({
 	kind: 'route', schemaVersion: 2, name: 'uploads', revision, pathPrefix: '/', service: 'scorevault', semantics: 'at-most-once',
 });
@@ -93,7 +93,7 @@
 		fleet = await startFleet({
 			hosts,
 			instances: ['b1', 'b2'].map((hostId, index) => ({
-				hostId, service: 'scorevault', address: `${networkOf(80)}.${index + 1}`, port: 9000, dataCentre: 'dc-0', slots: 64,
+				hostId, service: 'scorevault', address: `${networkOf(204)}.${index + 1}`, port: 9000, dataCentre: 'dc-0', slots: 64,
 			})),
 			records,
 			overrides: {agent: {logLevel: 0}, entry: {logLevel: 0}},
@@ -194,7 +194,7 @@
 		const uploads = Array.from({length: 4}, async () => upload(hosts[0]!.address, chunks.slice(0, 30), 150));
 		await delay(500);
 		await operate('PUT', '/v1/hosts', [...hosts, ...['b1', 'b2'].map((hostId, index) => ({
-			role: 'backend', hostId, service: 'scorevault', address: `${networkOf(80)}.${index + 1}`, port: 9000, region: 'region-1', dataCentre: 'dc-0', state: index === 0 ? 'leaving' : 'live',
+			role: 'backend', hostId, service: 'scorevault', address: `${networkOf(204)}.${index + 1}`, port: 9000, region: 'region-1', dataCentre: 'dc-0', state: index === 0 ? 'leaving' : 'live',
 		}))]);
 		await delay(targetMs);
 		const late = await Promise.all(Array.from({length: 6}, async (_, index) => upload(hosts[index % 5]!.address, chunks.slice(0, 1), 0)));
--- a/packages/agent/test/peers.test.ts
+++ b/packages/agent/test/peers.test.ts
@@ -10,8 +10,8 @@
 import {createReplayGuard} from '../src/replay-guard.ts';
 import {networkOf} from '../../../test/support/network.ts';
 
-const left = {address: `${networkOf(82)}.1`, peerPort: 8082};
-const right = {address: `${networkOf(82)}.2`, peerPort: 8082};
+const left = {address: `${networkOf(205)}.1`, peerPort: 8082};
+const right = {address: `${networkOf(205)}.2`, peerPort: 8082};
 const codecOf = (endpoint: typeof left, keys: readonly [string, ...string[]], startedMs = 1) => createEnvelopeCodec({
 	hostId: endpoint.address, endpoint, startedMs, sealer: createSealer(keys),
 });
@@ -112,7 +112,7 @@
 			peers[0]!.sendTo(right, 'small');
 			peers[0]!.sendTo(right, large);
 			await waitFor(() => received.length === 2);
-			expect(received).to.have.deep.members([[`${networkOf(82)}.1`, 'small'], [`${networkOf(82)}.1`, large]]);
+			expect(received).to.have.deep.members([[`${networkOf(205)}.1`, 'small'], [`${networkOf(205)}.1`, large]]);
 		});
 
 		const intrusions = [
--- a/packages/entry/test/admission.test.ts
+++ b/packages/entry/test/admission.test.ts
@@ -30,6 +30,8 @@
 	usable: true,
 });
 
+const callAll = async (urls: readonly string[]): Promise<unknown> => Promise.all(urls.map(async url => call(url)));
+
 /** True once exactly two instances died. */
 const areTwo = (died: readonly string[]) => (): boolean => new Set(died).size === 2;
 
@@ -149,8 +151,8 @@
 
 	it('costs at most two instances when sent at once through two entries, and blocks no other request', async () => {
 		await withTwoEntries(async (harnesses, died) => {
-			const urls = harnesses.flatMap(({url}) => Array.from({length: 4}, () => `${url}/crash`));
-			await Promise.all(urls.map(async url => call(url)));
+			const urls = harnesses.flatMap(({url}) => Array.from<string>({length: 4}).fill(`${url}/crash`));
+			await callAll(urls);
 			await until(areTwo(died));
 			for (const {url} of harnesses) {
 				for (let index = 0; index < 5; index++) {
--- a/test/thin-path.test.ts
+++ b/test/thin-path.test.ts
@@ -12,9 +12,9 @@
 const recordingBytes = 67_108_864;
 const chunkBytes = 65_536;
 const services = ['rosterview', 'seatledger', 'scorevault'];
-const hosts = [1, 2, 3].map(index => createEntryHost(`entry-${index}`, `${networkOf(1)}.${index}`, 'ga-north', `ga-north-${index}`));
+const hosts = [1, 2, 3].map(index => createEntryHost(`entry-${index}`, `${networkOf(201)}.${index}`, 'ga-north', `ga-north-${index}`));
 const instances = services.flatMap((service, index) => [1, 2].map(number => ({
-	hostId: `${service}-${number}`, service, address: `${networkOf(2)}.${(10 * index) + number}`, port: 9000,
+	hostId: `${service}-${number}`, service, address: `${networkOf(202)}.${(10 * index) + number}`, port: 9000,
 })));
 
 const records = [
@@ -68,7 +68,7 @@
 
 	before(async () => {
 		fleet = await startFleet({hosts, instances, records});
-		client = createClient({locateAddresses: [{address: `${networkOf(1)}.1`, port: hostPorts.locatePort}], sendTimeoutMs: 20_000});
+		client = createClient({locateAddresses: [{address: `${networkOf(201)}.1`, port: hostPorts.locatePort}], sendTimeoutMs: 20_000});
 	});
 	after(async () => {
 		await client.close();
