perf(entry): copy answers without an abort event for each

Cause: a profile of the entry at 2,000 requests/s showed 382 ms of about 7 s busy time in making DOMException objects and more in abort signals: stream pipelines of Node abort a controller at the end of every answer. Ruled out: our own controllers, which abort only when the caller leaves. Now pipe with listeners for both ends. Figures: 8,000 requests through the entry and direct at 1,000/s, profiled, same command: busy time of the entry 5,698 ms before, 4,537 ms after. Latencies of the two runs are not compared, since the generator fell behind in the first. 107 tests of the entry pass.

--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -4,7 +4,6 @@
 import {once} from 'node:events';
 import type http from 'node:http';
 import type {Readable} from 'node:stream';
-import {pipeline} from 'node:stream/promises';
 import {
 	createProblem, errorAnswers, type Refusal, type StoredAnswer,
 } from '@egretwing/core';
@@ -67,6 +66,29 @@
 	});
 };
 
+/**
+ * Copies `body` into `response` with back pressure; rejects when either side ends early.
+ *
+ * `pipeline` of Node's streams does the same, but ends with an abort event whose error object is made for each answer.
+ */
+const copyBody = async (body: Readable, response: http.ServerResponse): Promise<void> => new Promise((resolve, reject) => {
+	body.once('error', reject);
+	body.once('close', () => {
+		if (!body.readableEnded) {
+			reject(new Error('The answer ended early'));
+		}
+	});
+	response.once('error', reject);
+	response.once('finish', resolve);
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			body.destroy();
+			reject(new Error('The caller is gone'));
+		}
+	});
+	body.pipe(response);
+});
+
 /** Streams an answer with back pressure; breaks the caller's connection off when the answer is cut. */
 export const passAnswer = async (response: http.ServerResponse, answer: Answered, instanceId: string | undefined, idleTimeoutMs: number): Promise<PassResult> => {
 	let isCut = false;
@@ -76,7 +98,7 @@
 	try {
 		writeHead(response, answer, instanceId);
 		boundSlowReader(response, idleTimeoutMs);
-		await pipeline(answer.body, response);
+		await copyBody(answer.body, response);
 		boundUnreadBody(response);
 		return 'whole';
 	} catch {
