fix(core): requests that hang at an ejected instance take no slots of the others

Cause: the limit was taken over the slots of usable instances, the requests in flight over all of them, so that requests stuck at an ejected instance used up the room of the healthy ones. Ruled out: the queue's length (33 refusals were queue-timeout, none overloaded). Test: two requests hang at an instance that is then ejected; the next two waited, now they run.

--- a/packages/core/src/load/instances.ts
+++ b/packages/core/src/load/instances.ts
@@ -41,6 +41,8 @@
 	readonly views: (limits: InstanceLimits, nowMs: number) => readonly InstanceView[];
 	/** Slots of the instances that take requests, by their weight. */
 	readonly usableSlots: (slotsPerInstance: number, nowMs: number) => number;
+	/** Requests in flight on the instances whose slots are usable; one that hangs elsewhere takes no slot of theirs. */
+	readonly usableInFlight: (nowMs: number) => number;
 	/** Whether any instance takes requests. */
 	readonly hasEligible: () => boolean;
 };
@@ -188,6 +190,14 @@
 
 			return slots;
 		},
+		usableInFlight(nowMs) {
+			let inFlight = 0;
+			for (const state of states.values()) {
+				inFlight += state.weight > 0 && nowMs >= state.avoidedUntilMs ? state.inFlight : 0;
+			}
+
+			return inFlight;
+		},
 		hasEligible: () => [...states.values()].some(state => state.weight > 0),
 	};
 };
--- a/packages/core/src/load/service-load.ts
+++ b/packages/core/src/load/service-load.ts
@@ -93,7 +93,7 @@
 	};
 
 	const hasRoom = (nowMs: number): boolean => {
-		if (inFlight + 1 <= currentLimit(nowMs)) {
+		if (instances.usableInFlight(nowMs) + 1 <= currentLimit(nowMs)) {
 			return true;
 		}
 
--- a/packages/core/test/load/decisions.test.ts
+++ b/packages/core/test/load/decisions.test.ts
@@ -144,6 +144,15 @@
 		expect(createLoad([0, 0]).admit(createRequest(1), 0)).to.deep.equal({type: 'refuse', kind: 'no-capacity'});
 	});
 
+	it('leaves the slots of the other instances free when requests hang at an ejected one', () => {
+		const load = createLoad([1, 0]);
+		const admitAll = (firstId: number, nowMs: number) =>
+			Array.from({length: settings.slotsPerInstance}, (_, index) => load.admit(createRequest(firstId + index), nowMs).type);
+		expect(admitAll(0, 0)).to.deep.equal(['run', 'run']);
+		load.configure(settings, [{instanceId: 'instance-0', weight: 0}, {instanceId: 'instance-1', weight: 1}], 1);
+		expect(admitAll(100, 1)).to.deep.equal(['run', 'run']);
+	});
+
 	it('refuses a request whose deadline has passed', () => {
 		expect(createLoad([1]).admit(createRequest(1, 'a', 5), 5)).to.deep.equal({type: 'refuse', kind: 'deadline-expired'});
 	});
