refactor: one operators' listener, one rule of presence, one rule of usable instances

Cause: the read-through found the listener of the operators' side written in both stand-ins, the rule of present members in two modules of the agent, and the rule of usable instances three times in the load of instances. Also: a field of connections that nobody read is gone, and the longest timer has a name in place of a remainder that came to the same number.

--- a/packages/agent/src/exchange.ts
+++ b/packages/agent/src/exchange.ts
@@ -8,6 +8,7 @@
 } from '@egretwing/core';
 import {createHostListExchange, type HostListMessage} from './host-list-exchange.ts';
 import type {Peers} from './peers.ts';
+import {isPresent} from './presence.ts';
 
 /** A message between agents. Unknown kinds are ignored. */
 type PeerMessage
@@ -64,8 +65,6 @@
 	readonly counters: () => MembershipCounters;
 };
 
-const isPresent = ({status}: MemberView): boolean => status === 'alive' || status === 'suspect';
-
 /** Creates the exchange; messages flow once `peers` can be asked. */
 export const createExchange = (options: ExchangeOptions): Exchange => {
 	const {self, random, nowMs, peers} = options;
@@ -144,8 +143,7 @@
 			}
 
 			case 'config': {
-				const step: SyncStep | undefined = sync.receive(from.hostId, message.body);
-				applyStep(step);
+				applyStep(sync.receive(from.hostId, message.body));
 				return;
 			}
 
--- a/packages/agent/src/world.ts
+++ b/packages/agent/src/world.ts
@@ -4,6 +4,7 @@
 	messageVersion, orderForCaller, placeService,
 	type AgentToEntry, type ConfigStore, type EntryHost, type FleetMember, type HostList, type Instance, type MemberView, type Random, type ServiceRecord,
 } from '@egretwing/core';
+import {isPresent} from './presence.ts';
 
 /** Where the view comes from. */
 export type WorldOptions = {
@@ -35,8 +36,6 @@
 	readonly snapshot: () => readonly AgentToEntry[];
 };
 
-const isPresent = ({status}: MemberView): boolean => status === 'alive' || status === 'suspect';
-
 /** Creates the view of one agent. */
 export const createWorld = (options: WorldOptions): World => {
 	const {store, memberViews, ready, random} = options;
--- a/packages/core/src/load/instances.ts
+++ b/packages/core/src/load/instances.ts
@@ -63,6 +63,8 @@
 const slotsOf = (state: InstanceState, slotsPerInstance: number): number =>
 	state.weight * state.slotFactor * slotsPerInstance;
 
+const isUsable = (state: InstanceState, nowMs: number): boolean => state.weight > 0 && nowMs >= state.avoidedUntilMs;
+
 const costOf = (state: InstanceState, nowMs: number): number => {
 	const latencyMs = state.latency.valueMs(nowMs) ?? unknownLatencyMs;
 	return (state.inFlight + 1) * Math.max(latencyMs, unknownLatencyMs) / (state.weight * state.slotFactor);
@@ -71,7 +73,7 @@
 const toView = (state: InstanceState, limits: InstanceLimits, nowMs: number): InstanceView => ({
 	instanceId: state.instanceId,
 	idHash: state.idHash,
-	isEligible: state.weight > 0 && nowMs >= state.avoidedUntilMs,
+	isEligible: isUsable(state, nowMs),
 	isHeld: nowMs < state.failedAtMs + limits.holdMs,
 	hasRoom: state.inFlight < Math.max(1, Math.round(slotsOf(state, limits.slotsPerInstance))),
 	hasSuspect: state.suspectsInFlight > 0,
@@ -185,7 +187,7 @@
 		usableSlots(slotsPerInstance, nowMs) {
 			let slots = 0;
 			for (const state of states.values()) {
-				slots += nowMs < state.avoidedUntilMs ? 0 : slotsOf(state, slotsPerInstance);
+				slots += isUsable(state, nowMs) ? slotsOf(state, slotsPerInstance) : 0;
 			}
 
 			return slots;
@@ -193,7 +195,7 @@
 		usableInFlight(nowMs) {
 			let inFlight = 0;
 			for (const state of states.values()) {
-				inFlight += state.weight > 0 && nowMs >= state.avoidedUntilMs ? state.inFlight : 0;
+				inFlight += isUsable(state, nowMs) ? state.inFlight : 0;
 			}
 
 			return inFlight;
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -98,6 +98,9 @@
 	usedAtMs: number;
 };
 
+/** Longest time that a timer of Node can wait. */
+const longestTimerMs = (2 ** 31) - 1;
+
 type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
 
 class AttemptEnd extends Error {
@@ -242,7 +245,7 @@
 		const leftMs = request.deadlineAtMs - nowMs();
 		// Without a deadline of the caller's own, an upload may take as long as it moves.
 		const isUnboundedUpload = body !== undefined && !request.hasDeadline;
-		limitAnswer(isUnboundedUpload ? Number.MAX_SAFE_INTEGER % (2 ** 31) : leftMs);
+		limitAnswer(isUnboundedUpload ? longestTimerMs : leftMs);
 		const guardedOptions: GuardedOptions = {
 			method: request.method,
 			path: request.target,
--- a/packages/node/src/connection.ts
+++ b/packages/node/src/connection.ts
@@ -17,7 +17,6 @@
 	/** Sends one message; false when the peer reads too slowly and the caller should hold back. */
 	readonly send: (message: unknown) => boolean;
 	readonly close: () => void;
-	readonly remoteAddress: string;
 };
 
 /** Wraps a connected socket; bytes that are no valid frame end the connection. */
@@ -52,7 +51,6 @@
 		close() {
 			socket.destroy();
 		},
-		remoteAddress: socket.remoteAddress ?? '',
 	};
 };
 
--- a/packages/standin/src/backend/server.ts
+++ b/packages/standin/src/backend/server.ts
@@ -1,10 +1,10 @@
 /** The backend stand-in: many instances in one process, with faults on command. */
 
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRandom, hashText} from '@egretwing/core';
 import {listen, readJson, sendJson} from '@egretwing/node';
 import {z} from 'zod';
-import {maxCommandBytes, requestUrl} from '../http.ts';
+import {createOperatorListener, maxCommandBytes, requestUrl} from '../http.ts';
 import type {BackendSettings} from '../settings.ts';
 import {instanceFaultSchema} from './faults.ts';
 import {startInstance, type InstanceServer} from './instance.ts';
@@ -77,11 +77,7 @@
 		}
 	};
 
-	const operators = createServer((request, response) => {
-		answerOperator(request, response).catch((error: unknown) => {
-			sendJson(response, 400, {error: String(error)});
-		});
-	});
+	const operators = createOperatorListener(answerOperator);
 	const operatorPort = await listen(operators, settings.operatorPort, settings.operatorAddress);
 
 	return {
--- a/packages/standin/src/platform/server.ts
+++ b/packages/standin/src/platform/server.ts
@@ -4,7 +4,9 @@
 import {hostListSchema} from '@egretwing/core';
 import {z} from 'zod';
 import {listen, readJson, sendJson} from '@egretwing/node';
-import {maxCommandBytes, requestUrl, sleep} from '../http.ts';
+import {
+	createOperatorListener, maxCommandBytes, requestUrl, sleep,
+} from '../http.ts';
 import type {PlatformSettings} from '../settings.ts';
 import {createReadMeter} from './reads.ts';
 import {createPlatformStore} from './store.ts';
@@ -172,11 +174,7 @@
 		}
 	};
 
-	const operators = createServer((request, response) => {
-		answerOperator(request, response).catch((error: unknown) => {
-			sendJson(response, 400, {error: String(error)});
-		});
-	});
+	const operators = createOperatorListener(answerOperator);
 	const operatorPort = await listen(operators, settings.operatorPort, settings.operatorAddress);
 
 	return {
