--- a/packages/agent/src/envelope.ts
+++ b/packages/agent/src/envelope.ts
@@ -3,18 +3,14 @@
 import type {Buffer} from 'node:buffer';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
-import {decodeValue, encodeValue, type Sealer} from '@egretwing/node';
+import {
+	decodeValue, encodeValue, type PeerEndpoint, type Sealer,
+} from '@egretwing/node';
 import {createReplayGuard} from './replay-guard.ts';
 
 /** Version of the envelope. */
 const envelopeVersion = 1;
 
-/** Where an agent is reached. */
-export type PeerEndpoint = {
-	readonly address: string;
-	readonly peerPort: number;
-};
-
 /** Why an envelope was refused. */
 export type EnvelopeError = 'wrong-seal' | 'undecodable' | 'wrong-version' | 'wrong-receiver' | 'replayed';
 
--- a/packages/agent/src/peers.ts
+++ b/packages/agent/src/peers.ts
@@ -2,9 +2,8 @@
 
 import dgram from 'node:dgram';
 import type {PeerAddress} from '@egretwing/core';
-import {createSealer} from '@egretwing/node';
-import {createEnvelopeCodec, type EnvelopeError, type PeerEndpoint} from './envelope.ts';
-import {createPeerStreams} from './peer-streams.ts';
+import {createPeerStreams, createSealer, type PeerEndpoint} from '@egretwing/node';
+import {createEnvelopeCodec, type EnvelopeError} from './envelope.ts';
 
 /** Largest sealed message that is sent as a datagram, in bytes. */
 const maxDatagramBytes = 1200;
@@ -72,7 +71,7 @@
 	datagrams.on('error', () => {
 		// A datagram that could not be sent counts as lost.
 	});
-	const streams = await createPeerStreams({address, peerPort, onSealed: take});
+	const streams = await createPeerStreams({address, peerPort, onMessage: take});
 	datagrams.on('message', take);
 	let closed = false;
 
--- /dev/null
+++ b/packages/core/src/catalogue/index.ts
@@ -0,0 +1,9 @@
+/** Configuration and instances as published, merged from the store and from peers. */
+
+export {createCatalogue, entriesOfFullRead} from './catalogue.ts';
+export type {Catalogue, CatalogueDigest} from './catalogue.ts';
+export {createPrefixRouteTable, drawService} from './prefix-routes.ts';
+export type {PrefixRouteTable} from './prefix-routes.ts';
+export type {
+	CallerLimits, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, WeightedService,
+} from './types.ts';
--- /dev/null
+++ b/packages/core/src/dispatch/constants.ts
@@ -0,0 +1,92 @@
+/** Times and weights of the dispatch decisions. */
+
+/** How long an instance is avoided after it broke a request: longer than most episodes of partial failure that instances show. */
+export const brokenAvoidMs = 4000;
+
+/** Growth of that time with each failed trial in a row. */
+export const avoidGrowth = 1.5;
+
+/** Longest time for which an instance is avoided without a new sign: the bound within which a recovered one takes work again. */
+export const maxAvoidMs = 8000;
+
+/** Time for which an instance that could not be reached is avoided at first; doubles up to `maxAvoidMs`. */
+export const unreachableAvoidMs = 500;
+
+/** Time for which an instance that shed a request is avoided at first; doubles up to `maxShedAvoidMs`. One service time frees a slot. */
+export const shedAvoidMs = 100;
+
+/** Longest time for which an instance is avoided because it sheds. */
+export const maxShedAvoidMs = 800;
+
+/** Suspicion at which an instance is avoided. */
+export const avoidSuspicion = 1;
+
+/** Suspicion that one error answer raises: sound instances give about one in a hundred, so a single one is weak evidence. */
+export const serverErrorSuspicion = 0.5;
+
+/** Suspicion that one good answer takes away. */
+export const goodAnswerRelief = 0.25;
+
+/** Time over which a suspicion halves without new evidence. */
+export const suspicionHalfLifeMs = 4000;
+
+/** Share of a service's slots that avoidance leaves in use; the least suspected instances are used beyond it. */
+export const minUsedShare = 0.5;
+
+/** Time over which a good answer loses its value as evidence that the instance still works. */
+export const proofLifetimeMs = 8000;
+
+/** Chance that a request fails at an instance of which nothing recent is known. */
+export const unprovenRisk = 0.25;
+
+/** Part of the risk that counts for a request that can be sent again elsewhere. */
+export const idempotentRiskFactor = 0.3;
+
+/** Cost of leaving the data centre, as a share of a request's value, without the body. */
+export const remoteCost = 0.01;
+
+/** The same for each megabyte of the body. */
+export const remoteCostPerMegabyte = 2;
+
+/** Cost of filling an instance to its last slot, as a share of a request's value: some slow down when nearly full. */
+export const crowdingCost = 0.02;
+
+/** Age of a request in flight, in mean service times, from which its instance gets no more work while others have room. */
+export const overdueFactor = 2.5;
+
+/** Added risk of an instance with an overdue request. */
+export const overdueRisk = 0.4;
+
+/** Age of a request in flight, in mean service times, at which its instance counts as stalled. */
+export const stalledFactor = 5;
+
+/** Shortest age at which an instance counts as stalled. */
+export const minStalledMs = 800;
+
+/** Service time assumed before the first answer. */
+export const initialServiceMs = 300;
+
+/** Weight of a new answer in the mean service time. */
+export const serviceTimeWeight = 0.05;
+
+/** Time after which a peer's report no longer counts: several report intervals. */
+export const reportLifetimeMs = 1500;
+
+/** Shortest and longest time after which a rejected caller is asked to come back. */
+export const minRetryAfterMs = 50;
+export const maxRetryAfterMs = 2000;
+
+/** Part of the remaining time to the objective that a first-time request may spend waiting before it is rejected. */
+export const maxWaitShare = 0.9;
+
+/** Length of the window in which answers to callers are counted. */
+export const servedWindowMs = 2000;
+
+/** Share of unserved requests in the window above which work is spread over all usable instances. */
+export const spreadUnservedShare = 0.07;
+
+/** Time without a request after which an instance is preferred while work is spread. */
+export const spreadIdleMs = 1000;
+
+/** How long a new instance is left to the idempotent requests before any request may be its first. */
+export const introductionDelayMs = 2500;
--- /dev/null
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -0,0 +1,164 @@
+/**
+ * Decides for each request to a service: send it now, let it wait, or reject it.
+ *
+ * Answers bursts (a short queue, rejected once the wait would cost the objective), sustained overload (what can't be
+ * served in time is rejected at once, with the time at which there will be room), and partial failures (see the pool).
+ */
+
+import type {Random} from '../random.ts';
+import {
+	initialServiceMs, maxRetryAfterMs, maxWaitShare, minRetryAfterMs, serviceTimeWeight, servedWindowMs, spreadUnservedShare,
+} from './constants.ts';
+import {createInstancePool, type ChoiceContext, type InstancePool} from './instance-pool.ts';
+import type {
+	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, LateDecision, Placement,
+} from './types.ts';
+import {createWaitQueue} from './wait-queue.ts';
+
+/** The decisions of one gateway about one service. */
+export type Dispatcher<Request extends DispatchRequest> = {
+	readonly setInstances: (instances: readonly DispatchInstance[]) => void;
+	readonly submit: (request: Request, nowMs: number) => DispatchDecision;
+	/** Ends an attempt; true when its instance is avoided from now on. Call `poll` afterwards. */
+	readonly finish: (placement: Placement, result: AttemptResult, nowMs: number) => boolean;
+	/** Decisions about waiting requests; to be called after each change and every few tens of milliseconds. */
+	readonly poll: (nowMs: number) => ReadonlyArray<LateDecision<Request>>;
+	/** Forgets a waiting request whose caller left. */
+	readonly cancel: (request: Request) => void;
+	/** Counts a final answer to a caller. */
+	readonly noteServed: (isServed: boolean, nowMs: number) => void;
+	/** Instances that turned out stalled. */
+	readonly findStalled: (nowMs: number) => readonly string[];
+	readonly report: (nowMs: number) => DispatchReport;
+	readonly hear: (peerId: string, report: DispatchReport, nowMs: number) => void;
+	readonly explain: InstancePool['explain'];
+	readonly snapshot: (nowMs: number) => DispatcherSnapshot;
+};
+
+/** Figures for logs and metrics. */
+export type DispatcherSnapshot = {
+	readonly waiting: number;
+	readonly ownInFlight: number;
+	readonly inFlight: number;
+	readonly usableSlots: number;
+	readonly serviceMs: number;
+};
+
+/** Creates the dispatcher of a gateway in `dataCentre`. */
+export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random): Dispatcher<Request> => {
+	const pool = createInstancePool(dataCentre);
+	const queue = createWaitQueue<Request>();
+	let serviceMs = initialServiceMs;
+	let results: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
+
+	const isSpread = (nowMs: number): boolean => {
+		results = results.filter(({atMs}) => nowMs - atMs < servedWindowMs);
+		const unserved = results.filter(({isServed}) => !isServed).length;
+		return unserved > 1 && unserved > spreadUnservedShare * results.length;
+	};
+
+	const contextAt = (nowMs: number): ChoiceContext => ({nowMs, serviceMs, isSpread: isSpread(nowMs)});
+
+	/** Time until a slot is free for a request behind `ahead` others: this gateway's part of the slots turns over once a service time. */
+	const expectedWaitMs = (ahead: number, nowMs: number): number => {
+		const own = pool.ownInFlight();
+		const all = Math.max(own, pool.inFlight(nowMs));
+		const slots = pool.usableSlots(nowMs);
+		const ownSlots = Math.max(1, all === 0 ? slots : slots * Math.max(1, own) / all);
+		return (ahead + 1) * serviceMs / ownSlots;
+	};
+
+	const reject = (reason: Extract<DispatchDecision, {type: 'reject'}>['reason'], nowMs: number): Extract<DispatchDecision, {type: 'reject'}> => {
+		const waitMs = expectedWaitMs(queue.length(), nowMs);
+		// Spread, so that rejected callers don't come back together.
+		const spreadMs = waitMs * (0.5 + random.next());
+		return {type: 'reject', reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, spreadMs)))};
+	};
+
+	/** Latest start of a request that waits: a returning caller has nothing left to lose but the answer itself. */
+	const latestStartMs = (request: Request, nowMs: number): number => {
+		const lastMs = request.finalAtMs - serviceMs;
+		if (request.isReturning || nowMs + serviceMs > request.objectiveAtMs) {
+			return lastMs;
+		}
+
+		return Math.min(lastMs, nowMs + (maxWaitShare * (request.objectiveAtMs - serviceMs - nowMs)));
+	};
+
+	return {
+		setInstances: pool.setInstances,
+		submit(request, nowMs) {
+			if (nowMs >= request.finalAtMs) {
+				return reject('expired', nowMs);
+			}
+
+			if (!pool.hasOther(request.attemptedIds)) {
+				return reject('no-instance', nowMs);
+			}
+
+			if (queue.countBefore(request) === 0) {
+				const placement = pool.take(request, contextAt(nowMs));
+				if (placement !== undefined) {
+					return {type: 'send', placement, waitedMs: 0};
+				}
+			}
+
+			if (nowMs + expectedWaitMs(queue.countBefore(request), nowMs) > latestStartMs(request, nowMs)) {
+				return reject('wait-too-long', nowMs);
+			}
+
+			queue.add(request, nowMs);
+			return {type: 'wait'};
+		},
+		finish(placement, result, nowMs) {
+			if (result === 'good') {
+				serviceMs += serviceTimeWeight * (nowMs - placement.startedAtMs - serviceMs);
+			}
+
+			return pool.finish(placement, result, nowMs);
+		},
+		poll(nowMs) {
+			if (queue.length() === 0) {
+				return [];
+			}
+
+			const decisions: Array<LateDecision<Request>> = [];
+			const context = contextAt(nowMs);
+			let isFull = false;
+			for (const request of queue.inOrder()) {
+				const waitedMs = queue.waitedMs(request, nowMs);
+				const placement = isFull ? undefined : pool.take(request, context);
+				if (placement !== undefined) {
+					queue.remove(request);
+					decisions.push({request, decision: {type: 'send', placement, waitedMs}});
+					continue;
+				}
+
+				isFull ||= request.attemptedIds.length === 0;
+				if (nowMs + (serviceMs / 2) >= request.finalAtMs || !pool.hasOther(request.attemptedIds)) {
+					queue.remove(request);
+					decisions.push({request, decision: reject('wait-too-long', nowMs)});
+				}
+			}
+
+			return decisions;
+		},
+		cancel(request) {
+			queue.remove(request);
+		},
+		noteServed(isServed, nowMs) {
+			results.push({atMs: nowMs, isServed});
+		},
+		findStalled: nowMs => pool.findStalled(contextAt(nowMs)),
+		report: pool.report,
+		hear: pool.hear,
+		explain: pool.explain,
+		snapshot: nowMs => ({
+			waiting: queue.length(),
+			ownInFlight: pool.ownInFlight(),
+			inFlight: pool.inFlight(nowMs),
+			usableSlots: pool.usableSlots(nowMs),
+			serviceMs: Math.round(serviceMs),
+		}),
+	};
+};
--- /dev/null
+++ b/packages/core/src/dispatch/index.ts
@@ -0,0 +1,9 @@
+/** Waiting, placing and rejecting: the decisions of a gateway under load. */
+
+export {createDispatcher} from './dispatcher.ts';
+export type {Dispatcher, DispatcherSnapshot} from './dispatcher.ts';
+export {createRetryWindow} from './retry-window.ts';
+export type {RetryLimits, RetryWindow} from './retry-window.ts';
+export type {
+	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, InstanceReport, LateDecision, Placement, RejectReason,
+} from './types.ts';
--- /dev/null
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -0,0 +1,280 @@
+/**
+ * The instances of a service: who is working on what, and which one the next request goes to.
+ *
+ * Answers the load in which a request at an untested instance often fails: work goes to the instance that proved
+ * itself last, in the own data centre before others, and never beyond the slots that all gateways together use.
+ */
+
+import {
+	crowdingCost, idempotentRiskFactor, introductionDelayMs, minStalledMs, minUsedShare, overdueFactor, overdueRisk, remoteCost, remoteCostPerMegabyte, reportLifetimeMs, spreadIdleMs, stalledFactor,
+} from './constants.ts';
+import {createInstanceTrust, type InstanceTrust} from './instance-trust.ts';
+import type {
+	AttemptResult, DispatchInstance, DispatchReport, DispatchRequest, Placement,
+} from './types.ts';
+
+const bytesPerMegabyte = 1_000_000;
+
+/** What the choice depends on besides the instances. */
+export type ChoiceContext = {
+	readonly nowMs: number;
+	/** Mean time that an answer takes. */
+	readonly serviceMs: number;
+	/** True when work is spread over all usable instances rather than kept at the proven ones. */
+	readonly isSpread: boolean;
+};
+
+/** The instances of one service at one gateway. */
+export type InstancePool = {
+	readonly setInstances: (instances: readonly DispatchInstance[]) => void;
+	/** Takes a free slot for a request; undefined when none may be used now. */
+	readonly take: (request: DispatchRequest, context: ChoiceContext) => Placement | undefined;
+	/** Gives the slot back and learns from the attempt; true when the instance is avoided from now on. */
+	readonly finish: (placement: Placement, result: AttemptResult, nowMs: number) => boolean;
+	/** Instances that were found stalled since the last call. */
+	readonly findStalled: (context: ChoiceContext) => readonly string[];
+	/** True when an instance besides those that were attempted exists. */
+	readonly hasOther: (attemptedIds: readonly string[]) => boolean;
+	/** Slots that may be used, over all gateways. */
+	readonly usableSlots: (nowMs: number) => number;
+	readonly ownInFlight: () => number;
+	/** Requests in flight of all gateways at usable instances. */
+	readonly inFlight: (nowMs: number) => number;
+	readonly report: (nowMs: number) => DispatchReport;
+	readonly hear: (peerId: string, report: DispatchReport, nowMs: number) => void;
+	/** What decides about an instance, for logs. */
+	readonly explain: (instanceId: string, nowMs: number) => Readonly<Record<string, unknown>>;
+};
+
+type PeerUse = {
+	readonly inFlight: number;
+	readonly heardAtMs: number;
+};
+
+type Member = {
+	facts: DispatchInstance;
+	trust: InstanceTrust;
+	readonly startsMs: Set<Placement>;
+	readonly peers: Map<string, PeerUse>;
+	usedAtMs: number;
+};
+
+const peerInFlight = (member: Member, nowMs: number): number => {
+	let sum = 0;
+	for (const [peerId, use] of member.peers) {
+		if (nowMs - use.heardAtMs > reportLifetimeMs) {
+			member.peers.delete(peerId);
+			continue;
+		}
+
+		sum += use.inFlight;
+	}
+
+	return sum;
+};
+
+const inFlightAt = (member: Member, nowMs: number): number => member.startsMs.size + peerInFlight(member, nowMs);
+
+const oldestAgeMs = (member: Member, nowMs: number): number => {
+	let oldestMs = 0;
+	for (const {startedAtMs} of member.startsMs) {
+		oldestMs = Math.max(oldestMs, nowMs - startedAtMs);
+	}
+
+	return oldestMs;
+};
+
+/** Creates the pool of a gateway in `dataCentre`. */
+export const createInstancePool = (dataCentre: string): InstancePool => {
+	const members = new Map<string, Member>();
+	const leaving = new Map<string, Member>();
+
+	const createMember = (facts: DispatchInstance): Member => ({
+		facts, trust: createInstanceTrust(), startsMs: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY,
+	});
+
+	/** Avoidance never takes more than a part of the slots: the least suspected instances stay in use. */
+	const usableMembers = (nowMs: number): readonly Member[] => {
+		const all = [...members.values()];
+		const usable = all.filter(({trust}) => !trust.isAvoided(nowMs));
+		const wantedSlots = minUsedShare * all.reduce((sum, {facts}) => sum + facts.slots, 0);
+		let slots = usable.reduce((sum, {facts}) => sum + facts.slots, 0);
+		if (slots >= wantedSlots) {
+			return usable;
+		}
+
+		const avoided = all
+			.filter(({trust}) => trust.isAvoided(nowMs))
+			.toSorted((left, right) => left.trust.avoidUntilMs() - right.trust.avoidUntilMs());
+		for (const member of avoided) {
+			if (slots >= wantedSlots) {
+				break;
+			}
+
+			usable.push(member);
+			slots += member.facts.slots;
+		}
+
+		return usable;
+	};
+
+	/** An instance that has to prove itself gets one request at a time. */
+	const slotsFor = ({facts, trust}: Member, nowMs: number): number => {
+		const isWarm = nowMs >= facts.warmAtMs;
+		return trust.needsTrial() || !isWarm ? 1 : facts.slots;
+	};
+
+	const isIntroduced = ({facts, usedAtMs}: Member, request: DispatchRequest, nowMs: number): boolean =>
+		usedAtMs !== Number.NEGATIVE_INFINITY
+		|| facts.dataCentre !== dataCentre
+		|| !(request.isIdempotent || nowMs - facts.knownSinceMs >= introductionDelayMs);
+
+	const costOf = (member: Member, request: DispatchRequest, context: ChoiceContext): number => {
+		const {nowMs, serviceMs, isSpread} = context;
+		const {facts, trust} = member;
+		// A new instance shows with its first request whether it can be used.
+		if (!isIntroduced(member, request, nowMs)) {
+			return -1;
+		}
+
+		if (isSpread && nowMs - member.usedAtMs > spreadIdleMs && !trust.needsTrial()) {
+			return -0.5;
+		}
+
+		const canRepeat = request.isIdempotent && request.attemptedIds.length === 0;
+		const overdue = oldestAgeMs(member, nowMs) > overdueFactor * serviceMs ? overdueRisk : 0;
+		const risk = (trust.risk(nowMs) + overdue) * (canRepeat ? idempotentRiskFactor : 1);
+		const distance = facts.dataCentre === dataCentre ? 0 : remoteCost + (remoteCostPerMegabyte * request.bodyBytes / bytesPerMegabyte);
+		const crowding = crowdingCost * (inFlightAt(member, nowMs) + 1) / facts.slots;
+		return risk + distance + crowding;
+	};
+
+	const forget = (placement: Placement): Member | undefined => {
+		const member = members.get(placement.instanceId);
+		if (member?.startsMs.delete(placement)) {
+			return member;
+		}
+
+		const left = leaving.get(placement.instanceId);
+		left?.startsMs.delete(placement);
+		if (left?.startsMs.size === 0) {
+			leaving.delete(placement.instanceId);
+		}
+
+		return undefined;
+	};
+
+	return {
+		setInstances(instances) {
+			const ids = new Set(instances.map(({instanceId}) => instanceId));
+			for (const [id, member] of members) {
+				if (!ids.has(id)) {
+					members.delete(id);
+					leaving.set(id, member);
+				}
+			}
+
+			for (const facts of instances) {
+				const member = members.get(facts.instanceId);
+				if (member === undefined) {
+					members.set(facts.instanceId, createMember(facts));
+					continue;
+				}
+
+				if (member.facts.bornAtMs !== facts.bornAtMs) {
+					member.trust = createInstanceTrust();
+				}
+
+				member.facts = facts;
+			}
+		},
+		take(request, context) {
+			const {nowMs} = context;
+			let best: Member | undefined;
+			let bestCost = Number.POSITIVE_INFINITY;
+			for (const member of usableMembers(nowMs)) {
+				const isFull = inFlightAt(member, nowMs) >= slotsFor(member, nowMs);
+				if (isFull || request.attemptedIds.includes(member.facts.instanceId)) {
+					continue;
+				}
+
+				const cost = costOf(member, request, context);
+				if (cost < bestCost) {
+					best = member;
+					bestCost = cost;
+				}
+			}
+
+			if (best === undefined) {
+				return undefined;
+			}
+
+			const placement: Placement = {instanceId: best.facts.instanceId, startedAtMs: nowMs, isTrial: best.trust.needsTrial()};
+			best.startsMs.add(placement);
+			best.usedAtMs = nowMs;
+			return placement;
+		},
+		finish(placement, result, nowMs) {
+			return forget(placement)?.trust.observe(result, placement.startedAtMs, nowMs) ?? false;
+		},
+		findStalled({nowMs, serviceMs}) {
+			const limitMs = Math.max(minStalledMs, stalledFactor * serviceMs);
+			return [...members.values()]
+				.filter(member => oldestAgeMs(member, nowMs) > limitMs && member.trust.observeStall(nowMs))
+				.map(({facts}) => facts.instanceId);
+		},
+		hasOther: attemptedIds => [...members.keys()].some(id => !attemptedIds.includes(id)),
+		usableSlots: nowMs => usableMembers(nowMs).reduce((sum, member) => sum + slotsFor(member, nowMs), 0),
+		ownInFlight: () => [...members.values()].reduce((sum, {startsMs}) => sum + startsMs.size, 0),
+		inFlight: nowMs => usableMembers(nowMs).reduce((sum, member) => sum + inFlightAt(member, nowMs), 0),
+		report: nowMs => ({
+			instances: [...members.values()].flatMap(({facts, trust, startsMs}) => {
+				const goodAtMs = trust.ownGoodAtMs();
+				const isGoodRecent = goodAtMs !== undefined && nowMs - goodAtMs < reportLifetimeMs * 2;
+				const avoidMs = Math.round(trust.ownAvoidUntilMs() - nowMs);
+				if (startsMs.size === 0 && !isGoodRecent && avoidMs <= 0) {
+					return [];
+				}
+
+				return [{
+					instanceId: facts.instanceId,
+					inFlight: startsMs.size,
+					...(isGoodRecent && {goodAgeMs: Math.round(nowMs - goodAtMs)}),
+					...(avoidMs > 0 && {avoidMs}),
+				}];
+			}),
+		}),
+		hear(peerId, report, nowMs) {
+			const told = new Set(report.instances.map(({instanceId}) => instanceId));
+			for (const [id, member] of members) {
+				if (!told.has(id)) {
+					member.peers.delete(peerId);
+				}
+			}
+
+			for (const {instanceId, inFlight, goodAgeMs, avoidMs} of report.instances) {
+				const member = members.get(instanceId);
+				if (member === undefined) {
+					continue;
+				}
+
+				member.peers.set(peerId, {inFlight, heardAtMs: nowMs});
+				member.trust.hear(goodAgeMs === undefined ? undefined : nowMs - goodAgeMs, avoidMs === undefined ? undefined : nowMs + avoidMs, nowMs);
+			}
+		},
+		explain(instanceId, nowMs) {
+			const member = members.get(instanceId);
+			if (member === undefined) {
+				return {known: false};
+			}
+
+			return {
+				dataCentre: member.facts.dataCentre,
+				own: member.startsMs.size,
+				peers: peerInFlight(member, nowMs),
+				slots: member.facts.slots,
+				risk: Number(member.trust.risk(nowMs).toFixed(3)),
+			};
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/dispatch/instance-trust.ts
@@ -0,0 +1,143 @@
+/**
+ * Whether an instance can be trusted with a request, from the answers that this gateway and its peers had of it.
+ *
+ * Answers the load in which instances fail part of their requests for some seconds while their health check is good:
+ * one broken connection is strong evidence, since a sound instance almost never breaks one; an error answer is weak.
+ */
+
+import {
+	avoidGrowth, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, maxAvoidMs, maxShedAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
+} from './constants.ts';
+import type {AttemptResult} from './types.ts';
+
+/** What is believed of one life of an instance. */
+export type InstanceTrust = {
+	/** Learns from the end of an attempt; true when the instance is avoided from now on. */
+	readonly observe: (result: AttemptResult, startedAtMs: number, nowMs: number) => boolean;
+	/** A request has been in flight for too long; true when the instance is avoided from now on. */
+	readonly observeStall: (nowMs: number) => boolean;
+	/** A peer had a good answer, or avoids the instance. */
+	readonly hear: (goodAtMs: number | undefined, avoidUntilMs: number | undefined, nowMs: number) => void;
+	readonly isAvoided: (nowMs: number) => boolean;
+	/** True when it was avoided, or is new, and no good answer has come since. */
+	readonly needsTrial: () => boolean;
+	/** Chance that the next request fails, from 0 to 1. */
+	readonly risk: (nowMs: number) => number;
+	readonly suspicion: (nowMs: number) => number;
+	readonly avoidUntilMs: () => number;
+	/** Of an answer that this gateway had itself; undefined before the first. */
+	readonly ownGoodAtMs: () => number | undefined;
+	/** End of the avoidance that follows from this gateway's own evidence. */
+	readonly ownAvoidUntilMs: () => number;
+};
+
+/** Creates the trust in an instance of which nothing is known. */
+export const createInstanceTrust = (): InstanceTrust => {
+	let suspicion = 0;
+	let suspicionAtMs = 0;
+	let avoidUntilMs = Number.NEGATIVE_INFINITY;
+	let ownAvoidUntilMs = Number.NEGATIVE_INFINITY;
+	let avoidedAtMs = Number.NEGATIVE_INFINITY;
+	let goodAtMs: number | undefined;
+	let ownGoodAtMs: number | undefined;
+	let failuresInRow = 0;
+	let shedsInRow = 0;
+
+	const suspicionAt = (nowMs: number): number => suspicion * (0.5 ** (Math.max(0, nowMs - suspicionAtMs) / suspicionHalfLifeMs));
+
+	const setSuspicion = (value: number, nowMs: number): void => {
+		suspicion = Math.max(0, value);
+		suspicionAtMs = nowMs;
+	};
+
+	const avoid = (durationMs: number, nowMs: number): boolean => {
+		const wasAvoided = nowMs < avoidUntilMs;
+		ownAvoidUntilMs = Math.max(ownAvoidUntilMs, nowMs + durationMs);
+		avoidUntilMs = Math.max(avoidUntilMs, ownAvoidUntilMs);
+		avoidedAtMs = nowMs;
+		return !wasAvoided;
+	};
+
+	const avoidBroken = (startedAtMs: number, nowMs: number): boolean => {
+		// What was sent before the instance was first avoided belongs to the same episode.
+		if (startedAtMs >= avoidedAtMs) {
+			failuresInRow++;
+		}
+
+		setSuspicion(suspicionAt(nowMs) + avoidSuspicion, nowMs);
+		return avoid(Math.min(maxAvoidMs, brokenAvoidMs * (avoidGrowth ** (failuresInRow - 1))), nowMs);
+	};
+
+	const noteGood = (startedAtMs: number, nowMs: number): boolean => {
+		shedsInRow = 0;
+		ownGoodAtMs = nowMs;
+		// An answer to what was sent before the failure proves nothing about the time after it.
+		if (startedAtMs >= avoidedAtMs) {
+			goodAtMs = nowMs;
+			failuresInRow = 0;
+			setSuspicion(suspicionAt(nowMs) - goodAnswerRelief, nowMs);
+		}
+
+		return false;
+	};
+
+	return {
+		observe(result, startedAtMs, nowMs) {
+			switch (result) {
+				case 'good': {
+					return noteGood(startedAtMs, nowMs);
+				}
+
+				case 'server-error': {
+					setSuspicion(suspicionAt(nowMs) + serverErrorSuspicion, nowMs);
+					return suspicionAt(nowMs) >= avoidSuspicion && avoidBroken(startedAtMs, nowMs);
+				}
+
+				case 'broken':
+				case 'no-answer': {
+					return avoidBroken(startedAtMs, nowMs);
+				}
+
+				case 'shed': {
+					shedsInRow++;
+					return avoid(Math.min(maxShedAvoidMs, shedAvoidMs * (2 ** (shedsInRow - 1))), nowMs);
+				}
+
+				case 'unreachable': {
+					failuresInRow++;
+					return avoid(Math.min(maxAvoidMs, unreachableAvoidMs * (2 ** (failuresInRow - 1))), nowMs);
+				}
+
+				case 'replaced': {
+					return avoid(maxAvoidMs, nowMs);
+				}
+
+				case 'abandoned': {
+					return false;
+				}
+			}
+		},
+		observeStall: nowMs => nowMs >= avoidUntilMs && avoidBroken(nowMs, nowMs),
+		hear(peerGoodAtMs, peerAvoidUntilMs, nowMs) {
+			if (peerGoodAtMs !== undefined && peerGoodAtMs > (goodAtMs ?? Number.NEGATIVE_INFINITY) && peerGoodAtMs > avoidedAtMs) {
+				goodAtMs = peerGoodAtMs;
+			}
+
+			if (peerAvoidUntilMs !== undefined && peerAvoidUntilMs > avoidUntilMs) {
+				avoidUntilMs = peerAvoidUntilMs;
+				avoidedAtMs = Math.max(avoidedAtMs, nowMs);
+			}
+		},
+		isAvoided: nowMs => nowMs < avoidUntilMs,
+		needsTrial: () => goodAtMs === undefined || goodAtMs < avoidedAtMs,
+		risk(nowMs) {
+			const proofAgeMs = goodAtMs === undefined || goodAtMs < avoidedAtMs ? Number.POSITIVE_INFINITY : nowMs - goodAtMs;
+			const unproven = unprovenRisk * (1 - Math.exp(-Math.max(0, proofAgeMs) / proofLifetimeMs));
+			return Math.min(1, unproven + (suspicionAt(nowMs) * unprovenRisk));
+		},
+		suspicion: suspicionAt,
+		avoidUntilMs: () => avoidUntilMs,
+		ownGoodAtMs: () => ownGoodAtMs,
+		ownAvoidUntilMs: () => ownAvoidUntilMs,
+	};
+};
--- /dev/null
+++ b/packages/core/src/dispatch/retry-window.ts
@@ -0,0 +1,63 @@
+/**
+ * Limits repeated sends to a share of the requests in a sliding window, for one gateway of several.
+ *
+ * Answers the load in which most instances fail at once, so that retries would multiply it.
+ */
+
+const bucketMs = 500;
+
+/** What all gateways together may repeat. */
+export type RetryLimits = {
+	/** Repeated sends allowed for each request in the window. */
+	readonly ratio: number;
+	/** Repeated sends allowed besides, over all gateways. */
+	readonly slack: number;
+	readonly windowMs: number;
+};
+
+/** Repeated sends of one service at one gateway. */
+export type RetryWindow = {
+	readonly noteRequest: (nowMs: number) => void;
+	/** Takes one repeated send; false when none is left. `gatewayCount` gateways share the slack. */
+	readonly take: (gatewayCount: number, nowMs: number) => boolean;
+};
+
+type Bucket = {
+	readonly index: number;
+	requests: number;
+	retries: number;
+};
+
+/** Creates an empty window. */
+export const createRetryWindow = ({ratio, slack, windowMs}: RetryLimits): RetryWindow => {
+	let buckets: Bucket[] = [];
+
+	const current = (nowMs: number): Bucket => {
+		const index = Math.floor(nowMs / bucketMs);
+		buckets = buckets.filter(bucket => (index - bucket.index) * bucketMs <= windowMs);
+		let bucket = buckets.at(-1);
+		if (bucket?.index !== index) {
+			bucket = {index, requests: 0, retries: 0};
+			buckets.push(bucket);
+		}
+
+		return bucket;
+	};
+
+	return {
+		noteRequest(nowMs) {
+			current(nowMs).requests++;
+		},
+		take(gatewayCount, nowMs) {
+			const bucket = current(nowMs);
+			const requests = buckets.reduce((sum, {requests}) => sum + requests, 0);
+			const retries = buckets.reduce((sum, {retries}) => sum + retries, 0);
+			if (retries + 1 > (ratio * requests) + (slack / Math.max(1, gatewayCount))) {
+				return false;
+			}
+
+			bucket.retries++;
+			return true;
+		},
+	};
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,3 +59,20 @@
 export type {PlacementConfig, PlacementEntry, ServiceSize} from './placement/placement.ts';
 export {rankNodes} from './placement/rendezvous.ts';
 export type {LocateAnswer, LocatedEntry, LocatedKey} from './locate/types.ts';
+export {
+	createCatalogue, createPrefixRouteTable, drawService, entriesOfFullRead,
+} from './catalogue/index.ts';
+export type {
+	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
+} from './catalogue/index.ts';
+export {createDispatcher, createRetryWindow} from './dispatch/index.ts';
+export type {
+	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, Dispatcher, DispatcherSnapshot, InstanceReport, LateDecision, RejectReason, RetryLimits, RetryWindow,
+} from './dispatch/index.ts';
+export type {Placement as DispatchPlacement} from './dispatch/index.ts';
+export {createReaderElection, createSpread} from './spread/index.ts';
+export type {
+	ReaderCandidate, ReaderElection, Spread, SpreadChange, SpreadMessage, SpreadSend,
+} from './spread/index.ts';
+export {gatewaysForCaller, placeCallers} from './placement/callers.ts';
+export type {CallerGateway} from './placement/callers.ts';
--- /dev/null
+++ b/packages/core/src/placement/callers.ts
@@ -0,0 +1,55 @@
+/**
+ * Which gateways the callers of a data centre are told to connect to.
+ *
+ * Answers the load in which little work spread over many gateways leaves each of them blind: as few as can carry the
+ * load, the strongest first, so that one gateway sees most requests to an instance.
+ */
+
+import {rankNodes} from './rendezvous.ts';
+
+/** A gateway as the placement of callers sees it. */
+export type CallerGateway = {
+	readonly hostId: string;
+	readonly dataCentre: string;
+	/** Strength relative to others: the weaker of its link and its processor; above 0. */
+	readonly capacity: number;
+	readonly usable: boolean;
+};
+
+/** How many gateways callers are told. */
+export type CallerPlacement = {
+	/**
+	 * Gateways named in each data centre.
+	 * @default 1
+	 */
+	readonly perDataCentre?: number;
+};
+
+const defaultPerDataCentre = 1;
+
+/** Gateways with at least this part of the strongest one's capacity are preferred to all weaker ones. */
+const strongShare = 0.5;
+
+const rankStrongest = (gateways: readonly CallerGateway[]): readonly CallerGateway[] => {
+	const strongest = Math.max(...gateways.map(({capacity}) => capacity));
+	const isStrong = ({capacity}: CallerGateway): boolean => capacity >= strongest * strongShare;
+	const rank = (group: readonly CallerGateway[]): readonly CallerGateway[] =>
+		rankNodes('callers', group.map(gateway => ({id: gateway.hostId, weight: 1, gateway})), group.length).map(({gateway}) => gateway);
+	return [...rank(gateways.filter(gateway => isStrong(gateway))), ...rank(gateways.filter(gateway => !isStrong(gateway)))];
+};
+
+/** The gateways that take callers, by data centre. */
+export const placeCallers = (gateways: readonly CallerGateway[], {perDataCentre = defaultPerDataCentre}: CallerPlacement = {}): ReadonlyMap<string, readonly CallerGateway[]> => {
+	const usable = gateways.filter(gateway => gateway.usable);
+	const dataCentres = [...new Set(usable.map(({dataCentre}) => dataCentre))].toSorted();
+	return new Map(dataCentres.map(dataCentre => [
+		dataCentre,
+		rankStrongest(usable.filter(gateway => gateway.dataCentre === dataCentre)).slice(0, perDataCentre),
+	]));
+};
+
+/** The gateways to name to a caller: those of its data centre, or all when it has none. */
+export const gatewaysForCaller = (placed: ReadonlyMap<string, readonly CallerGateway[]>, dataCentre: string | undefined): readonly CallerGateway[] => {
+	const own = dataCentre === undefined ? undefined : placed.get(dataCentre);
+	return own !== undefined && own.length > 0 ? own : [...placed.values()].flat();
+};
--- a/packages/core/src/platform/types.ts
+++ b/packages/core/src/platform/types.ts
@@ -17,6 +17,8 @@
 	readonly locatePort: number;
 	/** Where the agents talk to each other (UDP and TCP). */
 	readonly peerPort: number;
+	/** Strength relative to other hosts: the weaker of its link and its processor. Absent when the host does not say. */
+	readonly capacity?: number;
 };
 
 /** One instance of a service on a backend server. */
--- /dev/null
+++ b/packages/core/src/spread/readers.ts
@@ -0,0 +1,63 @@
+/**
+ * Which gateways read the store: two in different data centres, so that calls stay few and the loss of one costs nothing.
+ *
+ * A member that the store turns away, or does not answer, says so and is passed over for a while.
+ */
+
+import {rankNodes} from '../placement/rendezvous.ts';
+import {electionWaitMs, readerCount, unreachableHoldMs} from './constants.ts';
+
+/** A gateway that could read. */
+export type ReaderCandidate = {
+	readonly hostId: string;
+	readonly dataCentre: string;
+};
+
+/** Elects the readers from one gateway's view. */
+export type ReaderElection = {
+	/** A member said, or this gateway found, that the store can't be reached from there. */
+	readonly noteUnreachable: (hostId: string, nowMs: number) => void;
+	readonly noteReachable: (hostId: string) => void;
+	/** Whether `selfId` reads the store now. */
+	readonly isReader: (selfId: string, members: readonly ReaderCandidate[], nowMs: number) => boolean;
+};
+
+/** The members that read, best first: the highest ranked, then the highest ranked of another data centre. */
+export const selectReaders = (members: readonly ReaderCandidate[]): readonly string[] => {
+	const ranked = rankNodes('store readers', members.map(member => ({...member, id: member.hostId, weight: 1})), members.length);
+	const readers = ranked.slice(0, 1);
+	while (readers.length < readerCount) {
+		const next = ranked.find(member => !readers.includes(member) && readers.every(reader => reader.dataCentre !== member.dataCentre))
+			?? ranked.find(member => !readers.includes(member));
+		if (next === undefined) {
+			break;
+		}
+
+		readers.push(next);
+	}
+
+	return readers.map(({hostId}) => hostId);
+};
+
+/** Creates the election; `startedAtMs` is the start of this process. */
+export const createReaderElection = (startedAtMs: number): ReaderElection => {
+	const unreachableAtMs = new Map<string, number>();
+
+	return {
+		noteUnreachable(hostId, nowMs) {
+			unreachableAtMs.set(hostId, nowMs);
+		},
+		noteReachable(hostId) {
+			unreachableAtMs.delete(hostId);
+		},
+		isReader(selfId, members, nowMs) {
+			if (nowMs - startedAtMs < electionWaitMs) {
+				return false;
+			}
+
+			const reachable = members.filter(({hostId}) => nowMs - (unreachableAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) >= unreachableHoldMs);
+			// With the store out of reach for everyone, the first ones keep trying.
+			return selectReaders(reachable.length === 0 ? members : reachable).includes(selfId);
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/spread/types.ts
@@ -0,0 +1,39 @@
+/** Messages about the catalogue between gateways. */
+
+import type {CatalogueDigest} from '../catalogue/catalogue.ts';
+import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
+
+/** A message of one gateway to another. */
+export type SpreadMessage
+	= | {
+		readonly type: 'news';
+		readonly entries: readonly InstanceEntry[];
+		readonly instancesAsOf: number;
+		/** Newest version that the sender holds; the receiver asks for it. */
+		readonly configVersion: number;
+	}
+	| {
+		/** Asks the receiver to compare catalogues. */
+		readonly type: 'compare';
+		readonly digest: CatalogueDigest;
+	}
+	| {
+		readonly type: 'pull';
+		/** The sender wants a newer configuration than this. */
+		readonly configVersion: number;
+		readonly wantsInstances: boolean;
+	}
+	| {
+		readonly type: 'state';
+		readonly config?: FleetConfig;
+		readonly entries?: readonly InstanceEntry[];
+		readonly instancesAsOf: number;
+	};
+
+/** A message and its receiver. */
+export type SpreadSend = {
+	readonly to: string;
+	readonly message: SpreadMessage;
+	/** `stream` for messages that need not fit a datagram and must not be lost silently. */
+	readonly transport: 'datagram' | 'stream';
+};
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,17 +1,13 @@
-/** Writes answers to callers: the backend server's own, a stored one, or a refusal. */
+/** Writes answers to callers: the backend server's own, or a stored one. */
 
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import type http from 'node:http';
 import type {Readable} from 'node:stream';
-import {
-	createProblem, errorAnswers, type Refusal, type StoredAnswer,
-} from '@egretwing/core';
+import type {StoredAnswer} from '@egretwing/core';
+import {boundUnreadBody, forwardedHeaders} from '@egretwing/node';
 import type {AttemptOutcome} from './attempt.ts';
-import {
-	instanceHeader, kindHeader, ranHeader, replayedHeader, unreadBodyTimeoutMs,
-} from './constants.ts';
-import {forwardedHeaders} from './headers.ts';
+import {instanceHeader, ownHeaders, replayedHeader} from './constants.ts';
 
 /** An attempt that was answered. */
 export type Answered = Extract<AttemptOutcome, {type: 'answered'}>;
@@ -19,44 +15,8 @@
 /** How the answer reached its caller. */
 export type PassResult = 'whole' | 'cut' | 'caller-gone';
 
-/** Closes the caller's connection when the rest of a refused body does not arrive in time. */
-const boundUnreadBody = (response: http.ServerResponse): void => {
-	const incoming = response.req;
-	if (incoming.complete) {
-		return;
-	}
-
-	incoming.resume();
-	const timer = setTimeout(() => {
-		incoming.destroy();
-	}, unreadBodyTimeoutMs);
-	incoming.once('close', () => {
-		clearTimeout(timer);
-	});
-};
-
-/** Answers with the table's status for the kind, and with what is known of this request. */
-export const refuse = (response: http.ServerResponse, {kind, ran, detail}: Refusal): void => {
-	if (response.headersSent || response.destroyed) {
-		response.destroy();
-		return;
-	}
-
-	const {statusCode, retryAfterSeconds} = errorAnswers[kind];
-	const body = JSON.stringify(createProblem(kind, detail, ran));
-	boundUnreadBody(response);
-	response.writeHead(statusCode, {
-		'content-type': 'application/problem+json',
-		'content-length': Buffer.byteLength(body),
-		[kindHeader]: kind,
-		[ranHeader]: ran,
-		...(retryAfterSeconds !== undefined && {'retry-after': String(retryAfterSeconds)}),
-	});
-	response.end(body);
-};
-
 const writeHead = (response: http.ServerResponse, answer: Pick<Answered, 'statusCode' | 'headers'>, instanceId: string | undefined): void => {
-	response.writeHead(answer.statusCode, {...forwardedHeaders(answer.headers), ...(instanceId !== undefined && {[instanceHeader]: instanceId})});
+	response.writeHead(answer.statusCode, {...forwardedHeaders(answer.headers, ownHeaders), ...(instanceId !== undefined && {[instanceHeader]: instanceId})});
 };
 
 /** Breaks off a caller that takes nothing of its answer for `idleTimeoutMs`. */
@@ -169,7 +129,7 @@
 
 	try {
 		const body = await readOn(response, answer.body, maxAnswerBytes);
-		const headers = toHeaderList({...forwardedHeaders(answer.headers), [instanceHeader]: instanceId});
+		const headers = toHeaderList({...forwardedHeaders(answer.headers, ownHeaders), [instanceHeader]: instanceId});
 		return {
 			result: 'whole',
 			...(body && {stored: {statusCode: answer.statusCode, headers, body}}),
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -8,9 +8,9 @@
 
 import type {Readable} from 'node:stream';
 import {Pool, errors, type Dispatcher} from 'undici';
+import {answerIsBounded, forwardedHeaders, type Headers} from '@egretwing/node';
 import {BodyError, createRequestBody, type BodyFault} from './body.ts';
-import {deadlineHeader} from './constants.ts';
-import {answerIsBounded, forwardedHeaders, type Headers} from './headers.ts';
+import {deadlineHeader, ownHeaders} from './constants.ts';
 import type {CallerRequest} from './request.ts';
 
 /** Where an attempt goes. */
@@ -250,7 +250,7 @@
 			method: request.method,
 			path: request.target,
 			headers: {
-				...forwardedHeaders(request.incoming.headers),
+				...forwardedHeaders(request.incoming.headers, ownHeaders),
 				...(!isUnboundedUpload && {[deadlineHeader]: String(Math.max(1, Math.floor(leftMs)))}),
 				...options.extraHeaders,
 			},
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -8,20 +8,16 @@
 export const idempotencyKeyHeader = 'idempotency-key';
 /** Request header: `true` when the caller has not sent the key before. */
 export const firstSendHeader = 'egretwing-first-send';
-/** Answer header: kind of the refusal. */
-export const kindHeader = 'egretwing-kind';
-/** Answer header: whether the request ran. */
-export const ranHeader = 'egretwing-ran';
 /** Answer header: instance that answered. */
 export const instanceHeader = 'egretwing-instance';
 /** Answer header: `true` on the stored answer of an earlier send. */
 export const replayedHeader = 'egretwing-replayed';
 /** Header between entries: marks a request that was passed on, and proves that an entry of the fleet did it. */
 export const forwardHeader = 'egretwing-forward';
+/** Headers that are not passed on with a request or an answer. */
+export const ownHeaders = [deadlineHeader, forwardHeader];
 /** Path at which an entry hands out the prefix of idempotency keys. */
 export const keyPath = '/.well-known/egretwing/idempotency-key';
-/** Time in which the rest of a refused request's body must arrive. */
-export const unreadBodyTimeoutMs = 5000;
 /** How often connections are checked for callers that are slow to send their headers. */
 export const slowCallerCheckMs = 1000;
 /** How often the entry looks at its clock to notice that it was paused, and tells its agent that it is alive. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,7 @@
 	createOnceGate, createRandom, hashText, messageVersion,
 } from '@egretwing/core';
 import {
-	createLogger, createOperatorServer, createProcessClock, createSealer, listen,
+	createLogger, createOperatorServer, createProcessClock, createSealer, listen, refuseUnreadable,
 } from '@egretwing/node';
 import {createAdmission} from './admission.ts';
 import {createAdmissionMetrics} from './admission-metrics.ts';
@@ -22,7 +22,6 @@
 import {createEntryOperator} from './operator.ts';
 import {createPipeline} from './pipeline.ts';
 import {createRetries} from './retry.ts';
-import {refuseUnreadable} from './refuse-unreadable.ts';
 import type {EntrySettings} from './settings.ts';
 import {createShutdown} from './shutdown.ts';
 import {createView} from './view.ts';
--- a/packages/entry/src/health-observation.ts
+++ b/packages/entry/src/health-observation.ts
@@ -1,8 +1,8 @@
 /** What the end of an attempt says about the health of the instance. */
 
 import type {Observation} from '@egretwing/core';
+import type {Headers} from '@egretwing/node';
 import type {AttemptOutcome} from './attempt.ts';
-import type {Headers} from './headers.ts';
 
 /** Header by which a backend server says that it is draining. */
 const drainingHeader = 'x-draining';
--- a/packages/entry/src/once-key.ts
+++ b/packages/entry/src/once-key.ts
@@ -2,8 +2,7 @@
 
 import type http from 'node:http';
 import {createRefusal, type Clock, type OnceGate} from '@egretwing/core';
-import {sendJson} from '@egretwing/node';
-import {refuse} from './answer.ts';
+import {sendJson, refuse} from '@egretwing/node';
 import {keyPath} from './constants.ts';
 import type {View} from './view.ts';
 
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -4,8 +4,9 @@
 import {
 	createRefusal, parseKey, type Clock, type KeyOwner, type OnceGate, type OnceRequest, type OnceTicket, type Refusal, type StoredAnswer,
 } from '@egretwing/core';
+import {refuse} from '@egretwing/node';
 import {
-	passAndKeepAnswer, passAnswer, refuse, replayAnswer, type Answered,
+	passAndKeepAnswer, passAnswer, replayAnswer, type Answered,
 } from './answer.ts';
 import type {AttemptOptions} from './attempt.ts';
 import {BodyError, digestBody, emptyDigest} from './body.ts';
--- a/packages/entry/src/pipeline.ts
+++ b/packages/entry/src/pipeline.ts
@@ -4,7 +4,8 @@
 import {
 	createRefusal, errorAnswers, resolveOnceConfig, type Clock, type ErrorKind, type OnceGate, type Refusal,
 } from '@egretwing/core';
-import {passAnswer, refuse} from './answer.ts';
+import {refuse} from '@egretwing/node';
+import {passAnswer} from './answer.ts';
 import type {Admission} from './admission.ts';
 import type {AdmissionMetrics} from './admission-metrics.ts';
 import type {Attempts} from './attempt.ts';
--- /dev/null
+++ b/packages/gateway/src/body.ts
@@ -0,0 +1,43 @@
+/** Reads the body of a caller's request whole, so that it can wait and be sent at once. */
+
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
+
+/** What came of reading a body. */
+export type ReadBody
+	= | {readonly type: 'whole'; readonly body: Buffer | null}
+		| {readonly type: 'too-large'}
+		| {readonly type: 'caller-gone'};
+
+/** True when the request announces a body. */
+const announcesBody = ({headers}: http.IncomingMessage): boolean =>
+	headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
+
+/** Reads the body, `maxBytes` at most. */
+export const readBody = async (incoming: http.IncomingMessage, maxBytes: number): Promise<ReadBody> => {
+	if (!announcesBody(incoming)) {
+		return {type: 'whole', body: null};
+	}
+
+	if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) {
+		return {type: 'too-large'};
+	}
+
+	const chunks: Buffer[] = [];
+	let sizeBytes = 0;
+	try {
+		for await (const chunk of incoming as AsyncIterable<Buffer>) {
+			sizeBytes += chunk.length;
+			if (sizeBytes > maxBytes) {
+				return {type: 'too-large'};
+			}
+
+			chunks.push(chunk);
+		}
+	} catch {
+		// The caller closed the connection before the body was whole; there is nobody left to answer.
+		return {type: 'caller-gone'};
+	}
+
+	return incoming.complete ? {type: 'whole', body: Buffer.concat(chunks)} : {type: 'caller-gone'};
+};
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,67 @@
+/** Times and limits of the gateway process. */
+
+/** How often waiting requests, instances and peers are looked at: far below one service time. */
+export const tickIntervalMs = 100;
+
+/** How often connections to instances that left are looked for. */
+export const upkeepIntervalMs = 1000;
+
+/** Time between two reports to peers while something changes: far below one service time. */
+export const reportIntervalMs = 100;
+
+/** Time between two reports while nothing changes; a third of the time after which a report lapses. */
+export const idleReportIntervalMs = 500;
+
+/** Time after the last request for which a gateway goes on reporting. */
+export const reportingMs = 5000;
+
+/** Reports in one datagram, at most, so that it fits one packet. */
+export const reportsPerDatagram = 24;
+
+/** Time in which a connection to an instance has to open: many round trips between data centres. */
+export const connectTimeoutMs = 350;
+
+/** Longest time that a connection to an instance is kept unused: instances may drop idle ones without notice. */
+export const maxIdleConnectionMs = 4000;
+
+/** A connection is given up this long before the instance said that it closes it. */
+export const idleCloseMarginMs = 1000;
+
+/** Connections that fail to open before a request is rejected. */
+export const maxUnreachable = 3;
+
+/** Answers up to this size are held back until they are whole, so that a spoilt one can be replaced. */
+export const heldAnswerBytes = 1_048_576;
+
+/** How long callers keep the addresses they were told: short, so that they leave a lost gateway soon. */
+export const locateKeepMs = 2000;
+
+/** Wait of a call that watches the store, so that a silent store is noticed within a second. */
+export const watchWaitMs = 1000;
+
+/** Time beyond its wait after which a call to the store has failed. */
+export const storeTimeoutMs = 500;
+
+/** Pause before a call that failed is made again. */
+export const storeRetryMs = 250;
+
+/** Time for which removals after an outage of the store may be lapsed registrations that come back. */
+export const storeRecoveryMs = 2500;
+
+/** Failing time of the store from which registrations may have lapsed: less than the shortest registration. */
+export const lapsingOutageMs = 1000;
+
+/** How often a gateway that knows no other asks its seeds. */
+export const joinIntervalMs = 250;
+
+/** How often any gateway asks its seeds, in case that two groups have found no way to each other. */
+export const rejoinIntervalMs = 5000;
+
+/** Part of the time allowed for a shutdown in which callers are still accepted: they keep old addresses for a while. */
+export const drainAcceptShare = 0.6;
+
+/** Part of the time allowed for a shutdown after which the process ends whatever is in flight. */
+export const drainEndShare = 0.92;
+
+/** Request log lines per second, at most. */
+export const requestLinesPerSecond = 400;
--- /dev/null
+++ b/packages/gateway/src/dispatchers.ts
@@ -0,0 +1,203 @@
+/** Runs the dispatch decisions of all services: settles waiting requests, tells peers and hears them. */
+
+import {
+	createDispatcher,
+	type AttemptResult,
+	type Catalogue,
+	type DispatchDecision,
+	type DispatchPlacement,
+	type DispatchReport,
+	type DispatchRequest,
+	type Dispatcher,
+	type LiveInstance,
+	type Random,
+} from '@egretwing/core';
+import type {Logger} from '@egretwing/node';
+import {
+	idleReportIntervalMs, reportIntervalMs, reportingMs, reportsPerDatagram,
+} from './constants.ts';
+
+/** What becomes of a request that asks for an instance. */
+export type Placed = Exclude<DispatchDecision, {type: 'wait'}> | {readonly type: 'cancelled'};
+
+type Waiting = DispatchRequest & {readonly settle: (placed: Placed) => void};
+
+/** The dispatchers of one gateway. */
+export type Dispatchers = {
+	/** Resolves once the request may be sent, or is rejected, or `signal` aborts. */
+	readonly place: (service: string, request: DispatchRequest, signal: AbortSignal) => Promise<Placed>;
+	readonly finish: (service: string, placement: DispatchPlacement, result: AttemptResult) => void;
+	readonly noteServed: (service: string, isServed: boolean) => void;
+	readonly serviceMs: (service: string) => number;
+	readonly hear: (service: string, peerId: string, report: DispatchReport) => void;
+	/** The inputs of the last decision, for logs. */
+	readonly explain: (service: string, instanceId?: string) => Readonly<Record<string, unknown>>;
+	readonly tick: () => void;
+	/** Figures of all services, for metrics and status. */
+	readonly snapshots: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
+};
+
+/** What the dispatchers need. */
+export type DispatchersOptions = {
+	readonly dataCentre: string;
+	readonly catalogue: Catalogue;
+	readonly random: Random;
+	readonly nowMs: () => number;
+	readonly logger: Logger;
+	/** Tells the gateways that share a service. */
+	readonly tell: (service: string, report: DispatchReport) => void;
+};
+
+type Service = {
+	readonly name: string;
+	readonly dispatcher: Dispatcher<Waiting>;
+	catalogueVersion: number;
+	lastRequestMs: number;
+	lastReportMs: number;
+	lastReport: string;
+	/** Instances told in the report before, so that an instance that fell idle is told once more. */
+	isReportDue: boolean;
+};
+
+const toFacts = (instance: LiveInstance) => ({
+	instanceId: instance.instanceId,
+	dataCentre: instance.dataCentre,
+	slots: instance.slots,
+	bornAtMs: instance.bornAtMs,
+	knownSinceMs: instance.knownSinceMs,
+	warmAtMs: instance.knownSinceMs + instance.warmupLeftMs,
+});
+
+/** Creates the dispatchers of a gateway. */
+export const createDispatchers = ({
+	dataCentre, catalogue, random, nowMs, logger, tell,
+}: DispatchersOptions): Dispatchers => {
+	const services = new Map<string, Service>();
+
+	const refresh = (service: Service): void => {
+		if (service.catalogueVersion !== catalogue.version()) {
+			service.catalogueVersion = catalogue.version();
+			service.dispatcher.setInstances(catalogue.ready(service.name).map(instance => toFacts(instance)));
+		}
+	};
+
+	const serviceOf = (name: string): Service => {
+		let service = services.get(name);
+		if (service === undefined) {
+			service = {
+				name,
+				dispatcher: createDispatcher<Waiting>(dataCentre, random),
+				catalogueVersion: -1,
+				lastRequestMs: Number.NEGATIVE_INFINITY,
+				lastReportMs: Number.NEGATIVE_INFINITY,
+				lastReport: '',
+				isReportDue: false,
+			};
+			services.set(name, service);
+		}
+
+		refresh(service);
+		return service;
+	};
+
+	const settleWaiting = ({dispatcher}: Service): void => {
+		for (const {request, decision} of dispatcher.poll(nowMs())) {
+			request.settle(decision);
+		}
+	};
+
+	const logAvoided = (service: Service, instanceId: string, cause: string): void => {
+		logger.info('instance avoided', {
+			service: service.name, instanceId, cause, ...service.dispatcher.explain(instanceId, nowMs()),
+		});
+		service.isReportDue = true;
+	};
+
+	const report = (service: Service): void => {
+		const timeMs = nowMs();
+		const sinceMs = timeMs - service.lastReportMs;
+		const isActive = timeMs - service.lastRequestMs < reportingMs;
+		if (!isActive || (sinceMs < reportIntervalMs && !service.isReportDue)) {
+			return;
+		}
+
+		const {instances} = service.dispatcher.report(timeMs);
+		const fingerprint = instances.map(({instanceId, inFlight, avoidMs}) => `${instanceId} ${inFlight} ${avoidMs === undefined}`).join(',');
+		if (fingerprint === service.lastReport && sinceMs < idleReportIntervalMs) {
+			return;
+		}
+
+		service.lastReport = fingerprint;
+		service.lastReportMs = timeMs;
+		service.isReportDue = false;
+		// The busiest go first; what does not fit one datagram is known to be idle or avoided soon enough.
+		const told = instances.toSorted((left, right) => right.inFlight - left.inFlight).slice(0, reportsPerDatagram);
+		tell(service.name, {instances: told});
+	};
+
+	return {
+		async place(name, request, signal) {
+			const service = serviceOf(name);
+			service.lastRequestMs = nowMs();
+			if (signal.aborted) {
+				return {type: 'cancelled'};
+			}
+
+			return new Promise(resolve => {
+				const onGone = (): void => {
+					service.dispatcher.cancel(waiting);
+					resolve({type: 'cancelled'});
+				};
+
+				const waiting: Waiting = {
+					...request,
+					settle(placed) {
+						signal.removeEventListener('abort', onGone);
+						resolve(placed);
+					},
+				};
+				const decision = service.dispatcher.submit(waiting, nowMs());
+				if (decision.type === 'wait') {
+					signal.addEventListener('abort', onGone, {once: true});
+					return;
+				}
+
+				resolve(decision);
+			});
+		},
+		finish(name, placement, result) {
+			const service = serviceOf(name);
+			if (service.dispatcher.finish(placement, result, nowMs())) {
+				logAvoided(service, placement.instanceId, result);
+				report(service);
+			}
+
+			settleWaiting(service);
+		},
+		noteServed(name, isServed) {
+			serviceOf(name).dispatcher.noteServed(isServed, nowMs());
+		},
+		serviceMs: name => serviceOf(name).dispatcher.snapshot(nowMs()).serviceMs,
+		hear(name, peerId, peerReport) {
+			const service = serviceOf(name);
+			service.dispatcher.hear(peerId, peerReport, nowMs());
+			settleWaiting(service);
+		},
+		explain(name, instanceId) {
+			const {dispatcher} = serviceOf(name);
+			return {...dispatcher.snapshot(nowMs()), ...(instanceId !== undefined && {instance: dispatcher.explain(instanceId, nowMs())})};
+		},
+		tick() {
+			for (const service of services.values()) {
+				refresh(service);
+				for (const instanceId of service.dispatcher.findStalled(nowMs())) {
+					logAvoided(service, instanceId, 'stalled');
+				}
+
+				settleWaiting(service);
+				report(service);
+			}
+		},
+		snapshots: () => Array.from(services.values(), ({name, dispatcher}) => ({service: name, ...dispatcher.snapshot(nowMs())})),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,423 @@
+/** Puts the gateway together: membership, spread of the catalogue, readers of the store, callers' listener, operators' interface. */
+
+import http from 'node:http';
+import type net from 'node:net';
+import {
+	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, gatewaysForCaller, hashText, placeCallers,
+	type CallerGateway, type DispatchReport, type EntryHost, type MemberSend, type RetryWindow, type SpreadSend,
+} from '@egretwing/core';
+import {
+	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
+} from '@egretwing/node';
+import {
+	drainAcceptShare, drainEndShare, joinIntervalMs, locateKeepMs, rejoinIntervalMs, reportingMs, tickIntervalMs, upkeepIntervalMs,
+} from './constants.ts';
+import {createDispatchers} from './dispatchers.ts';
+import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
+import {createGatewayMetrics} from './metrics.ts';
+import {createRequestLog} from './request-log.ts';
+import {createServe} from './serve.ts';
+import type {GatewaySettings} from './settings.ts';
+import {createStoreReader} from './store-reader.ts';
+import type {
+	HeaderNames, StoreClient, StoreFailure, StoreRead, StoreTopic,
+} from './types.ts';
+import {createUpstream} from './upstream.ts';
+
+/** Where callers may connect, and for how long the answer holds. */
+export type LocatedGateways = {
+	readonly addresses: ReadonlyArray<{readonly address: string; readonly port: number}>;
+	readonly keepMs: number;
+};
+
+/** A running gateway. */
+export type Gateway = {
+	/** Gateways for the callers of a data centre; empty while this gateway does not know the others. */
+	readonly locate: (dataCentre: string | undefined) => LocatedGateways;
+	/** True when requests can be served and no shutdown was asked for. */
+	readonly isReady: () => boolean;
+	/** Takes other seeds. */
+	readonly setSeeds: (addresses: readonly string[]) => void;
+	/** Leaves the answers to callers, lets requests in flight end, then closes everything. */
+	readonly shutdown: () => Promise<void>;
+};
+
+/** What the gateway is given by the program that runs it. */
+export type GatewayParts = {
+	readonly store: StoreClient;
+	readonly headerNames: HeaderNames;
+	readonly logger: Logger;
+};
+
+const createSelf = (settings: GatewaySettings): EntryHost => {
+	const {hostId, address, region, dataCentre, entryPort, locatePort, peerPort, capacity} = settings;
+	return {
+		role: 'entry', hostId, address, region, dataCentre, state: 'live', entryPort, locatePort, peerPort, capacity,
+	};
+};
+
+/** Starts a gateway; rejects when an address can't be bound. */
+export const startGateway = async (settings: GatewaySettings, {store, headerNames, logger}: GatewayParts): Promise<Gateway> => {
+	const {hostId, peerPort} = settings;
+	const {nowMs} = createProcessClock();
+	const startedAtMs = nowMs();
+	const incarnation = Date.now();
+	const random = createRandom(hashText(`${hostId}/${incarnation}`));
+	const self = createSelf(settings);
+	const metrics = createGatewayMetrics();
+	const catalogue = createCatalogue();
+	const membership = createMembership({
+		self, incarnation, random, nowMs: startedAtMs,
+	});
+	const election = createReaderElection(startedAtMs);
+	const knownHosts = new Map<string, EntryHost>();
+	const placedAtMsById = new Map<string, number>();
+	const retryWindows = new Map<string, RetryWindow>();
+	let routes = createPrefixRouteTable([]);
+	let seeds = settings.seedAddresses;
+	let placed: ReadonlyMap<string, readonly CallerGateway[]> = new Map();
+	let placedVersion = -1;
+	let placedIds = '';
+	let nextUpkeepMs = 0;
+	let hostById: ReadonlyMap<string, EntryHost> = new Map();
+	let announcedUp = false;
+	let isDraining = false;
+	let nextJoinMs = 0;
+
+	const peerIds = (): readonly string[] => [...hostById.keys()].filter(id => id !== hostId);
+
+	const sendTo = (id: string, message: MeshMessage, transport: 'datagram' | 'stream'): void => {
+		const host = hostById.get(id);
+		if (host !== undefined) {
+			mesh.send(host, message, transport);
+		}
+	};
+
+	const sendMembers = (sends: readonly MemberSend[]): void => {
+		for (const {to, transport, message} of sends) {
+			mesh.send(to, {type: 'member', message}, transport);
+		}
+	};
+
+	const sendSpread = (sends: readonly SpreadSend[]): void => {
+		for (const {to, transport, message} of sends) {
+			sendTo(to, {type: 'spread', message}, transport);
+		}
+	};
+
+	const spread = createSpread({
+		catalogue,
+		random,
+		peerIds,
+		onChange({source, config, entries}) {
+			if (config !== undefined) {
+				routes = createPrefixRouteTable(config.routes);
+				server.keepAliveTimeout = config.limits.idleTimeoutMs;
+				metrics.configVersion.set(config.version);
+				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
+			}
+
+			for (const {instanceId, revision, record, isLapsed} of entries) {
+				logger.info('instance changed', {
+					instanceId, revision, service: record?.service, state: record?.state ?? 'removed', isLapsed, source,
+				});
+			}
+		},
+	});
+
+	/** Told are the gateways that callers are sent to, or were a moment ago: the others get next to no requests. */
+	const tellSharers = (service: string, report: DispatchReport): void => {
+		const timeMs = nowMs();
+		for (const [id, placedAtMs] of placedAtMsById) {
+			if (timeMs - placedAtMs >= reportingMs) {
+				placedAtMsById.delete(id);
+			} else if (id !== hostId) {
+				sendTo(id, {type: 'load', service, report}, 'datagram');
+			}
+		}
+	};
+
+	const notePlaced = (): void => {
+		for (const gateway of [...placed.values()].flat()) {
+			placedAtMsById.set(gateway.hostId, nowMs());
+		}
+	};
+
+	const dispatchers = createDispatchers({
+		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, tell: tellSharers,
+	});
+
+	const learnHosts = (hosts: readonly EntryHost[]): void => {
+		const isNew = hosts.some(host => host.hostId !== hostId && !knownHosts.has(host.hostId));
+		for (const host of hosts) {
+			knownHosts.set(host.hostId, host);
+		}
+
+		if (isNew) {
+			membership.setHostList([...knownHosts.values()].filter(host => host.hostId !== hostId));
+		}
+	};
+
+	const receive = (from: MeshPeer, message: MeshMessage): void => {
+		switch (message.type) {
+			case 'member': {
+				sendMembers(membership.receive(from, message.message, nowMs()));
+				return;
+			}
+
+			case 'spread': {
+				sendSpread(spread.receive(from.hostId, message.message, nowMs()));
+				return;
+			}
+
+			case 'load': {
+				dispatchers.hear(message.service, from.hostId, message.report);
+				return;
+			}
+
+			case 'join': {
+				learnHosts([message.host]);
+				mesh.send(from, {type: 'hosts', hosts: [self, ...membership.members().map(({host}) => host)]}, 'stream');
+				return;
+			}
+
+			case 'hosts': {
+				learnHosts(message.hosts);
+				return;
+			}
+
+			case 'store': {
+				if (message.isReachable) {
+					election.noteReachable(from.hostId);
+				} else {
+					election.noteUnreachable(from.hostId, nowMs());
+				}
+			}
+		}
+	};
+
+	const mesh = await createMesh({
+		hostId, address: settings.address, peerPort, onMessage: receive, logger,
+	});
+
+	const tellStore = (isReachable: boolean): void => {
+		for (const id of peerIds()) {
+			sendTo(id, {type: 'store', isReachable}, 'datagram');
+		}
+	};
+
+	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...hostById.values()], nowMs());
+
+	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
+		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
+		sendSpread(spread.takeRead({
+			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: statements, instancesAsOf: asOf}),
+		}, nowMs()));
+	};
+
+	const onFailure = (failure: StoreFailure): void => {
+		election.noteUnreachable(hostId, nowMs());
+		tellStore(false);
+		metrics.storeCalls.inc({topic: 'all', result: `handed over: ${failure}`});
+	};
+
+	const onReachable = (): void => {
+		election.noteReachable(hostId);
+		tellStore(true);
+	};
+
+	const readers = (['config', 'instances'] as const).map(topic => createStoreReader({
+		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable,
+		knownAsOf: () => topic === 'instances' ? catalogue.digest().instancesAsOf : -1,
+	}));
+
+	const upstream = createUpstream({
+		localAddress: settings.address,
+		headerNames,
+		onConnect() {
+			metrics.connections.inc();
+		},
+	});
+
+	const retryWindowOf = (service: string): RetryWindow => {
+		const window = retryWindows.get(service) ?? createRetryWindow(settings.retryLimits);
+		retryWindows.set(service, window);
+		return window;
+	};
+
+	const serve = createServe({
+		nowMs,
+		random,
+		catalogue,
+		routes: () => routes,
+		dispatchers,
+		upstream,
+		retryWindow: retryWindowOf,
+		gatewayCount: () => Math.max(1, [...placed.values()].flat().length),
+		headerNames,
+		metrics,
+		log: createRequestLog(logger, nowMs),
+	});
+
+	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, async (incoming, response) => {
+		if (isDraining) {
+			response.setHeader('connection', 'close');
+		}
+
+		try {
+			await serve(incoming, response);
+		} catch (error) {
+			logger.error('request failed', {error: error instanceof Error ? error.stack : String(error)});
+			response.destroy();
+		}
+	});
+	server.on('clientError', (error, socket) => {
+		refuseUnreadable(error, socket as net.Socket);
+	});
+
+	const refreshPlacement = (): void => {
+		if (membership.version() === placedVersion) {
+			return;
+		}
+
+		placedVersion = membership.version();
+		const members = membership.members();
+		const present = members.filter(({status}) => status === 'alive' || status === 'suspect');
+		hostById = new Map(present.map(({host}) => [host.hostId, host]));
+		metrics.members.set(present.length);
+		placed = placeCallers(members.map(({host, usable}) => ({
+			hostId: host.hostId, dataCentre: host.dataCentre, capacity: host.capacity ?? 1, usable,
+		})), {perDataCentre: settings.gatewaysPerDataCentre});
+		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
+		if (gateways.join(',') !== placedIds) {
+			placedIds = gateways.join(',');
+			logger.info('callers placed', {members: present.length, gateways});
+		}
+	};
+
+	const join = (): void => {
+		const timeMs = nowMs();
+		if (timeMs < nextJoinMs) {
+			return;
+		}
+
+		nextJoinMs = timeMs + (peerIds().length === 0 ? joinIntervalMs : rejoinIntervalMs * (0.5 + random.next()));
+		const known = new Set([settings.address, ...Array.from(hostById.values(), host => host.address)]);
+		for (const address of seeds) {
+			if (!known.has(address)) {
+				mesh.send({address, peerPort}, {type: 'join', host: self}, 'datagram');
+			}
+		}
+	};
+
+	const announce = (): void => {
+		if (!announcedUp && !isDraining && catalogue.isWhole()) {
+			announcedUp = true;
+			logger.info('ready', {configVersion: catalogue.digest().configVersion, instancesAsOf: catalogue.digest().instancesAsOf, afterMs: Math.round(nowMs() - startedAtMs)});
+			sendMembers(membership.setEntry('up', incarnation, nowMs()));
+		}
+	};
+
+	const tick = (): void => {
+		const timeMs = nowMs();
+		join();
+		sendMembers(membership.tick(timeMs));
+		refreshPlacement();
+		notePlaced();
+		catalogue.tick(timeMs);
+		sendSpread(spread.tick(timeMs));
+		for (const id of spread.takeSilentPeers()) {
+			const host = hostById.get(id);
+			if (host !== undefined) {
+				mesh.reset(host);
+			}
+		}
+
+		announce();
+		for (const reader of readers) {
+			reader.tick();
+		}
+
+		dispatchers.tick();
+		if (timeMs >= nextUpkeepMs) {
+			nextUpkeepMs = timeMs + upkeepIntervalMs;
+			upstream.retain(new Set(catalogue.entries().map(({instanceId}) => instanceId)));
+		}
+	};
+
+	await listen(server, settings.entryPort, settings.address);
+	const operator = await createOperatorServer({
+		address: settings.address,
+		port: settings.operatorPort,
+		registry: metrics.registry,
+		handle: (_method, url) => url.pathname === '/v1/status'
+			? {
+				program: 'egretwing-gateway', hostId, ready: announcedUp && !isDraining, digest: catalogue.digest(), members: membership.members(), services: dispatchers.snapshots(),
+			}
+			: undefined,
+	});
+	const ticks = setInterval(tick, tickIntervalMs);
+	logger.info('gateway listens', {
+		address: settings.address, entryPort: settings.entryPort, peerPort, dataCentre: settings.dataCentre,
+	});
+
+	const connectionsLeft = async (): Promise<number> => new Promise(resolve => {
+		server.getConnections((error, count) => {
+			resolve(error === null ? count : 0);
+		});
+	});
+
+	const pause = async (durationMs: number): Promise<void> => new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+
+	const shutdown = async (): Promise<void> => {
+		const beganAtMs = nowMs();
+		isDraining = true;
+		logger.info('shutdown begun', {connections: await connectionsLeft()});
+		sendMembers(membership.setEntry('draining', incarnation, beganAtMs));
+		await pause(settings.shutdownMs * drainAcceptShare);
+		server.close();
+		server.closeIdleConnections();
+		while (nowMs() - beganAtMs < settings.shutdownMs * drainEndShare && await connectionsLeft() > 0) {
+			await pause(tickIntervalMs);
+			server.closeIdleConnections();
+		}
+
+		logger.info('shutdown ended', {connections: await connectionsLeft(), tookMs: Math.round(nowMs() - beganAtMs)});
+		sendMembers(membership.leave(nowMs()));
+		for (const reader of readers) {
+			reader.stop();
+		}
+
+		await pause(tickIntervalMs);
+		clearInterval(ticks);
+		store.close();
+		upstream.close();
+		operator.close();
+		mesh.close();
+		server.closeAllConnections();
+	};
+
+	let ending: Promise<void> | undefined;
+	return {
+		locate: dataCentre => ({
+			addresses: membership.isTrusted(nowMs())
+				? gatewaysForCaller(placed, dataCentre).flatMap(gateway => {
+					const host = hostById.get(gateway.hostId);
+					return host === undefined ? [] : [{address: host.address, port: host.entryPort}];
+				})
+				: [],
+			keepMs: locateKeepMs,
+		}),
+		isReady: () => announcedUp && !isDraining,
+		setSeeds(addresses) {
+			seeds = addresses;
+			nextJoinMs = 0;
+		},
+		async shutdown() {
+			ending ??= shutdown();
+			return ending;
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/mesh.ts
@@ -0,0 +1,112 @@
+/** Messages between gateways: datagrams for short ones that may be lost, streams for the others. */
+
+import dgram from 'node:dgram';
+import type {Buffer} from 'node:buffer';
+import type {
+	DispatchReport, EntryHost, MemberMessage, SpreadMessage,
+} from '@egretwing/core';
+import {
+	createPeerStreams, decodeValue, encodeValue, type Logger, type PeerEndpoint,
+} from '@egretwing/node';
+
+/** Largest message that is sent as a datagram, in bytes. */
+const maxDatagramBytes = 1200;
+
+/** What gateways tell each other. */
+export type MeshMessage
+	= | {readonly type: 'member'; readonly message: MemberMessage}
+		| {readonly type: 'spread'; readonly message: SpreadMessage}
+		| {readonly type: 'load'; readonly service: string; readonly report: DispatchReport}
+	/** Asks for the hosts that the receiver knows. */
+		| {readonly type: 'join'; readonly host: EntryHost}
+		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
+	/** Whether the sender, a reader of the store, gets answers from it. */
+		| {readonly type: 'store'; readonly isReachable: boolean};
+
+/** Sender of a message. */
+export type MeshPeer = PeerEndpoint & {readonly hostId: string};
+
+/** Channel to the other gateways. */
+export type Mesh = {
+	readonly send: (to: PeerEndpoint, message: MeshMessage, transport: 'datagram' | 'stream') => void;
+	/** Ends the stream to a peer that does not answer. */
+	readonly reset: (to: PeerEndpoint) => void;
+	readonly close: () => void;
+};
+
+/** Where the mesh listens and who takes messages. */
+export type MeshOptions = MeshPeer & {
+	readonly onMessage: (from: MeshPeer, message: MeshMessage) => void;
+	readonly logger: Logger;
+};
+
+type Envelope = {
+	readonly from: MeshPeer;
+	readonly message: MeshMessage;
+};
+
+const bind = async (socket: dgram.Socket, port: number, address: string): Promise<void> => new Promise((resolve, reject) => {
+	socket.once('error', reject);
+	socket.bind(port, address, () => {
+		socket.off('error', reject);
+		resolve();
+	});
+});
+
+/** Starts listening on UDP and TCP at one port; rejects when it can't be bound. */
+export const createMesh = async ({
+	hostId, address, peerPort, onMessage, logger,
+}: MeshOptions): Promise<Mesh> => {
+	const from: MeshPeer = {hostId, address, peerPort};
+
+	const take = (bytes: Buffer): boolean => {
+		const decoded = decodeValue(bytes);
+		if (decoded.isErr()) {
+			logger.warn('message of a peer refused', {reason: decoded.error});
+			return false;
+		}
+
+		const envelope = decoded.value as Envelope;
+		try {
+			onMessage(envelope.from, envelope.message);
+			return true;
+		} catch (error) {
+			logger.warn('message of a peer refused', {reason: String(error)});
+			return false;
+		}
+	};
+
+	const datagrams = dgram.createSocket('udp4');
+	await bind(datagrams, peerPort, address);
+	datagrams.on('error', error => {
+		logger.debug('datagram failed', {reason: String(error)});
+	});
+	datagrams.on('message', take);
+	const streams = await createPeerStreams({address, peerPort, onMessage: take});
+	let isClosed = false;
+
+	return {
+		send(to, message, transport) {
+			if (isClosed) {
+				return;
+			}
+
+			const envelope: Envelope = {from, message};
+			const bytes = encodeValue(envelope);
+			if (transport === 'stream' || bytes.length > maxDatagramBytes) {
+				streams.send(to, bytes);
+				return;
+			}
+
+			datagrams.send(bytes, to.peerPort, to.address, () => {
+				// A datagram that could not be sent counts as lost, as the protocols above expect.
+			});
+		},
+		reset: streams.reset,
+		close() {
+			isClosed = true;
+			datagrams.close();
+			streams.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,64 @@
+/** Metrics of the gateway. */
+
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** The metrics that the parts of the gateway write to. */
+export type GatewayMetrics = {
+	readonly registry: Registry;
+	/** Requests by service and final result. */
+	readonly requests: Counter<'service' | 'result'>;
+	/** Refusals by kind of error and reason. */
+	readonly refusals: Counter<'kind' | 'reason'>;
+	/** Repeated sends by reason. */
+	readonly retries: Counter<'reason'>;
+	/** Repeated sends that were not made, by reason. */
+	readonly retriesRefused: Counter<'reason'>;
+	/** Attempts by service and how they ended. */
+	readonly attempts: Counter<'service' | 'result'>;
+	readonly connections: Counter;
+	readonly storeCalls: Counter<'topic' | 'result'>;
+	readonly requestDurationMs: Histogram<'service'>;
+	readonly waitDurationMs: Histogram<'service'>;
+	readonly configVersion: Gauge;
+	readonly members: Gauge;
+};
+
+const durationBucketsMs = [1, 5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000];
+
+/** Creates the metrics in a registry of their own. */
+export const createGatewayMetrics = (): GatewayMetrics => {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		requests: new Counter({
+			name: 'egretwing_requests_total', help: 'Requests by service and result', labelNames: ['service', 'result'], registers,
+		}),
+		refusals: new Counter({
+			name: 'egretwing_refusals_total', help: 'Refusals by kind of error and reason', labelNames: ['kind', 'reason'], registers,
+		}),
+		retries: new Counter({
+			name: 'egretwing_retries_total', help: 'Repeated sends by reason', labelNames: ['reason'], registers,
+		}),
+		retriesRefused: new Counter({
+			name: 'egretwing_retries_refused_total', help: 'Repeated sends not made, by reason', labelNames: ['reason'], registers,
+		}),
+		attempts: new Counter({
+			name: 'egretwing_attempts_total', help: 'Attempts by service and end', labelNames: ['service', 'result'], registers,
+		}),
+		connections: new Counter({name: 'egretwing_instance_connections_total', help: 'Connections opened to instances', registers}),
+		storeCalls: new Counter({
+			name: 'egretwing_store_calls_total', help: 'Calls to the platform store by topic and result', labelNames: ['topic', 'result'], registers,
+		}),
+		requestDurationMs: new Histogram({
+			name: 'egretwing_request_duration_ms', help: 'Time from request to final answer', labelNames: ['service'], buckets: durationBucketsMs, registers,
+		}),
+		waitDurationMs: new Histogram({
+			name: 'egretwing_wait_duration_ms', help: 'Time for which a request waited for an instance', labelNames: ['service'], buckets: durationBucketsMs, registers,
+		}),
+		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
+		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/serve.ts
@@ -0,0 +1,381 @@
+/** Takes a caller's request through its stages: route, body, placement, attempts, final answer. */
+
+import type http from 'node:http';
+import {
+	createRefusal,
+	drawService,
+	type AttemptResult,
+	type Catalogue,
+	type DispatchPlacement,
+	type ErrorKind,
+	type PrefixRoute,
+	type PrefixRouteTable,
+	type Random,
+	type Refusal,
+	type RejectReason,
+	type RetryWindow,
+} from '@egretwing/core';
+import {forwardedHeaders, refuse} from '@egretwing/node';
+import {readBody} from './body.ts';
+import {maxUnreachable} from './constants.ts';
+import type {Dispatchers} from './dispatchers.ts';
+import type {GatewayMetrics} from './metrics.ts';
+import type {RequestLog} from './request-log.ts';
+import type {HeaderNames} from './types.ts';
+import type {
+	Upstream, UpstreamAnswer, UpstreamOutcome, UpstreamRequest,
+} from './upstream.ts';
+
+/** What the stages need. */
+export type ServeParts = {
+	readonly nowMs: () => number;
+	readonly random: Random;
+	readonly catalogue: Catalogue;
+	readonly routes: () => PrefixRouteTable;
+	readonly dispatchers: Dispatchers;
+	readonly upstream: Upstream;
+	readonly retryWindow: (service: string) => RetryWindow;
+	/** Gateways that share the callers, and so the retries. */
+	readonly gatewayCount: () => number;
+	readonly headerNames: HeaderNames;
+	readonly metrics: GatewayMetrics;
+	readonly log: RequestLog;
+};
+
+/** One request on its way. */
+type Context = {
+	readonly requestId: string;
+	readonly route: PrefixRoute;
+	readonly service: string;
+	readonly arrivedAtMs: number;
+	readonly finalAtMs: number;
+	readonly isReturning: boolean;
+	readonly upstreamRequest: UpstreamRequest;
+	readonly signal: AbortSignal;
+};
+
+/** What a caller is given in the end. */
+type Final
+	= | {readonly type: 'answer'; readonly answer: UpstreamAnswer; readonly instanceId: string}
+		| {readonly type: 'refusal'; readonly refusal: Refusal; readonly reason: string; readonly retryAfterMs?: number}
+		| {readonly type: 'caller-gone'};
+
+const kindOfReject: Readonly<Record<RejectReason, ErrorKind>> = {
+	'wait-too-long': 'overloaded',
+	'no-instance': 'no-capacity',
+	expired: 'queue-timeout',
+};
+
+const firstServerErrorStatusCode = 500;
+const gatewayTimeoutStatusCode = 504;
+const misdirectedStatusCode = 421;
+
+const toResult = (outcome: UpstreamOutcome, isCallerGone: boolean): AttemptResult => {
+	switch (outcome.type) {
+		case 'answered': {
+			const {statusCode} = outcome.answer;
+			if (statusCode === gatewayTimeoutStatusCode) {
+				return 'no-answer';
+			}
+
+			return statusCode >= firstServerErrorStatusCode ? 'server-error' : 'good';
+		}
+
+		case 'not-executed': {
+			return outcome.statusCode === misdirectedStatusCode ? 'replaced' : 'shed';
+		}
+
+		case 'unreachable': {
+			return 'unreachable';
+		}
+
+		case 'broken': {
+			return 'broken';
+		}
+
+		case 'aborted': {
+			return isCallerGone ? 'abandoned' : 'no-answer';
+		}
+	}
+};
+
+const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
+
+/** Creates the handler of callers' requests. */
+export const createServe = (parts: ServeParts): ((incoming: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) => {
+	const {
+		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log,
+	} = parts;
+
+	const refuseWith = (kind: ErrorKind, reason: string, retryAfterMs?: number, ran?: Refusal['ran']): Final => ({
+		type: 'refusal', refusal: createRefusal(kind, ran), reason, ...(retryAfterMs !== undefined && {retryAfterMs}),
+	});
+
+	const attempt = async (context: Context, placement: DispatchPlacement): Promise<UpstreamOutcome> => {
+		const instance = catalogue.ready(context.service).find(({instanceId}) => instanceId === placement.instanceId);
+		if (instance === undefined) {
+			return {type: 'unreachable', detail: 'instance left'};
+		}
+
+		const leftMs = context.finalAtMs - nowMs();
+		const {outcome, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
+		const timer = setTimeout(abort, Math.max(1, leftMs));
+		context.signal.addEventListener('abort', abort, {once: true});
+		const ended = await outcome;
+		clearTimeout(timer);
+		context.signal.removeEventListener('abort', abort);
+		return ended;
+	};
+
+	/** Whether a failed attempt is followed by another, and why not. */
+	const decideRetry = (context: Context, outcome: UpstreamOutcome, sends: number): 'retry' | 'not-repeatable' | 'attempts-spent' | 'no-time' | 'budget-spent' => {
+		const mayHaveRun = outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
+		if (mayHaveRun && context.route.semantics !== 'idempotent') {
+			return 'not-repeatable';
+		}
+
+		if (sends >= context.route.maxAttempts) {
+			return 'attempts-spent';
+		}
+
+		if (nowMs() + (dispatchers.serviceMs(context.service) / 2) >= context.finalAtMs) {
+			return 'no-time';
+		}
+
+		const isFree = outcome.type === 'unreachable';
+		return isFree || parts.retryWindow(context.service).take(parts.gatewayCount(), nowMs()) ? 'retry' : 'budget-spent';
+	};
+
+	/** What the caller is told when no further attempt is made. */
+	const concludeAttempt = (outcome: UpstreamOutcome, instanceId: string, mayHaveRun: boolean, serviceMs: number): Final => {
+		const ran = mayHaveRun ? 'unknown' : 'not-run';
+		switch (outcome.type) {
+			case 'answered': {
+				return {type: 'answer', answer: outcome.answer, instanceId};
+			}
+
+			case 'not-executed': {
+				return mayHaveRun ? refuseWith('outcome-unknown', 'earlier attempt broken') : refuseWith('shed-by-backend', 'shed', serviceMs / 2);
+			}
+
+			case 'unreachable': {
+				return mayHaveRun ? refuseWith('outcome-unknown', 'earlier attempt broken') : refuseWith('no-capacity', outcome.detail);
+			}
+
+			case 'broken': {
+				return refuseWith('outcome-unknown', outcome.detail, undefined, ran);
+			}
+
+			case 'aborted': {
+				return mayHaveRun ? refuseWith('request-timeout', 'no answer in time') : refuseWith('queue-timeout', 'not sent in time');
+			}
+		}
+	};
+
+	const attemptUntilFinal = async (context: Context): Promise<Final> => {
+		const {service, route} = context;
+		const attemptedIds: string[] = [];
+		let mayHaveRun = false;
+		let sends = 0;
+		let unreachable = 0;
+		let last: Final | undefined;
+		parts.retryWindow(service).noteRequest(nowMs());
+		for (;;) {
+			const placed = await dispatchers.place(service, {
+				requestId: context.requestId,
+				rank: route.rank,
+				isIdempotent: route.semantics === 'idempotent',
+				isReturning: context.isReturning || sends > 0,
+				bodyBytes: context.upstreamRequest.body?.length ?? 0,
+				objectiveAtMs: context.arrivedAtMs + route.latencyObjectiveMs,
+				finalAtMs: context.finalAtMs,
+				attemptedIds,
+			}, context.signal);
+			if (placed.type === 'cancelled') {
+				return {type: 'caller-gone'};
+			}
+
+			if (placed.type === 'reject') {
+				log('rejected', {
+					requestId: context.requestId,
+					route: route.name,
+					service,
+					reason: placed.reason,
+					retryAfterMs: placed.retryAfterMs,
+					leftMs: Math.round(context.finalAtMs - nowMs()),
+					...dispatchers.explain(service),
+				});
+				if (last !== undefined) {
+					return last;
+				}
+
+				return refuseWith(kindOfReject[placed.reason], placed.reason, placed.retryAfterMs);
+			}
+
+			const {placement, waitedMs} = placed;
+			const {instanceId} = placement;
+			metrics.waitDurationMs.observe({service}, waitedMs);
+			const {configVersion, instancesAsOf} = catalogue.digest();
+			log('sent', {
+				requestId: context.requestId,
+				route: route.name,
+				service,
+				instanceId,
+				attempt: sends + 1,
+				waitedMs: Math.round(waitedMs),
+				isTrial: placement.isTrial,
+				configVersion,
+				instancesAsOf,
+				...dispatchers.explain(service, instanceId),
+			});
+			const outcome = await attempt(context, placement);
+			const result = toResult(outcome, context.signal.aborted);
+			dispatchers.finish(service, placement, result);
+			metrics.attempts.inc({service, result});
+			attemptedIds.push(instanceId);
+			if (outcome.type === 'unreachable') {
+				unreachable++;
+			} else {
+				sends++;
+			}
+
+			mayHaveRun ||= outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
+			if (result === 'good') {
+				return concludeAttempt(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
+			}
+
+			if (context.signal.aborted) {
+				return {type: 'caller-gone'};
+			}
+
+			const decision = unreachable >= maxUnreachable ? 'attempts-spent' : decideRetry(context, outcome, sends);
+			log('attempt failed', {
+				requestId: context.requestId, service, instanceId, result, tookMs: Math.round(nowMs() - placement.startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
+			});
+			// An answer of an instance says more than the failure of a later attempt.
+			const final = concludeAttempt(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
+			last = last?.type === 'answer' ? last : final;
+			if (decision !== 'retry') {
+				metrics.retriesRefused.inc({reason: decision});
+				return last;
+			}
+
+			metrics.retries.inc({reason: result});
+		}
+	};
+
+	const writeAnswer = (response: http.ServerResponse, {statusCode, headers, body, rest}: UpstreamAnswer): void => {
+		const kept = forwardedHeaders(headers);
+		response.writeHead(statusCode, {...kept, ...(rest === undefined && kept['content-length'] === undefined && {'content-length': body.length})});
+		if (rest === undefined) {
+			response.end(body);
+			return;
+		}
+
+		response.write(body);
+		rest.once('error', () => {
+			response.destroy();
+		});
+		rest.once('close', () => {
+			if (!rest.complete) {
+				response.destroy();
+			}
+		});
+		rest.pipe(response);
+	};
+
+	const conclude = (response: http.ServerResponse, context: Pick<Context, 'requestId' | 'arrivedAtMs'> & {readonly service: string}, final: Final): void => {
+		const {requestId, service, arrivedAtMs} = context;
+		const tookMs = Math.round(nowMs() - arrivedAtMs);
+		switch (final.type) {
+			case 'answer': {
+				writeAnswer(response, final.answer);
+				metrics.requests.inc({service, result: String(final.answer.statusCode)});
+				metrics.requestDurationMs.observe({service}, tookMs);
+				log('answered', {
+					requestId, service, instanceId: final.instanceId, statusCode: final.answer.statusCode, tookMs,
+				});
+				return;
+			}
+
+			case 'refusal': {
+				const {refusal, reason, retryAfterMs} = final;
+				refuse(response, refusal, retryAfterMs);
+				metrics.requests.inc({service, result: refusal.kind});
+				metrics.refusals.inc({kind: refusal.kind, reason});
+				log('refused', {
+					requestId, service, kind: refusal.kind, ran: refusal.ran, reason, retryAfterMs, tookMs, configVersion: catalogue.digest().configVersion,
+				});
+				return;
+			}
+
+			case 'caller-gone': {
+				response.destroy();
+				metrics.requests.inc({service, result: 'caller-gone'});
+				log('caller gone', {requestId, service, tookMs});
+			}
+		}
+	};
+
+	const findRoute = (incoming: http.IncomingMessage): PrefixRoute | undefined => {
+		const [hostName = ''] = (incoming.headers.host ?? '').split(':');
+		const [path = ''] = (incoming.url ?? '').split('?', 1);
+		return parts.routes().match(hostName.toLowerCase(), path);
+	};
+
+	return async (incoming, response) => {
+		const arrivedAtMs = nowMs();
+		const idHeader = incoming.headers[headerNames.requestId];
+		const requestId = typeof idHeader === 'string' ? idHeader : '';
+		const unrouted = {requestId, service: '', arrivedAtMs};
+		const config = catalogue.config();
+		if (config === undefined || !catalogue.isWhole()) {
+			conclude(response, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances'));
+			return;
+		}
+
+		const route = findRoute(incoming);
+		if (route === undefined) {
+			conclude(response, unrouted, refuseWith('no-route', 'no route'));
+			return;
+		}
+
+		const gone = new AbortController();
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				gone.abort();
+			}
+		});
+		const read = await readBody(incoming, config.limits.maxBodyBytes);
+		if (read.type !== 'whole') {
+			conclude(response, unrouted, read.type === 'too-large' ? refuseWith('request-too-large', 'body') : {type: 'caller-gone'});
+			return;
+		}
+
+		const service = drawService(route.services, parts.random);
+		const callerWaitsMs = Number(incoming.headers[headerNames.deadlineMs] ?? Number.NaN);
+		const limitMs = Number.isFinite(callerWaitsMs) ? Math.min(callerWaitsMs, route.timeoutMs) : route.timeoutMs;
+		const context: Context = {
+			requestId,
+			route,
+			service,
+			arrivedAtMs,
+			finalAtMs: arrivedAtMs + limitMs,
+			isReturning: false,
+			upstreamRequest: {
+				requestId: requestId === '' ? undefined : requestId,
+				method: incoming.method ?? 'GET',
+				target: incoming.url ?? '/',
+				headers: forwardedHeaders(incoming.headers, ownHeaders(headerNames)),
+				body: read.body,
+			},
+			signal: gone.signal,
+		};
+		const final = await attemptUntilFinal(context);
+		if (final.type !== 'caller-gone') {
+			dispatchers.noteServed(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
+		}
+
+		conclude(response, context, final);
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/upstream.ts
@@ -0,0 +1,297 @@
+/**
+ * Sends one request to one instance and reads its answer.
+ *
+ * A connection carries one request at a time. It is kept only after a whole exchange, watched while it is idle, and
+ * destroyed at any doubt, so that bytes of one answer never reach another request.
+ */
+
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type net from 'node:net';
+import {
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxIdleConnectionMs,
+} from './constants.ts';
+import type {HeaderNames} from './types.ts';
+
+/** Where an attempt goes. */
+export type UpstreamTarget = {
+	readonly instanceId: string;
+	readonly address: string;
+	readonly port: number;
+};
+
+/** What is sent. */
+export type UpstreamRequest = {
+	readonly requestId: string | undefined;
+	readonly method: string;
+	/** Path with its query, as the caller sent it. */
+	readonly target: string;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+	/** Null when the request has none. */
+	readonly body: Buffer | null;
+};
+
+/** An answer of an instance; `body` is whole, or `rest` carries what did not fit. */
+export type UpstreamAnswer = {
+	readonly statusCode: number;
+	readonly headers: http.IncomingHttpHeaders;
+	readonly body: Buffer;
+	readonly rest?: http.IncomingMessage;
+};
+
+/** How an attempt ended. */
+export type UpstreamOutcome
+	= | {readonly type: 'answered'; readonly answer: UpstreamAnswer}
+	/** The instance said that it did not run the request. */
+		| {readonly type: 'not-executed'; readonly statusCode: number}
+	/** Nothing was sent. */
+		| {readonly type: 'unreachable'; readonly detail: string}
+	/** The request may have run; no whole answer to it came. */
+		| {readonly type: 'broken'; readonly detail: string}
+	/** The attempt was given up; the request may have run if `isSent`. */
+		| {readonly type: 'aborted'; readonly isSent: boolean};
+
+/** An attempt under way. */
+export type UpstreamAttempt = {
+	readonly outcome: Promise<UpstreamOutcome>;
+	/** Closes the connection, so that the instance stops. */
+	readonly abort: () => void;
+};
+
+/** Connections to the instances. */
+export type Upstream = {
+	readonly send: (target: UpstreamTarget, request: UpstreamRequest, leftMs: number) => UpstreamAttempt;
+	/** Drops what is kept for instances that are not in `ids`. */
+	readonly retain: (ids: ReadonlySet<string>) => void;
+	readonly close: () => void;
+};
+
+/** What the upstream needs. */
+export type UpstreamOptions = {
+	readonly localAddress: string;
+	readonly headerNames: HeaderNames;
+	readonly onConnect: () => void;
+};
+
+const misdirectedStatusCode = 421;
+const firstSuccessStatusCode = 200;
+const lastSuccessStatusCode = 299;
+const msPerSecond = 1000;
+
+const keepAliveHintMs = (header: string | string[] | undefined): number => {
+	const seconds = /timeout=(\d+)/v.exec(String(header ?? ''))?.[1];
+	return seconds === undefined ? Number.POSITIVE_INFINITY : Number(seconds) * msPerSecond;
+};
+
+type AnswerSocket = net.Socket & {idleGuard?: () => void};
+
+/** Keeps connections for a bounded time and destroys those on which an instance speaks unasked. */
+class GuardedAgent extends http.Agent {
+	override keepSocketAlive(socket: AnswerSocket): boolean {
+		if (socket.destroyed || socket.readableLength > 0) {
+			return false;
+		}
+
+		socket.idleGuard = () => {
+			socket.destroy();
+		};
+
+		socket.on('data', socket.idleGuard);
+		socket.setKeepAlive(true, msPerSecond);
+		socket.unref();
+		return true;
+	}
+
+	override reuseSocket(socket: AnswerSocket, request: http.ClientRequest): void {
+		if (socket.idleGuard !== undefined) {
+			socket.off('data', socket.idleGuard);
+		}
+
+		socket.setTimeout(0);
+		super.reuseSocket(socket, request);
+	}
+}
+
+/** Why an answer can't be that of the request; undefined when it can. */
+const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames): string | undefined => {
+	const echoedId = answer.headers[names.requestId];
+	if (request.requestId !== undefined && echoedId !== request.requestId) {
+		return `answer to another request: ${String(echoedId)}`;
+	}
+
+	const statusCode = answer.statusCode ?? 0;
+	const isSuccess = statusCode >= firstSuccessStatusCode && statusCode <= lastSuccessStatusCode;
+	if (isSuccess && answer.headers[names.signature] === undefined) {
+		return 'success without the signature of the instance';
+	}
+
+	return undefined;
+};
+
+/** Creates the connections to the instances. */
+export const createUpstream = ({localAddress, headerNames, onConnect}: UpstreamOptions): Upstream => {
+	const agents = new Map<string, GuardedAgent>();
+
+	const agentOf = ({instanceId}: UpstreamTarget): GuardedAgent => {
+		const agent = agents.get(instanceId) ?? new GuardedAgent({keepAlive: true, scheduling: 'lifo', noDelay: true});
+		agents.set(instanceId, agent);
+		return agent;
+	};
+
+	const limitIdle = (socket: net.Socket, header: string | string[] | undefined): void => {
+		const idleMs = Math.min(maxIdleConnectionMs, keepAliveHintMs(header) - idleCloseMarginMs);
+		if (idleMs <= 0) {
+			socket.destroySoon();
+			return;
+		}
+
+		socket.setTimeout(idleMs);
+	};
+
+	const send = (target: UpstreamTarget, request: UpstreamRequest, leftMs: number): UpstreamAttempt => {
+		let isSent = false;
+		let isAborted = false;
+		let settle: (outcome: UpstreamOutcome) => void;
+		const outcome = new Promise<UpstreamOutcome>(resolve => {
+			settle = resolve;
+		});
+		const outgoing = http.request({
+			agent: agentOf(target),
+			host: target.address,
+			port: target.port,
+			localAddress,
+			method: request.method,
+			path: request.target,
+			setHost: false,
+			headers: {
+				...request.headers,
+				[headerNames.deadlineMs]: String(Math.max(1, Math.floor(leftMs))),
+				[headerNames.targetInstance]: target.instanceId,
+				...(request.body !== null && {'content-length': request.body.length}),
+				connection: 'keep-alive',
+			},
+		});
+		const connectTimer = setTimeout(() => {
+			if (!isSent) {
+				outgoing.destroy(new Error('connect timeout'));
+			}
+		}, connectTimeoutMs);
+
+		const fail = (detail: string): void => {
+			clearTimeout(connectTimer);
+			if (isAborted) {
+				settle({type: 'aborted', isSent});
+				return;
+			}
+
+			settle(isSent ? {type: 'broken', detail} : {type: 'unreachable', detail});
+		};
+
+		const finish = (answer: http.IncomingMessage, chunks: readonly Buffer[]): void => {
+			settle({type: 'answered', answer: {statusCode: answer.statusCode!, headers: answer.headers, body: Buffer.concat(chunks)}});
+		};
+
+		const collect = (answer: http.IncomingMessage): void => {
+			const {socket} = answer;
+			const chunks: Buffer[] = [];
+			let sizeBytes = 0;
+			const onData = (chunk: Buffer): void => {
+				chunks.push(chunk);
+				sizeBytes += chunk.length;
+				if (sizeBytes > heldAnswerBytes) {
+					answer.pause();
+					answer.off('data', onData);
+					settle({
+						type: 'answered', answer: {
+							statusCode: answer.statusCode!, headers: answer.headers, body: Buffer.concat(chunks), rest: answer,
+						},
+					});
+				}
+			};
+
+			answer.on('data', onData);
+			answer.once('end', () => {
+				if (!answer.complete) {
+					fail('answer cut short');
+					return;
+				}
+
+				limitIdle(socket, answer.headers['keep-alive']);
+				finish(answer, chunks);
+			});
+			answer.once('error', error => {
+				fail(error.message);
+			});
+		};
+
+		const takeAnswer = (answer: http.IncomingMessage): void => {
+			// An instance that answers before it has read the body would take the rest of it for a request.
+			if (!outgoing.writableFinished) {
+				outgoing.shouldKeepAlive = false;
+			}
+
+			const isMisdirected = answer.statusCode === misdirectedStatusCode;
+			if (isMisdirected || answer.headers[headerNames.notExecuted] !== undefined) {
+				answer.resume();
+				settle({type: 'not-executed', statusCode: answer.statusCode!});
+				return;
+			}
+
+			const fault = findFault(answer, request, headerNames);
+			if (fault !== undefined) {
+				answer.destroy();
+				fail(fault);
+				return;
+			}
+
+			collect(answer);
+		};
+
+		outgoing.once('socket', socket => {
+			const onReady = (): void => {
+				isSent = true;
+				clearTimeout(connectTimer);
+			};
+
+			if (outgoing.reusedSocket) {
+				onReady();
+				return;
+			}
+
+			onConnect();
+			socket.once('connect', onReady);
+		});
+		outgoing.once('response', takeAnswer);
+		outgoing.on('error', error => {
+			fail(error.message);
+		});
+		outgoing.once('close', () => {
+			fail('connection closed');
+		});
+		outgoing.end(request.body ?? undefined);
+		return {
+			outcome,
+			abort() {
+				isAborted = true;
+				outgoing.destroy();
+			},
+		};
+	};
+
+	return {
+		send,
+		retain(ids) {
+			for (const [id, agent] of agents) {
+				if (!ids.has(id) && Object.keys(agent.sockets).length === 0) {
+					agent.destroy();
+					agents.delete(id);
+				}
+			}
+		},
+		close() {
+			for (const agent of agents.values()) {
+				agent.destroy();
+			}
+		},
+	};
+};
--- a/packages/entry/src/headers.ts
+++ b/packages/node/src/headers.ts
@@ -1,7 +1,5 @@
 /** Which headers pass from one connection to the next. */
 
-import {deadlineHeader, forwardHeader} from './constants.ts';
-
 /** Headers as the library delivers them. */
 export type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -15,8 +13,6 @@
 	'transfer-encoding',
 	'upgrade',
 	'expect',
-	deadlineHeader,
-	forwardHeader,
 ]);
 
 const noContentStatusCodes: ReadonlySet<number> = new Set([204, 304]);
@@ -29,9 +25,9 @@
 	return new Set(names.filter(name => name !== 'content-length' && name !== 'host'));
 };
 
-/** Drops the headers that concern one connection only, those named by `connection` included. */
-export const forwardedHeaders = (headers: Headers): Record<string, string | string[]> => {
-	const dropped = namedByConnection(headers);
+/** Drops the headers that concern one connection only, those named by `connection` included, and those in `also`. */
+export const forwardedHeaders = (headers: Headers, also: readonly string[] = []): Record<string, string | string[]> => {
+	const dropped = new Set([...namedByConnection(headers), ...also]);
 	const kept: Record<string, string | string[]> = {};
 	for (const [name, value] of Object.entries(headers)) {
 		if (value !== undefined && !connectionHeaders.has(name) && !dropped.has(name)) {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -18,3 +18,13 @@
 export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
 export {onShutdownSignal} from './shutdown.ts';
 export {runDaemon} from './main.ts';
+export {answerIsBounded, forwardedHeaders} from './headers.ts';
+export type {Headers} from './headers.ts';
+export {createPeerStreams} from './peer-streams.ts';
+export type {PeerEndpoint, PeerStreams} from './peer-streams.ts';
+export {
+	boundUnreadBody, kindHeader, ranHeader, refuse,
+} from './refusal.ts';
+export {refuseUnreadable} from './refuse-unreadable.ts';
+export {createBoundedWriter} from './bounded-writer.ts';
+export type {BoundedWriter} from './bounded-writer.ts';
--- a/packages/node/src/logger.ts
+++ b/packages/node/src/logger.ts
@@ -1,4 +1,4 @@
-/** Logs as JSON lines on standard error. */
+/** Logs as JSON lines, on standard error unless told otherwise. */
 
 import process from 'node:process';
 import {type ConsolaInstance, createConsola} from 'consola';
@@ -8,8 +8,12 @@
 
 const defaultLevel = 3;
 
+const writeToStandardError = (line: string): void => {
+	process.stderr.write(`${line}\n`);
+};
+
 /** Creates a logger whose lines carry `program` and `hostId`. */
-export const createLogger = (program: string, hostId: string, level = defaultLevel): Logger =>
+export const createLogger = (program: string, hostId: string, level = defaultLevel, writeLine = writeToStandardError): Logger =>
 	createConsola({
 		level,
 		reporters: [
@@ -24,7 +28,7 @@
 						message: String(message),
 						...(typeof fields === 'object' && fields),
 					};
-					process.stderr.write(`${JSON.stringify(line)}\n`);
+					writeLine(JSON.stringify(line));
 				},
 			},
 		],
--- a/packages/agent/src/peer-streams.ts
+++ b/packages/node/src/peer-streams.ts
@@ -1,9 +1,9 @@
-/** TCP between agents, for messages that do not fit a datagram. Each connection carries messages one way. */
+/** TCP between hosts of the fleet, for messages that do not fit a datagram. Each connection carries messages one way. */
 
 import net from 'node:net';
 import type {Buffer} from 'node:buffer';
-import {createFrameReader, frameBytes, listen} from '@egretwing/node';
-import type {PeerEndpoint} from './envelope.ts';
+import {createFrameReader, frameBytes} from './frames.ts';
+import {listen} from './http.ts';
 
 /** Time without traffic after which a connection is closed. */
 const idleTimeoutMs = 15_000;
@@ -11,24 +11,32 @@
 /** Bytes that may wait for one slow peer; what comes after is dropped. */
 const maxWaitingBytes = 16_777_216;
 
+/** Where a peer listens. */
+export type PeerEndpoint = {
+	readonly address: string;
+	readonly peerPort: number;
+};
+
 /** Connections to and from peers. */
 export type PeerStreams = {
-	/** Sends sealed bytes; dropped when the peer can't be reached or reads too slowly. */
-	readonly send: (to: PeerEndpoint, sealed: Buffer) => void;
+	/** Sends one message; dropped when the peer can't be reached or reads too slowly. */
+	readonly send: (to: PeerEndpoint, message: Buffer) => void;
+	/** Ends the connection to a peer that does not answer; the next message opens another. */
+	readonly reset: (to: PeerEndpoint) => void;
 	readonly close: () => void;
 };
 
-/** Where to listen and who takes sealed bytes. */
+/** Where to listen and who takes messages. */
 export type PeerStreamsOptions = PeerEndpoint & {
 	/** Returns false to end the connection. */
-	readonly onSealed: (sealed: Buffer) => boolean;
+	readonly onMessage: (message: Buffer) => boolean;
 };
 
-const readFrames = (socket: net.Socket, onSealed: (sealed: Buffer) => boolean): void => {
+const readFrames = (socket: net.Socket, onMessage: (message: Buffer) => boolean): void => {
 	const reader = createFrameReader();
 	socket.on('data', bytes => {
 		const payloads = reader.push(bytes);
-		if (payloads.isErr() || !payloads.value.every(payload => onSealed(payload))) {
+		if (payloads.isErr() || !payloads.value.every(payload => onMessage(payload))) {
 			socket.destroy();
 		}
 	});
@@ -55,7 +63,7 @@
 		prepare(socket, () => {
 			incoming.delete(socket);
 		});
-		readFrames(socket, options.onSealed);
+		readFrames(socket, options.onMessage);
 	});
 	await listen(server, options.peerPort, options.address);
 
@@ -70,14 +78,20 @@
 		return socket;
 	};
 
+	const keyOf = ({address, peerPort}: PeerEndpoint): string => `${address}:${peerPort}`;
+
 	return {
-		send(to, sealed) {
-			const key = `${to.address}:${to.peerPort}`;
+		send(to, message) {
+			const key = keyOf(to);
 			const socket = outgoing.get(key) ?? connect(to, key);
 			if (socket.writable && socket.writableLength < maxWaitingBytes) {
-				socket.write(frameBytes(sealed));
+				socket.write(frameBytes(message));
 			}
 		},
+		reset(to) {
+			outgoing.get(keyOf(to))?.destroy();
+			outgoing.delete(keyOf(to));
+		},
 		close() {
 			server.close();
 			for (const socket of [...outgoing.values(), ...incoming]) {
--- a/packages/entry/src/refuse-unreadable.ts
+++ b/packages/node/src/refuse-unreadable.ts
@@ -4,7 +4,7 @@
 import type http from 'node:http';
 import type net from 'node:net';
 import {createProblem, errorAnswers, type ErrorKind} from '@egretwing/core';
-import {kindHeader, ranHeader} from './constants.ts';
+import {kindHeader, ranHeader} from './refusal.ts';
 
 const kindsByCode: Readonly<Record<string, ErrorKind>> = {
 	HPE_HEADER_OVERFLOW: 'headers-too-large',
