fix(gateway): avoided instances, lost history, answers without a length, start after a full outage

The connection ended in order (no error, end seen), so the two can't be told apart; the answer is passed on without a length.

--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -83,8 +83,7 @@
 			return {...before, entry, heardAtMs: nowMs};
 		}
 
-		const isSameLife = live !== undefined && lifeOf(live) === lifeOf(record);
-		const knownSinceMs = isSameLife ? live.knownSinceMs : nowMs;
+		const knownSinceMs = live !== undefined && lifeOf(live) === lifeOf(record) ? live.knownSinceMs : nowMs;
 		return {entry, heardAtMs: nowMs, live: {...record, instanceId: entry.instanceId, knownSinceMs}};
 	};
 
@@ -101,7 +100,8 @@
 	};
 
 	const computeReady = (service: string): readonly LiveInstance[] => [...known.values()]
-		.flatMap(({live}) => live !== undefined && live.service === service && live.state === 'ready' ? [live] : [])
+		.flatMap(({live}) => live ?? [])
+		.filter(live => live.service === service && live.state === 'ready')
 		.toSorted((left, right) => left.instanceId < right.instanceId ? -1 : 1);
 
 	const release = (id: string, {entry, heardAtMs, live, heldUntilMs}: Known, nowMs: number): void => {
--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -115,7 +115,7 @@
 				serviceMs += serviceTimeWeight * (nowMs - placement.startedAtMs - serviceMs);
 			}
 
-			return pool.finish(placement, result, nowMs);
+			return pool.finish(placement, result, contextAt(nowMs));
 		},
 		poll(nowMs) {
 			if (queue.length() === 0) {
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -30,7 +30,7 @@
 	/** Takes a free slot for a request; undefined when none may be used now. */
 	readonly take: (request: DispatchRequest, context: ChoiceContext) => Placement | undefined;
 	/** Gives the slot back and learns from the attempt; true when the instance is avoided from now on. */
-	readonly finish: (placement: Placement, result: AttemptResult, nowMs: number) => boolean;
+	readonly finish: (placement: Placement, result: AttemptResult, context: ChoiceContext) => boolean;
 	/** Instances that were found stalled since the last call. */
 	readonly findStalled: (context: ChoiceContext) => readonly string[];
 	/** True when an instance besides those that were attempted exists. */
@@ -214,8 +214,10 @@
 			best.usedAtMs = nowMs;
 			return placement;
 		},
-		finish(placement, result, nowMs) {
-			return forget(placement)?.trust.observe(result, placement.startedAtMs, nowMs) ?? false;
+		finish(placement, result, {nowMs, serviceMs}) {
+			// A request whose time was short says nothing of the instance when it ends unanswered.
+			const isShortWait = result === 'no-answer' && nowMs - placement.startedAtMs < overdueFactor * serviceMs;
+			return forget(placement)?.trust.observe(isShortWait ? 'abandoned' : result, placement.startedAtMs, nowMs) ?? false;
 		},
 		findStalled({nowMs, serviceMs}) {
 			const limitMs = Math.max(minStalledMs, stalledFactor * serviceMs);
--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -22,4 +22,4 @@
 export const unreachableHoldMs = 4000;
 
 /** Time after the start in which members find each other before one elects itself to read. */
-export const electionWaitMs = 1200;
+export const electionWaitMs = 600;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -27,6 +27,12 @@
 /** A connection is given up this long before the instance said that it closes it. */
 export const idleCloseMarginMs = 1000;
 
+/** How long a request waits for a process that has just started: the time in which one learns what it needs. */
+export const startWaitMs = 1000;
+
+/** When callers of a process that knows too little are asked to come back. */
+export const notReadyRetryMs = 250;
+
 /** Connections that fail to open before a request is rejected. */
 export const maxUnreachable = 3;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import type {
 	HeaderNames, StoreClient, StoreFailure, StoreRead, StoreTopic,
 } from './types.ts';
+import {createGate} from './gate.ts';
 import {createUpstream} from './upstream.ts';
 
 /** Where callers may connect, and for how long the answer holds. */
@@ -257,6 +258,7 @@
 		headerNames,
 		metrics,
 		log: createRequestLog(logger, nowMs),
+		whenWhole: async signal => whole.wait(signal),
 	});
 
 	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, async (incoming, response) => {
@@ -295,6 +297,8 @@
 		}
 	};
 
+	const whole = createGate();
+
 	const join = (): void => {
 		const timeMs = nowMs();
 		if (timeMs < nextJoinMs) {
@@ -313,6 +317,7 @@
 	const announce = (): void => {
 		if (!announcedUp && !isDraining && catalogue.isWhole()) {
 			announcedUp = true;
+			whole.open();
 			logger.info('ready', {configVersion: catalogue.digest().configVersion, instancesAsOf: catalogue.digest().instancesAsOf, afterMs: Math.round(nowMs() - startedAtMs)});
 			sendMembers(membership.setEntry('up', incarnation, nowMs()));
 		}
@@ -399,17 +404,17 @@
 		server.closeAllConnections();
 	};
 
+	/** Until this gateway knows the others it names itself: a gateway that starts serves sooner than a caller finds another. */
+	const locate = (dataCentre: string | undefined): LocatedGateways['addresses'] => {
+		const placedHosts = gatewaysForCaller(placed, dataCentre).flatMap(gateway => hostById.get(gateway.hostId) ?? []);
+		const isKnown = membership.isTrusted(nowMs()) && placedHosts.length > 0;
+		const hosts = isKnown || isDraining ? placedHosts : [self];
+		return hosts.map(host => ({address: host.address, port: host.entryPort}));
+	};
+
 	let ending: Promise<void> | undefined;
 	return {
-		locate: dataCentre => ({
-			addresses: membership.isTrusted(nowMs())
-				? gatewaysForCaller(placed, dataCentre).flatMap(gateway => {
-					const host = hostById.get(gateway.hostId);
-					return host === undefined ? [] : [{address: host.address, port: host.entryPort}];
-				})
-				: [],
-			keepMs: locateKeepMs,
-		}),
+		locate: dataCentre => ({addresses: locate(dataCentre), keepMs: locateKeepMs}),
 		isReady: () => announcedUp && !isDraining,
 		setSeeds(addresses) {
 			seeds = addresses;
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -17,7 +17,7 @@
 } from '@egretwing/core';
 import {forwardedHeaders, refuse} from '@egretwing/node';
 import {readBody} from './body.ts';
-import {maxUnreachable} from './constants.ts';
+import {maxUnreachable, notReadyRetryMs, startWaitMs} from './constants.ts';
 import type {Dispatchers} from './dispatchers.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
@@ -40,6 +40,8 @@
 	readonly headerNames: HeaderNames;
 	readonly metrics: GatewayMetrics;
 	readonly log: RequestLog;
+	/** Resolves with true once configuration and instances are known, with false when `signal` aborts before. */
+	readonly whenWhole: (signal: AbortSignal) => Promise<boolean>;
 };
 
 /** One request on its way. */
@@ -264,9 +266,17 @@
 		}
 	};
 
-	const writeAnswer = (response: http.ServerResponse, {statusCode, headers, body, rest}: UpstreamAnswer): void => {
-		const kept = forwardedHeaders(headers);
-		response.writeHead(statusCode, {...kept, ...(rest === undefined && kept['content-length'] === undefined && {'content-length': body.length})});
+	const writeAnswer = (response: http.ServerResponse, answer: UpstreamAnswer): void => {
+		const {statusCode, headers, body, isBounded, rest, isRestWhole} = answer;
+		const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
+		if (isBounded) {
+			response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
+		} else {
+			// Nothing says that the answer is whole, so that the caller must not be told a length either.
+			response.removeHeader('transfer-encoding');
+			response.writeHead(statusCode, {...kept, connection: 'close'});
+		}
+
 		if (rest === undefined) {
 			response.end(body);
 			return;
@@ -276,12 +286,14 @@
 		rest.once('error', () => {
 			response.destroy();
 		});
-		rest.once('close', () => {
-			if (!rest.complete) {
+		rest.once('end', () => {
+			if (isRestWhole?.() === true) {
+				response.end();
+			} else {
 				response.destroy();
 			}
 		});
-		rest.pipe(response);
+		rest.pipe(response, {end: false});
 	};
 
 	const conclude = (response: http.ServerResponse, context: Pick<Context, 'requestId' | 'arrivedAtMs'> & {readonly service: string}, final: Final): void => {
@@ -328,9 +340,11 @@
 		const idHeader = incoming.headers[headerNames.requestId];
 		const requestId = typeof idHeader === 'string' ? idHeader : '';
 		const unrouted = {requestId, service: '', arrivedAtMs};
+		// A process that has just started knows enough within moments, sooner than the caller finds another gateway.
+		const isWhole = catalogue.isWhole() || await parts.whenWhole(AbortSignal.timeout(startWaitMs));
 		const config = catalogue.config();
-		if (config === undefined || !catalogue.isWhole()) {
-			conclude(response, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances'));
+		if (!isWhole || config === undefined) {
+			conclude(response, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances', notReadyRetryMs));
 			return;
 		}
 
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -51,6 +51,7 @@
 	let isRunning = false;
 	let isStopped = false;
 	let asOf = -1;
+	let mustReadAll = false;
 	let lastSuccessMs = Number.NaN;
 	let failingSinceMs: number | undefined;
 	let recoveredAtMs = Number.NEGATIVE_INFINITY;
@@ -74,7 +75,7 @@
 	const noteFailure = (failure: StoreFailure): void => {
 		if (failure === 'history-gone') {
 			logger.warn('store history gone', {topic, asOf});
-			asOf = -1;
+			mustReadAll = true;
 			return;
 		}
 
@@ -99,7 +100,7 @@
 
 	const step = async (): Promise<void> => {
 		const from = Math.max(asOf, options.knownAsOf());
-		const isFull = from === -1;
+		const isFull = mustReadAll || from === -1;
 		const result = isFull ? await client.readAll(topic) : await client.watch(topic, from, watchWaitMs);
 		metrics.storeCalls.inc({topic, result: result.isErr() ? result.error : 'ok'});
 		if (isStopped) {
@@ -112,6 +113,7 @@
 		}
 
 		noteSuccess();
+		mustReadAll = false;
 		take(result.value, isFull);
 	};
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -8,6 +8,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
+import {answerIsBounded} from '@egretwing/node';
 import {
 	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxIdleConnectionMs,
 } from './constants.ts';
@@ -36,7 +37,11 @@
 	readonly statusCode: number;
 	readonly headers: http.IncomingHttpHeaders;
 	readonly body: Buffer;
+	/** False when only the end of the connection marks the end of the answer, so that a cut one looks whole. */
+	readonly isBounded: boolean;
 	readonly rest?: http.IncomingMessage;
+	/** Asked once `rest` has ended. */
+	readonly isRestWhole?: () => boolean;
 };
 
 /** How an attempt ended. */
@@ -112,6 +117,10 @@
 	}
 }
 
+/** Node takes a reset for the end of an answer that has no length; only an orderly end completes it. */
+const isWhole = (answer: http.IncomingMessage, socket: net.Socket, method: string): boolean =>
+	answer.complete && (socket.errored === null || answerIsBounded(method, answer.statusCode ?? 0, answer.headers));
+
 /** Why an answer can't be that of the request; undefined when it can. */
 const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames): string | undefined => {
 	const echoedId = answer.headers[names.requestId];
@@ -187,8 +196,15 @@
 			settle(isSent ? {type: 'broken', detail} : {type: 'unreachable', detail});
 		};
 
+		const toAnswer = (answer: http.IncomingMessage, chunks: readonly Buffer[]): UpstreamAnswer => ({
+			statusCode: answer.statusCode!,
+			headers: answer.headers,
+			body: Buffer.concat(chunks),
+			isBounded: answerIsBounded(request.method, answer.statusCode!, answer.headers),
+		});
+
 		const finish = (answer: http.IncomingMessage, chunks: readonly Buffer[]): void => {
-			settle({type: 'answered', answer: {statusCode: answer.statusCode!, headers: answer.headers, body: Buffer.concat(chunks)}});
+			settle({type: 'answered', answer: toAnswer(answer, chunks)});
 		};
 
 		const collect = (answer: http.IncomingMessage): void => {
@@ -201,17 +217,13 @@
 				if (sizeBytes > heldAnswerBytes) {
 					answer.pause();
 					answer.off('data', onData);
-					settle({
-						type: 'answered', answer: {
-							statusCode: answer.statusCode!, headers: answer.headers, body: Buffer.concat(chunks), rest: answer,
-						},
-					});
+					settle({type: 'answered', answer: {...toAnswer(answer, chunks), rest: answer, isRestWhole: () => isWhole(answer, socket, request.method)}});
 				}
 			};
 
 			answer.on('data', onData);
 			answer.once('end', () => {
-				if (!answer.complete) {
+				if (!isWhole(answer, socket, request.method)) {
 					fail('answer cut short');
 					return;
 				}
