--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -21,8 +21,8 @@
 /** Suspicion at which an instance is avoided. */
 export const avoidSuspicion = 1;
 
-/** Suspicion that one error answer raises: sound instances give about one in a hundred, so a single one is weak evidence. */
-export const serverErrorSuspicion = 0.5;
+/** Suspicion that one error answer raises: sound instances give about one in a hundred, so one is weak evidence and two in a row are strong. */
+export const serverErrorSuspicion = 0.6;
 
 /** Suspicion that one good answer takes away. */
 export const goodAnswerRelief = 0.25;
@@ -76,8 +76,8 @@
 export const minRetryAfterMs = 50;
 export const maxRetryAfterMs = 2000;
 
-/** Part of the remaining time to the objective that a first-time request may spend waiting before it is rejected. */
-export const maxWaitShare = 0.9;
+/** Part of the time to the objective, less one service time, that a request may be expected to wait: the rest is for the spread of service times. */
+export const maxWaitShare = 0.75;
 
 /** Length of the window in which answers to callers are counted. */
 export const servedWindowMs = 2000;
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -2,7 +2,7 @@
 
 export {createDispatcher} from './dispatcher.ts';
 export type {Dispatcher, DispatcherSnapshot} from './dispatcher.ts';
-export {createRetryWindow} from './retry-window.ts';
+export {createRetryWindow, slackShareOf} from './retry-window.ts';
 export type {RetryLimits, RetryWindow} from './retry-window.ts';
 export type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, InstanceReport, LateDecision, Placement, RejectReason,
--- a/packages/core/src/dispatch/retry-window.ts
+++ b/packages/core/src/dispatch/retry-window.ts
@@ -18,10 +18,20 @@
 /** Repeated sends of one service at one gateway. */
 export type RetryWindow = {
 	readonly noteRequest: (nowMs: number) => void;
-	/** Takes one repeated send; false when none is left. `gatewayCount` gateways share the slack. */
-	readonly take: (gatewayCount: number, nowMs: number) => boolean;
+	/** Takes one repeated send; false when none is left. `slackShare` is this gateway's part of the slack, from 0 to 1. */
+	readonly take: (slackShare: number, nowMs: number) => boolean;
 };
 
+/** Part of the slack for the gateways that callers are sent to; they share it evenly. */
+const placedSlackShare = 0.6;
+
+/** Part of the slack for all gateways together, whether callers are sent to them or not. */
+const commonSlackShare = 0.2;
+
+/** A gateway's part of the slack. What is left over covers gateways that are started anew and have forgotten what they sent. */
+export const slackShareOf = (isPlaced: boolean, placedCount: number, memberCount: number): number =>
+	(commonSlackShare / Math.max(1, memberCount)) + (isPlaced ? placedSlackShare / Math.max(1, placedCount) : 0);
+
 type Bucket = {
 	readonly index: number;
 	requests: number;
@@ -48,11 +58,11 @@
 		noteRequest(nowMs) {
 			current(nowMs).requests++;
 		},
-		take(gatewayCount, nowMs) {
+		take(slackShare, nowMs) {
 			const bucket = current(nowMs);
 			const requests = buckets.reduce((sum, {requests}) => sum + requests, 0);
 			const retries = buckets.reduce((sum, {retries}) => sum + retries, 0);
-			if (retries + 1 > (ratio * requests) + (slack / Math.max(1, gatewayCount))) {
+			if (retries + 1 > (ratio * requests) + (slack * slackShare)) {
 				return false;
 			}
 
--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -180,12 +180,15 @@
 	/** Both sides of a difference ask for what the other has, since a sum does not say who is ahead. */
 	const compareWith = (from: string, {digest}: Extract<SpreadMessage, {type: 'compare'}>, nowMs: number): readonly SpreadSend[] => {
 		const own = catalogue.digest();
-		const differs = own.instances !== digest.instances && digest.instancesAsOf !== -1;
-		const isAhead = own.configVersion > digest.configVersion || (own.instances !== digest.instances && own.instancesAsOf !== -1);
+		const isSame = own.instances === digest.instances;
+		// A gateway that heard of all changes, but of no full read, does not know yet that nothing is missing.
+		const needsInstances = digest.instancesAsOf !== -1 && (!isSame || own.instancesAsOf === -1);
+		const offersInstances = own.instancesAsOf !== -1 && (!isSame || digest.instancesAsOf === -1);
+		const offersConfig = own.configVersion > digest.configVersion;
 		return [
-			...(differs ? pullInstances(from, nowMs) : []),
+			...(needsInstances ? pullInstances(from, nowMs) : []),
 			...pullConfig(from, digest.configVersion, nowMs),
-			...(isAhead ? answerPull(from, {type: 'pull', configVersion: digest.configVersion, wantsInstances: own.instances !== digest.instances && own.instancesAsOf !== -1}) : []),
+			...(offersInstances || offersConfig ? answerPull(from, {type: 'pull', configVersion: digest.configVersion, wantsInstances: offersInstances}) : []),
 		];
 	};
 
--- /dev/null
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -0,0 +1,178 @@
+import {expect} from 'chai';
+import {
+	createDispatcher, createRandom, createRetryWindow, slackShareOf, type AttemptResult, type DispatchDecision, type DispatchRequest, type Dispatcher,
+} from '@egretwing/core';
+import {createInstances} from './load-model.ts';
+
+const request = (changes: Partial<DispatchRequest> = {}): DispatchRequest => ({
+	requestId: 'r', rank: 1, isIdempotent: false, isReturning: false, bodyBytes: 0, objectiveAtMs: 10_800, finalAtMs: 11_200, attemptedIds: [], ...changes,
+});
+
+const create = (count: number, slots = 1, dataCentres?: readonly string[]): Dispatcher<DispatchRequest> => {
+	const dispatcher = createDispatcher('a', createRandom(1));
+	dispatcher.setInstances(createInstances(count, slots, dataCentres));
+	return dispatcher;
+};
+
+const sentTo = (decision: DispatchDecision): string => decision.type === 'send' ? decision.placement.instanceId : decision.type;
+
+/** Sends one request at `nowMs` and ends it after `tookMs`. */
+const run = (dispatcher: Dispatcher<DispatchRequest>, result: AttemptResult, nowMs: number, tookMs: number): string => {
+	const decision = dispatcher.submit(request({objectiveAtMs: nowMs + 800, finalAtMs: nowMs + 1200}), nowMs);
+	if (decision.type === 'send') {
+		dispatcher.finish(decision.placement, result, nowMs + tookMs);
+	}
+
+	return sentTo(decision);
+};
+
+/** Sends each instance its first request; returns the one that proved itself last. */
+const introduceAll = (dispatcher: Dispatcher<DispatchRequest>, count: number): string =>
+	Array.from({length: count}, (_, index) => run(dispatcher, 'good', 5000 + (index * 1000), 100)).at(-1)!;
+
+describe('dispatch decisions', () => {
+	const ends: ReadonlyArray<readonly [result: AttemptResult, tookMs: number, isUsedNext: boolean]> = [
+		['good', 200, true],
+		['broken', 2, false],
+		['server-error', 200, false],
+		['no-answer', 1200, false],
+		// A short time given to a request proves nothing against the instance.
+		['no-answer', 400, true],
+		['shed', 5, false],
+		['unreachable', 350, false],
+		['replaced', 5, false],
+		['abandoned', 900, true],
+	];
+	for (const [result, tookMs, isUsedNext] of ends) {
+		it(`${isUsedNext ? 'goes on using' : 'prefers others to'} an instance after ${result} in ${tookMs} ms`, () => {
+			const dispatcher = create(4);
+			const proven = introduceAll(dispatcher, 4);
+			expect(run(dispatcher, result, 9200, tookMs)).to.equal(proven);
+			const next = dispatcher.submit(request({objectiveAtMs: 9200 + tookMs + 900, finalAtMs: 9200 + tookMs + 1300}), 9200 + tookMs + 1);
+			expect(sentTo(next) === proven).to.equal(isUsedNext);
+		});
+	}
+
+	it('tells peers to avoid an instance after a second error answer in a row, not after the first', () => {
+		const dispatcher = create(1);
+		const avoidMs = [9000, 9400].map(nowMs => {
+			run(dispatcher, 'server-error', nowMs, 100);
+			return dispatcher.report(nowMs + 100).instances[0]?.avoidMs ?? 0;
+		});
+		expect(avoidMs).to.deep.equal([0, 4000]);
+	});
+
+	it('leaves half of the slots in use when most instances look bad', () => {
+		const dispatcher = create(4);
+		for (let index = 0; index < 4; index++) {
+			run(dispatcher, 'broken', 9000 + (index * 10), 2);
+		}
+
+		expect([0, 1].map(() => sentTo(dispatcher.submit(request(), 10_000)))).to.not.include('wait');
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('wait');
+	});
+
+	it('avoids what a peer avoids, and counts what a peer has in flight', () => {
+		const dispatcher = create(3);
+		dispatcher.hear('peer', {instances: [{instanceId: 'i-0', inFlight: 0, avoidMs: 3000}, {instanceId: 'i-1', inFlight: 1}]}, 9900);
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('i-2');
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('wait');
+	});
+
+	it('stays in its data centre while there is room, and leaves it rather than wait', () => {
+		const dispatcher = create(2, 1, ['a', 'b']);
+		const chosen = [0, 1].map(() => sentTo(dispatcher.submit(request(), 10_000)));
+		expect(chosen).to.deep.equal(['i-0', 'i-1']);
+	});
+
+	const orders: ReadonlyArray<readonly [title: string, first: Partial<DispatchRequest>, second: Partial<DispatchRequest>]> = [
+		['the more urgent', {rank: 2, requestId: 'late'}, {rank: 1, requestId: 'first'}],
+		['a returning caller', {requestId: 'late'}, {isReturning: true, requestId: 'first'}],
+		['the one whose objective ends first', {objectiveAtMs: 10_900, requestId: 'late'}, {objectiveAtMs: 10_780, requestId: 'first'}],
+	];
+	for (const [title, first, second] of orders) {
+		it(`gives a free slot to ${title}`, () => {
+			const dispatcher = create(1);
+			const decision = dispatcher.submit(request(), 10_000);
+			dispatcher.submit(request(first), 10_000);
+			dispatcher.submit(request(second), 10_001);
+			if (decision.type !== 'send') {
+				throw new Error('expected a free slot');
+			}
+
+			dispatcher.finish(decision.placement, 'good', 10_100);
+			expect(dispatcher.poll(10_100).map(({request: {requestId}}) => requestId)).to.deep.equal(['first']);
+		});
+	}
+
+	it('rejects at once what would wait beyond its objective, with a time to come back', () => {
+		const dispatcher = create(1);
+		const decisions = Array.from({length: 5}, () => dispatcher.submit(request(), 10_000));
+		expect(decisions.map(({type}) => type)).to.deep.equal(['send', 'wait', 'reject', 'reject', 'reject']);
+		for (const decision of decisions) {
+			if (decision.type === 'reject') {
+				expect(decision.retryAfterMs).to.be.within(50, 2000);
+			}
+		}
+	});
+
+	it('rejects a waiting request once it can no longer be answered in time', () => {
+		const dispatcher = create(1);
+		dispatcher.submit(request(), 10_000);
+		dispatcher.submit(request(), 10_000);
+		expect(dispatcher.poll(11_100).map(({decision}) => decision.type)).to.deep.equal(['reject']);
+	});
+
+	it('holds a new instance to one request until it has answered', () => {
+		const dispatcher = createDispatcher('a', createRandom(1));
+		dispatcher.setInstances(createInstances(1, 4));
+		expect([0, 1].map(() => dispatcher.submit(request(), 10_000).type)).to.deep.equal(['send', 'wait']);
+	});
+
+	it('finds an instance stalled whose request is far older than an answer takes', () => {
+		const dispatcher = create(3);
+		const id = sentTo(dispatcher.submit(request(), 10_000));
+		expect(dispatcher.findStalled(10_700)).to.deep.equal([]);
+		expect(dispatcher.findStalled(11_600)).to.deep.equal([id]);
+	});
+});
+
+describe('retry window', () => {
+	const cases: ReadonlyArray<readonly [requests: number, slackShare: number, allowed: number]> = [
+		[0, 1, 10],
+		[0, 0.2, 2],
+		[100, 1, 30],
+		[100, 0.2, 22],
+		[4, 0.005, 0],
+	];
+	for (const [requests, slackShare, allowed] of cases) {
+		it(`lets ${allowed} repeated sends pass after ${requests} requests with ${slackShare} of the slack`, () => {
+			const window = createRetryWindow({ratio: 0.2, slack: 10, windowMs: 10_000});
+			for (let index = 0; index < requests; index++) {
+				window.noteRequest(1000);
+			}
+
+			const taken = Array.from({length: 60}, () => window.take(slackShare, 1000)).filter(Boolean).length;
+			expect(taken).to.equal(allowed);
+			expect(window.take(slackShare, 5000)).to.equal(false);
+		});
+	}
+
+	it('keeps 44 gateways within the allowance of the fleet while every instance sheds', () => {
+		const random = createRandom(4);
+		const gateways = Array.from({length: 44}, (_, index) => ({isPlaced: index < 3, window: createRetryWindow({ratio: 0.2, slack: 62, windowMs: 10_000})}));
+		let requests = 0;
+		let retries = 0;
+		for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+			// Two requests in three reach the gateways that callers are sent to, the others test the configuration anywhere.
+			const index = random.next() < 0.67 ? Math.floor(random.next() * 3) : Math.floor(random.next() * 44);
+			const {isPlaced, window} = gateways[index]!;
+			window.noteRequest(nowMs);
+			requests++;
+			retries += window.take(slackShareOf(isPlaced, 3, 44), nowMs) ? 1 : 0;
+		}
+
+		expect(retries).to.be.at.most((0.2 * requests) + 62);
+		expect(retries).to.be.at.least(0.2 * requests);
+	});
+});
--- /dev/null
+++ b/packages/core/test/dispatch/load-replay.test.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {createDispatcher, createRandom} from '@egretwing/core';
+import {
+	createInstances, createTwoChoices, replay, type Load, type Outcome, type Policy,
+} from './load-model.ts';
+
+const createPolicy = (load: Load): Policy => {
+	const dispatcher = createDispatcher('a', createRandom(load.seed));
+	dispatcher.setInstances(load.instances);
+	return dispatcher;
+};
+
+const base: Load = {
+	seed: 1,
+	lengthMs: 30_000,
+	instances: createInstances(18, 2),
+	serviceMs: 220,
+	perSecond: () => 50,
+	objectiveMs: 800,
+	timeoutMs: 1200,
+	breaks: () => false,
+};
+
+/** Each instance breaks three requests in four during 3.6 s of every 12 s, at a phase of its own. */
+const episodes: Load['breaks'] = (instanceId, nowMs, random) => {
+	const phaseMs = Number(instanceId.slice(2)) * 667;
+	return (nowMs + phaseMs) % 12_000 < 3600 && random.next() < 0.75;
+};
+
+const unservedShare = ({asked, rejected, broken}: Outcome): number => (rejected + broken) / asked;
+
+describe('dispatch under a replayed load', () => {
+	for (const seed of [1, 2, 3]) {
+		it(`loses less than a quarter of the baseline's requests to instances that break them for seconds, seed ${seed}`, () => {
+			const load = {...base, seed, breaks: episodes};
+			const ours = replay(createPolicy(load), load);
+			const baseline = replay(createTwoChoices(load.instances, seed), load);
+			expect(unservedShare(ours)).to.be.below(unservedShare(baseline) / 4);
+		});
+
+		it(`answers more in time than the baseline through a burst of 1.7 times for 3 s, seed ${seed}`, () => {
+			const load = {
+				...base, seed, serviceMs: 290, instances: createInstances(12, 2), perSecond: (nowMs: number) => nowMs > 10_000 && nowMs < 13_000 ? 102 : 60,
+			};
+			const ours = replay(createPolicy(load), load);
+			expect(ours.mostInFlight).to.be.at.most(2);
+			expect(ours.longestRejectionMs).to.be.at.most(load.timeoutMs);
+			expect(ours.inObjective / ours.asked).to.be.above(0.9);
+		});
+
+		it(`keeps answering in time under twice the load that can be served, seed ${seed}`, () => {
+			const load = {
+				...base, seed, serviceMs: 290, instances: createInstances(12, 2), perSecond: () => 165,
+			};
+			const ours = replay(createPolicy(load), load);
+			const capacity = 24 * (load.lengthMs / load.serviceMs);
+			expect((ours.inObjective + ours.late) / capacity).to.be.above(0.95);
+			expect(ours.inObjective / (ours.inObjective + ours.late)).to.be.above(0.75);
+		});
+	}
+
+	it('uses every sound instance again after its episode', () => {
+		const load = {
+			...base, breaks: episodes, lengthMs: 60_000, perSecond: () => 120,
+		};
+		const used = new Set<string>();
+		const policy = createPolicy(load);
+		replay({
+			...policy,
+			finish(placement, result, nowMs) {
+				if (nowMs > 40_000 && result === 'good') {
+					used.add(placement.instanceId);
+				}
+
+				return policy.finish(placement, result, nowMs);
+			},
+		}, load);
+		expect(used.size).to.equal(load.instances.length);
+	});
+});
--- /dev/null
+++ b/packages/core/test/spread.test.ts
@@ -0,0 +1,165 @@
+import {expect} from 'chai';
+import {
+	createCatalogue, createRandom, createReaderElection, createSpread, type Catalogue, type FleetConfig, type InstanceEntry, type Spread, type SpreadMessage, type SpreadSend,
+} from '@egretwing/core';
+
+const delayMs = 2;
+
+const config = (version: number): FleetConfig => ({
+	version,
+	routes: [],
+	services: [],
+	limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+});
+
+const entry = (instanceId: string, revision: number): InstanceEntry => ({
+	instanceId,
+	revision,
+	record: {
+		service: 's', address: '10.0.0.1', port: 80, dataCentre: 'a', slots: 1, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+	},
+});
+
+type Node = {readonly id: string; readonly catalogue: Catalogue; readonly spread: Spread};
+
+/** Gateways on a network that loses what `isLost` names. */
+const createFleet = (size: number, isLost: (from: string, send: SpreadSend) => boolean = () => false) => {
+	const ids = Array.from({length: size}, (_, index) => `g-${index}`);
+	const flight: Array<{readonly atMs: number; readonly from: string; readonly to: string; readonly message: SpreadMessage}> = [];
+	const sent: SpreadMessage[] = [];
+	let nowMs = 0;
+	const nodes = new Map<string, Node>(ids.map((id, index) => {
+		const catalogue = createCatalogue();
+		const spread = createSpread({
+			catalogue, random: createRandom(index + 1), peerIds: () => ids.filter(other => other !== id), onChange: () => undefined,
+		});
+		return [id, {id, catalogue, spread}];
+	}));
+
+	const post = (from: string, sends: readonly SpreadSend[]): void => {
+		for (const send of sends) {
+			sent.push(send.message);
+			if (!isLost(from, send)) {
+				flight.push({
+					atMs: nowMs + delayMs, from, to: send.to, message: send.message,
+				});
+			}
+		}
+	};
+
+	const runUntil = (endMs: number): void => {
+		for (; nowMs < endMs; nowMs++) {
+			for (const each of flight.splice(0)) {
+				if (each.atMs > nowMs) {
+					flight.push(each);
+				} else {
+					post(each.to, nodes.get(each.to)!.spread.receive(each.from, each.message, nowMs));
+				}
+			}
+
+			if (nowMs % 100 === 0) {
+				for (const {id, spread} of nodes.values()) {
+					post(id, spread.tick(nowMs));
+				}
+			}
+		}
+	};
+
+	const read = (id: string, news: Parameters<Spread['takeRead']>[0]): void => {
+		post(id, nodes.get(id)!.spread.takeRead(news, nowMs));
+	};
+
+	return {
+		nodes, sent, runUntil, read,
+	};
+};
+
+const agree = (nodes: ReadonlyMap<string, Node>): number => new Set(Array.from(nodes.values(), ({catalogue}) => JSON.stringify(catalogue.digest()))).size;
+
+describe('spread of the catalogue', () => {
+	for (const size of [2, 44, 126]) {
+		it(`brings a change to ${size} gateways within 100 ms`, () => {
+			const fleet = createFleet(size);
+			fleet.read('g-0', {config: config(1), entries: [entry('i-1', 5)], instancesAsOf: 5});
+			fleet.runUntil(2000);
+			fleet.read('g-0', {config: config(2), entries: [entry('i-2', 6)], instancesAsOf: 6});
+			fleet.runUntil(2100);
+			const behind = [...fleet.nodes.values()].filter(({catalogue}) => catalogue.config()?.version !== 2 || catalogue.ready('s').length !== 2);
+			expect(behind.length).to.be.at.most(size * 0.03);
+			fleet.runUntil(4000);
+			expect(agree(fleet.nodes)).to.equal(1);
+		});
+	}
+
+	it('sends a configuration about once to each gateway', () => {
+		const fleet = createFleet(44);
+		fleet.read('g-0', {entries: [], instancesAsOf: 1});
+		fleet.runUntil(2000);
+		fleet.sent.length = 0;
+		fleet.read('g-0', {config: config(3)});
+		fleet.runUntil(2300);
+		const copies = fleet.sent.filter(message => message.type === 'state' && message.config !== undefined).length;
+		expect(copies).to.be.within(43, 60);
+	});
+
+	it('agrees in the end although a third of the messages is lost', () => {
+		const random = createRandom(9);
+		const fleet = createFleet(20, () => random.next() < 0.33);
+		fleet.read('g-3', {config: config(4), entries: [entry('i-1', 5), entry('i-2', 6)], instancesAsOf: 6});
+		fleet.runUntil(12_000);
+		expect(agree(fleet.nodes)).to.equal(1);
+	});
+
+	it('asks the next source when the one that announced a configuration is silent', () => {
+		const fleet = createFleet(6, (from, {message}) => from === 'g-0' && message.type === 'state');
+		fleet.read('g-0', {config: config(1), entries: [entry('i-1', 2)], instancesAsOf: 2});
+		fleet.read('g-1', {config: config(1), entries: [entry('i-1', 2)], instancesAsOf: 2});
+		fleet.runUntil(3000);
+		expect([...fleet.nodes.values()].map(({catalogue}) => catalogue.config()?.version)).to.deep.equal([1, 1, 1, 1, 1, 1]);
+	});
+
+	it('does not take a catalogue for whole by changes alone', () => {
+		const fleet = createFleet(2);
+		fleet.read('g-0', {config: config(1)});
+		fleet.runUntil(1000);
+		expect(fleet.nodes.get('g-1')!.catalogue.isWhole()).to.equal(false);
+	});
+});
+
+describe('readers of the store', () => {
+	const members = ['a', 'a', 'b', 'b', 'c'].map((dataCentre, index) => ({hostId: `g-${index}`, dataCentre}));
+	const readersAt = (nowMs: number, prepare: (election: ReturnType<typeof createReaderElection>) => void = () => undefined): readonly string[] => {
+		const election = createReaderElection(0);
+		prepare(election);
+		return members.map(({hostId}) => hostId).filter(id => election.isReader(id, members, nowMs));
+	};
+
+	it('are two in different data centres', () => {
+		const readers = readersAt(1000);
+		expect(readers).to.have.length(2);
+		expect(new Set(readers.map(id => members.find(({hostId}) => hostId === id)!.dataCentre)).size).to.equal(2);
+	});
+
+	it('are none before members had time to find each other', () => {
+		expect(readersAt(100)).to.deep.equal([]);
+	});
+
+	it('are replaced while the store does not answer them, and come back later', () => {
+		const [first = ''] = readersAt(1000);
+		const withFailure = (nowMs: number): readonly string[] => readersAt(nowMs, election => {
+			election.noteUnreachable(first, 1000);
+		});
+		expect(withFailure(1500)).to.have.length(2).and.not.include(first);
+		expect(withFailure(5000)).to.include(first);
+	});
+
+	it('go on trying when the store answers nobody', () => {
+		expect(readersAt(1500, election => {
+			for (const {hostId} of members) {
+				election.noteUnreachable(hostId, 1000);
+			}
+		})).to.have.length(2);
+	});
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {
-	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, gatewaysForCaller, hashText, placeCallers,
+	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, gatewaysForCaller, hashText, placeCallers, slackShareOf,
 	type CallerGateway, type DispatchReport, type EntryHost, type MemberSend, type RetryWindow, type SpreadSend,
 } from '@egretwing/core';
 import {
@@ -254,7 +254,10 @@
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
-		gatewayCount: () => Math.max(1, [...placed.values()].flat().length),
+		retrySlackShare() {
+			const ids = [...placed.values()].flat().map(gateway => gateway.hostId);
+			return slackShareOf(ids.includes(hostId), ids.length, hostById.size);
+		},
 		headerNames,
 		metrics,
 		log: createRequestLog(logger, nowMs),
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -35,8 +35,8 @@
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
 	readonly retryWindow: (service: string) => RetryWindow;
-	/** Gateways that share the callers, and so the retries. */
-	readonly gatewayCount: () => number;
+	/** This gateway's part of the repeated sends that the fleet is allowed besides a share of its requests. */
+	readonly retrySlackShare: () => number;
 	readonly headerNames: HeaderNames;
 	readonly metrics: GatewayMetrics;
 	readonly log: RequestLog;
@@ -145,7 +145,7 @@
 		}
 
 		const isFree = outcome.type === 'unreachable';
-		return isFree || parts.retryWindow(context.service).take(parts.gatewayCount(), nowMs()) ? 'retry' : 'budget-spent';
+		return isFree || parts.retryWindow(context.service).take(parts.retrySlackShare(), nowMs()) ? 'retry' : 'budget-spent';
 	};
 
 	/** What the caller is told when no further attempt is made. */
--- /dev/null
+++ b/packages/gateway/test/gateway.test.ts
@@ -0,0 +1,227 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
+} from '@egretwing/gateway';
+import {Ok} from 'ts-results-es';
+
+const address = '127.0.0.1';
+const firstPort = 43_100;
+
+type Handler = (request: http.IncomingMessage, response: http.ServerResponse, body: string) => void;
+
+/** Starts an instance of the service; `handle` decides about each request. */
+const startInstance = async (handle: Handler) => {
+	const arrivals: string[] = [];
+	const server = http.createServer(async (request, response) => {
+		const chunks: Buffer[] = [];
+		for await (const chunk of request as AsyncIterable<Buffer>) {
+			chunks.push(chunk);
+		}
+
+		arrivals.push(String(request.headers['egretwing-request-id']));
+		response.setHeader('egretwing-request-id', String(request.headers['egretwing-request-id']));
+		response.setHeader('egretwing-signature', 'signed');
+		handle(request, response, Buffer.concat(chunks).toString());
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	return {
+		port: (server.address() as AddressInfo).port,
+		arrivals,
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+const config: FleetConfig = {
+	version: 1,
+	routes: (['idempotent', 'at-most-once'] as const).map(semantics => ({
+		name: semantics, hostName: 'a.example', pathPrefix: `/${semantics}/`, semantics, timeoutMs: 1000, latencyObjectiveMs: 800, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
+	})),
+	services: [{name: 's', healthPath: '/', connectionsPerInstance: 10}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+	},
+};
+
+const createStore = (ports: readonly number[]): StoreClient => ({
+	async readAll(topic) {
+		return Ok({
+			...(topic === 'config' && {config}),
+			entries: topic === 'config'
+				? []
+				: ports.map((port, index): InstanceEntry => ({
+					instanceId: `i-${index}`,
+					revision: index + 1,
+					record: {
+						service: 's', address, port, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+					},
+				})),
+			refused: [],
+			asOf: 10,
+		});
+	},
+	async watch() {
+		await delay(200);
+		return Ok({entries: [], refused: [], asOf: 10});
+	},
+	close: () => undefined,
+});
+
+const settings = (port: number): GatewaySettings => ({
+	hostId: `g-${port}`,
+	address,
+	region: 'r',
+	dataCentre: 'a',
+	entryPort: port,
+	locatePort: port + 1,
+	peerPort: port + 2,
+	operatorPort: port + 3,
+	seedAddresses: [],
+	capacity: 1,
+	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
+	shutdownMs: 1500,
+	gatewaysPerDataCentre: 1,
+	logLevel: 0,
+});
+
+type Answer = {readonly statusCode: number; readonly body: string; readonly headers: http.IncomingHttpHeaders};
+
+const call = async (port: number, path: string, body?: string): Promise<Answer> => new Promise((resolve, reject) => {
+	const request = http.request({
+		host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
+	}, response => {
+		let text = '';
+		response.setEncoding('utf8');
+		response.on('data', (chunk: string) => {
+			text += chunk;
+		});
+		response.once('end', () => {
+			resolve({statusCode: response.statusCode!, body: text, headers: response.headers});
+		});
+		response.once('error', reject);
+	});
+	request.once('error', reject);
+	request.end(body);
+});
+
+const answerWith = (statusCode: number, text: string): Handler => (_request, response) => {
+	response.writeHead(statusCode, {'content-length': text.length}).end(text);
+};
+
+const reset: Handler = request => {
+	request.socket.resetAndDestroy();
+};
+
+const notExecuted: Handler = (_request, response) => {
+	response.writeHead(503, {'egretwing-not-executed': '1', 'content-length': 0}).end();
+};
+
+const silent: Handler = () => undefined;
+
+describe('gateway', () => {
+	const ports = {next: firstPort};
+	let port = 0;
+	let gateway: Gateway;
+	let instances: ReadonlyArray<Awaited<ReturnType<typeof startInstance>>> = [];
+
+	const start = async (handlers: readonly Handler[]): Promise<void> => {
+		port = ports.next;
+		ports.next += 10;
+		instances = await Promise.all(handlers.map(async handle => startInstance(handle)));
+		gateway = await startGateway(settings(port), {store: createStore(instances.map(instance => instance.port)), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
+	};
+
+	const callGateway = async (path: string, body?: string): Promise<Answer> => call(port, path, body);
+
+	const arrivals = (): number => instances.reduce((sum, instance) => sum + instance.arrivals.length, 0);
+
+	afterEach(async () => {
+		await gateway.shutdown();
+		for (const instance of instances) {
+			instance.close();
+		}
+	});
+
+	const cases: ReadonlyArray<{
+		readonly title: string; readonly handlers: readonly Handler[]; readonly path: string; readonly body?: string; readonly statusCode: number; readonly arrivals: number;
+	}> = [
+		{
+			title: 'serves a request that came before the process knew anything', handlers: [answerWith(200, 'ok')], path: '/idempotent/1', statusCode: 200, arrivals: 1,
+		},
+		{
+			title: 'sends an idempotent request to another instance after a reset', handlers: [reset, reset], path: '/idempotent/1', statusCode: 502, arrivals: 2,
+		},
+		{
+			title: 'sends an at-most-once request once, and promises nothing after a reset', handlers: [reset, reset], path: '/at-most-once/1', body: 'x', statusCode: 502, arrivals: 1,
+		},
+		{
+			title: 'sends an at-most-once request elsewhere when it did not run, and says so in the end', handlers: [notExecuted, notExecuted], path: '/at-most-once/1', body: 'x', statusCode: 503, arrivals: 2,
+		},
+		{
+			title: 'passes the error answer of an instance to an at-most-once request', handlers: [answerWith(500, 'no')], path: '/at-most-once/1', body: 'x', statusCode: 500, arrivals: 1,
+		},
+		{
+			title: 'gives the final answer at the time limit of the route', handlers: [silent], path: '/at-most-once/1', body: 'x', statusCode: 504, arrivals: 1,
+		},
+		{
+			title: 'refuses a path without a route', handlers: [answerWith(200, 'ok')], path: '/other/1', statusCode: 404, arrivals: 0,
+		},
+		{
+			title: 'refuses a body larger than allowed', handlers: [answerWith(200, 'ok')], path: '/at-most-once/1', body: 'x'.repeat(1001), statusCode: 413, arrivals: 0,
+		},
+	];
+	for (const {title, handlers, path, body, statusCode, arrivals: expected} of cases) {
+		it(title, async () => {
+			await start(handlers);
+			const answer = await callGateway(path, body);
+			expect([answer.statusCode, arrivals()]).to.deep.equal([statusCode, expected]);
+		});
+	}
+
+	it('names itself to callers while it knows no other, and is ready once it knows enough', async () => {
+		await start([answerWith(200, 'ok')]);
+		expect(gateway.isReady()).to.equal(false);
+		expect(gateway.locate('a').addresses).to.deep.equal([{address, port}]);
+		await call(port, '/idempotent/1');
+		await delay(150);
+		expect(gateway.isReady()).to.equal(true);
+	});
+
+	it('rejects with a time to come back what would wait too long', async () => {
+		await start([silent]);
+		const answers = await Promise.all(Array.from({length: 8}, async () => call(port, '/at-most-once/1', 'x')));
+		const rejected = answers.filter(({statusCode}) => statusCode === 503);
+		expect(rejected.length).to.be.above(0);
+		for (const {headers} of rejected) {
+			expect(Number(headers['retry-after'])).to.be.within(0.05, 2);
+		}
+
+		expect(arrivals() + rejected.length).to.equal(8);
+	});
+
+	it('ends requests in flight before it shuts down', async () => {
+		await start([(_request, response) => {
+			setTimeout(() => {
+				response.writeHead(200, {'content-length': 4}).end('late');
+			}, 400);
+		}]);
+		await delay(1000);
+		const answer = call(port, '/at-most-once/1', 'x');
+		await delay(150);
+		const ended = gateway.shutdown();
+		expect(gateway.isReady()).to.equal(false);
+		const {body} = await answer;
+		expect(body).to.equal('late');
+		await ended;
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/store-reader.test.ts
@@ -0,0 +1,111 @@
+import {expect} from 'chai';
+import {createManualClock, type InstanceEntry} from '@egretwing/core';
+import {createLogger} from '@egretwing/node';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {StoreClient, StoreFailure, StoreRead} from '@egretwing/gateway';
+import {createGatewayMetrics} from '../src/metrics.ts';
+import {createStoreReader} from '../src/store-reader.ts';
+
+const read = (asOf: number, entries: readonly InstanceEntry[] = []): Result<StoreRead, StoreFailure> => Ok({entries, refused: [], asOf});
+
+const removal = (revision: number): InstanceEntry => ({instanceId: 'i-1', revision, record: null});
+
+type Step = {readonly answer: Result<StoreRead, StoreFailure>; readonly tookMs?: number};
+
+/** Plays the answers of a store to a reader; returns the calls and what the reader told. */
+const play = async (steps: readonly Step[], knownAsOf = -1) => {
+	const clock = createManualClock(1000);
+	const calls: string[] = [];
+	const told: string[] = [];
+	const queue = [...steps];
+	const take = async (call: string): Promise<Result<StoreRead, StoreFailure>> => {
+		calls.push(call);
+		const step = queue.shift()!;
+		clock.advanceMs(step.tookMs ?? 10);
+		return step.answer;
+	};
+
+	const client: StoreClient = {
+		readAll: async () => take('all'),
+		watch: async (_topic, afterRevision) => take(`watch ${afterRevision}`),
+		close: () => undefined,
+	};
+	const reader = createStoreReader({
+		topic: 'instances',
+		client,
+		nowMs: clock.nowMs,
+		logger: createLogger('test', 'h', 0),
+		metrics: createGatewayMetrics(),
+		knownAsOf: () => knownAsOf,
+		isWanted: () => queue.length > 0,
+		onRead(_topic, {entries, asOf}, isFull) {
+			told.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}`);
+		},
+		onReachable() {
+			told.push('reachable');
+		},
+		onFailure(failure) {
+			told.push(failure);
+		},
+	});
+	for (let round = 0; round < 20; round++) {
+		reader.tick();
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		clock.advanceMs(100);
+	}
+
+	return {calls, told};
+};
+
+describe('reader of the store', () => {
+	const cases: ReadonlyArray<{readonly title: string; readonly steps: readonly Step[]; readonly knownAsOf?: number; readonly calls: readonly string[]; readonly told: readonly string[]}> = [
+		{
+			title: 'reads everything first and watches from there',
+			steps: [{answer: read(5)}, {answer: read(7)}, {answer: read(7)}],
+			calls: ['all', 'watch 5', 'watch 7'],
+			told: ['full 5', 'changes 7', 'changes 7'],
+		},
+		{
+			title: 'watches from what another reader has read',
+			steps: [{answer: read(9)}],
+			knownAsOf: 8,
+			calls: ['watch 8'],
+			told: ['changes 9'],
+		},
+		{
+			title: 'reads everything once more when the history is gone, whatever revision is known',
+			steps: [{answer: Err('history-gone')}, {answer: read(30)}, {answer: read(31)}],
+			knownAsOf: 8,
+			calls: ['watch 8', 'all', 'watch 30'],
+			told: ['full 30', 'changes 31'],
+		},
+		{
+			title: 'tells each failure and the first success after it',
+			steps: [{answer: Err('silent')}, {answer: Err('turned-away')}, {answer: read(9)}],
+			knownAsOf: 8,
+			calls: ['watch 8', 'watch 8', 'watch 8'],
+			told: ['silent', 'turned-away', 'reachable', 'changes 9'],
+		},
+		{
+			title: 'takes removals just after an outage for registrations that may come back',
+			steps: [{answer: read(8)}, {answer: Err('silent'), tookMs: 1500}, {answer: read(9, [removal(9)])}],
+			knownAsOf: 7,
+			calls: ['watch 7', 'watch 8', 'watch 8'],
+			told: ['changes 8', 'silent', 'reachable', 'changes 9 lapsed'],
+		},
+		{
+			title: 'takes a removal without an outage for what it says',
+			steps: [{answer: read(9, [removal(9)])}],
+			knownAsOf: 8,
+			calls: ['watch 8'],
+			told: ['changes 9'],
+		},
+	];
+	for (const {title, steps, knownAsOf, calls, told} of cases) {
+		it(title, async () => {
+			expect(await play(steps, knownAsOf)).to.deep.equal({calls, told});
+		});
+	}
+});
--- /dev/null
+++ b/packages/gateway/test/upstream.test.ts
@@ -0,0 +1,150 @@
+import net from 'node:net';
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import {defaultHeaderNames} from '@egretwing/gateway';
+import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
+
+const address = '127.0.0.1';
+
+/** Starts an instance that answers each request with the next of `answers`; '' resets the connection. */
+const startInstance = async (answers: readonly string[], end: 'keep' | 'end' = 'keep') => {
+	const seen: string[] = [];
+	const queue = [...answers];
+	let connections = 0;
+	const server = net.createServer(socket => {
+		connections++;
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			seen.push(bytes.toString('latin1'));
+			const answer = queue.shift();
+			if (answer === undefined) {
+				return;
+			}
+
+			if (answer === '') {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			socket.write(answer);
+			if (end === 'end') {
+				socket.end();
+			}
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	const {port} = server.address() as net.AddressInfo;
+	return {
+		port, seen, connections: () => connections, close: () => server.close(),
+	};
+};
+
+const request = (changes: Partial<UpstreamRequest> = {}): UpstreamRequest => ({
+	requestId: 'r1', method: 'GET', target: '/a', headers: {host: 'a.example'}, body: null, ...changes,
+});
+
+const whole = (id: string, body = 'ok', extra = ''): string =>
+	`HTTP/1.1 200 OK\r\negretwing-request-id: ${id}\r\negretwing-signature: s\r\ncontent-length: ${body.length}\r\n${extra}\r\n${body}`;
+
+const describeOutcome = (outcome: UpstreamOutcome): string => {
+	switch (outcome.type) {
+		case 'answered': {
+			return `answered ${outcome.answer.statusCode} ${outcome.answer.body.toString()}${outcome.answer.isBounded ? '' : ' unbounded'}`;
+		}
+
+		case 'not-executed': {
+			return `not-executed ${outcome.statusCode}`;
+		}
+
+		case 'aborted': {
+			return `aborted ${outcome.isSent ? 'sent' : 'unsent'}`;
+		}
+
+		case 'unreachable':
+		case 'broken': {
+			return outcome.type;
+		}
+	}
+};
+
+describe('upstream', () => {
+	const create = () => createUpstream({localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined});
+
+	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end'; readonly outcome: string}> = [
+		{title: 'passes a whole answer', answer: whole('r1'), outcome: 'answered 200 ok'},
+		{title: 'refuses an answer to another request', answer: whole('r0'), outcome: 'broken'},
+		{title: 'refuses a success without signature', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\ncontent-length: 2\r\n\r\nok', outcome: 'broken'},
+		{
+			title: 'refuses an answer that is cut short', answer: whole('r1').replace('content-length: 2', 'content-length: 9'), end: 'end', outcome: 'broken',
+		},
+		{title: 'refuses bytes that are no answer', answer: 'garbage\r\n\r\n', outcome: 'broken'},
+		{title: 'reports a reset after sending as broken', answer: '', outcome: 'broken'},
+		{
+			title: 'marks an answer without a length', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'end', outcome: 'answered 200 part unbounded',
+		},
+		{title: 'passes an error answer of the instance', answer: 'HTTP/1.1 500 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 500 '},
+		{title: 'tells a request that did not run', answer: 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 503'},
+		{title: 'tells that another instance has the address', answer: 'HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 421'},
+	];
+	for (const {title, answer, end, outcome} of cases) {
+		it(title, async () => {
+			const instance = await startInstance([answer], end);
+			const upstream = create();
+			const attempt = upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000);
+			expect(describeOutcome(await attempt.outcome)).to.equal(outcome);
+			upstream.close();
+			instance.close();
+		});
+	}
+
+	it('reports a refused connection as unreachable', async () => {
+		const instance = await startInstance([]);
+		instance.close();
+		const upstream = create();
+		expect(describeOutcome(await upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000).outcome)).to.equal('unreachable');
+		upstream.close();
+	});
+
+	it('tells the instance who is meant and how much time is left', async () => {
+		const instance = await startInstance([whole('r1')]);
+		const upstream = create();
+		await upstream.send({instanceId: 'i-7', address, port: instance.port}, request({method: 'POST', body: Buffer.from('body')}), 812.6).outcome;
+		expect(instance.seen[0]).to.match(/egretwing-target-instance: i-7\r\n/v).and.match(/egretwing-deadline-ms: 812\r\n/v).and.match(/content-length: 4\r\n/v);
+		upstream.close();
+		instance.close();
+	});
+
+	const reuses: ReadonlyArray<readonly [title: string, first: string, connections: number]> = [
+		['keeps a connection after a whole answer', whole('r1'), 1],
+		['closes a connection on which more came than the answer', `${whole('r1')}${whole('r1')}`, 2],
+		['closes a connection that the instance is about to close', whole('r1', 'ok', 'keep-alive: timeout=1\r\n'), 2],
+	];
+	for (const [title, first, connections] of reuses) {
+		it(title, async () => {
+			const instance = await startInstance([first, whole('r2', 'second')]);
+			const upstream = create();
+			const target = {instanceId: 'i', address, port: instance.port};
+			await upstream.send(target, request(), 1000).outcome;
+			await delay(20);
+			const second = await upstream.send(target, request({requestId: 'r2'}), 1000).outcome;
+			expect(describeOutcome(second)).to.equal('answered 200 second');
+			expect(instance.connections()).to.equal(connections);
+			upstream.close();
+			instance.close();
+		});
+	}
+
+	it('closes the connection when an attempt is given up', async () => {
+		const instance = await startInstance([]);
+		const upstream = create();
+		const attempt = upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000);
+		await delay(50);
+		attempt.abort();
+		expect(describeOutcome(await attempt.outcome)).to.equal('aborted sent');
+		upstream.close();
+		instance.close();
+	});
+});
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,143 @@
+import {expect} from 'chai';
+import {decodeConfig} from '../../platform/decode-config.ts';
+import {decodeInstance} from '../../platform/decode-instance.ts';
+import {translateSettings} from '../../platform/settings.ts';
+
+const routeColumns = ['name', 'host', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms', 'priority', 'traffic_split', 'max_attempts', 'service'];
+
+const config = (changes: Readonly<Record<string, unknown>> = {}) => ({
+	version: '0000000c',
+	routes: {
+		columns: routeColumns,
+		rows: [
+			['r-1', 'A.example', '/x/', 'safe', 1500, 800, 2, [{service: 's1', weight: 90}, {service: 's2', weight: 10}], 2, null],
+			['r-2', 'b.example', '/y/', 'upload', 1200, 800, 1, null, 2, 's3'],
+		],
+	},
+	services: {columns: ['name', 'health_check_path', 'max_connections', 'protocol', 'tls'], rows: [['s1', '/health', 390, 'h1', false]]},
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+	},
+	...changes,
+});
+
+describe('configuration of the platform', () => {
+	it('is decoded into the types of the product', () => {
+		const decoded = decodeConfig(config()).unwrap();
+		expect(decoded.version).to.equal(12);
+		expect(decoded.routes.map(({hostName, semantics, rank, services}) => [hostName, semantics, rank, services.length])).to.deep.equal([
+			['a.example', 'idempotent', 2, 2],
+			['b.example', 'at-most-once', 1, 1],
+		]);
+		expect(decoded.limits.idleTimeoutMs).to.equal(15_000);
+	});
+
+	const refused: ReadonlyArray<readonly [title: string, written: unknown]> = [
+		['no object', 'text'],
+		['nothing', undefined],
+		['no version', config({version: undefined})],
+		['a version that is no hexadecimal number', config({version: 'xyz'})],
+		['a route of an unknown kind', config({routes: {columns: routeColumns, rows: [['r', 'a', '/', 'odd', 1, 1, 1, null, 1, 's']]}})],
+		['a route without a service', config({routes: {columns: routeColumns, rows: [['r', 'a', '/', 'safe', 1, 1, 1, null, 1, null]]}})],
+		['rows without columns', config({routes: {rows: []}})],
+		['limits that are missing', config({limits: {}})],
+	];
+	for (const [title, written] of refused) {
+		it(`is refused with ${title}`, () => {
+			expect(decodeConfig(written).isErr()).to.equal(true);
+		});
+	}
+});
+
+const registration = (changes: Readonly<Record<string, unknown>> = {}) => ({
+	address: '10.128.0.9:8080',
+	born: 1_700_000_000_000,
+	info: {
+		service: 's1', version: 'v1', zone: 'a', slots: 2,
+	},
+	status: {state: 'ready', sequence: 4, warmup_left_ms: 120},
+	...changes,
+});
+
+describe('registration of an instance', () => {
+	it('is decoded into the types of the product', () => {
+		expect(decodeInstance(registration()).unwrap()).to.deep.equal({
+			service: 's1', address: '10.128.0.9', port: 8080, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 120, bornAtMs: 1_700_000_000_000,
+		});
+	});
+
+	const refused: ReadonlyArray<readonly [title: string, written: unknown]> = [
+		['no object', 7],
+		['bytes that are no JSON', undefined],
+		['no address', registration({address: undefined})],
+		['an address without a port', registration({address: '10.0.0.1'})],
+		['a state that is not known', registration({status: {state: 'resting', sequence: 1, warmup_left_ms: 0}})],
+		['slots of another type', registration({info: {service: 's1', zone: 'a', slots: '2'}})],
+		['a start that is no whole number', registration({born: 1.5})],
+		['no status', registration({status: undefined})],
+	];
+	for (const [title, written] of refused) {
+		it(`is refused with ${title}`, () => {
+			expect(decodeInstance(written).isErr()).to.equal(true);
+		});
+	}
+});
+
+const rendered = (changes: Readonly<Record<string, unknown>> = {}) => ({
+	hostId: 'front-a-1',
+	address: '10.1.0.34',
+	region: 'r',
+	dataCentre: 'a',
+	entryListener: '10.1.0.34:8548',
+	readinessListener: '10.1.0.34:8542',
+	locateListener: '10.1.0.34:8546',
+	peerPort: 7540,
+	seeds: ['10.1.0.34:8544', '10.2.0.34:8544'],
+	cpuShare: 0.54,
+	cores: 1,
+	linkMegabitsPerSecond: 1000,
+	storeAddress: '10.200.1.7:8541',
+	bounds: {
+		grace_s: 6, retry_budget_ratio: 0.2, budget_slack: 62, budget_window_s: 10, unknown_bound: true,
+	},
+	...changes,
+});
+
+describe('settings rendered by the platform', () => {
+	it('become settings of the gateway', () => {
+		const {gateway, readinessPort, storePort} = translateSettings(rendered()).unwrap();
+		expect([gateway.entryPort, gateway.locatePort, readinessPort, storePort]).to.deep.equal([8548, 8546, 8542, 8541]);
+		expect(gateway.seedAddresses).to.deep.equal(['10.1.0.34', '10.2.0.34']);
+		expect(gateway.shutdownMs).to.equal(6000);
+		expect(gateway.retryLimits).to.deep.equal({ratio: 0.2, slack: 62, windowMs: 10_000});
+	});
+
+	const capacities: ReadonlyArray<readonly [cpuShare: number, cores: number, link: number, capacity: number]> = [
+		[0.54, 1, 1000, 0.54],
+		[0.675, 2, 200, 1.35],
+		[0.27, 1, 10, 0.1],
+	];
+	for (const [cpuShare, cores, linkMegabitsPerSecond, capacity] of capacities) {
+		it(`weigh ${cores} x ${cpuShare} of a core and ${linkMegabitsPerSecond} Mbit/s as ${capacity}`, () => {
+			expect(translateSettings(rendered({cpuShare, cores, linkMegabitsPerSecond})).unwrap().gateway.capacity).to.equal(capacity);
+		});
+	}
+
+	const refused: ReadonlyArray<readonly [field: string, changes: Readonly<Record<string, unknown>>]> = [
+		['hostId', {hostId: null}],
+		['entryListener', {entryListener: '10.1.0.34'}],
+		['peerPort', {peerPort: 'x'}],
+		['storeAddress', {storeAddress: null}],
+		['grace_s', {bounds: {grace_s: 'soon'}}],
+	];
+	for (const [field, changes] of refused) {
+		it(`are refused with the name of the field ${field}`, () => {
+			const issues = translateSettings(rendered(changes)).unwrapErr();
+			expect(issues.map(issue => issue.field)).to.deep.equal([field]);
+		});
+	}
+
+	it('are taken without seeds and with bounds that are not named', () => {
+		expect(translateSettings(rendered({seeds: null, bounds: {}})).unwrap().gateway.seedAddresses).to.deep.equal([]);
+	});
+});
--- /dev/null
+++ b/test/platform/store-client.test.ts
@@ -0,0 +1,112 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {createStoreClient} from '../../platform/store-client.ts';
+
+const address = '127.0.0.1';
+
+type Answer = {readonly statusCode: number; readonly body?: unknown} | 'reset' | 'silent';
+
+/** A store that gives the next of `answers` to each call. */
+const startStore = async (answers: readonly Answer[]) => {
+	const calls: string[] = [];
+	const queue = [...answers];
+	const server = http.createServer((request, response) => {
+		calls.push(request.url ?? '');
+		const answer = queue.shift() ?? 'silent';
+		if (answer === 'silent') {
+			return;
+		}
+
+		if (answer === 'reset') {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		response.writeHead(answer.statusCode, {'content-type': 'application/json'});
+		response.end(answer.body === undefined ? '' : JSON.stringify(answer.body));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	const client = createStoreClient(address, (server.address() as AddressInfo).port, address);
+	return {
+		client,
+		calls,
+		close() {
+			client.close();
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString('base64');
+
+const registration = {
+	address: '10.0.0.1:80', born: 1, info: {service: 's', zone: 'a', slots: 1}, status: {state: 'ready', sequence: 1, warmup_left_ms: 0},
+};
+
+const item = (id: string, revision: number, value: unknown = registration) => ({
+	key: `servers/${id}`, value: encode(value), revision, created: 1, lease: 0,
+});
+
+describe('client of the store', () => {
+	it('reads all pages and watches from the first of them', async () => {
+		const {client, calls, close} = await startStore([
+			{statusCode: 200, body: {items: [item('i-1', 3)], truncated: true, as_of: 5}},
+			{statusCode: 200, body: {items: [item('i-2', 7)], truncated: false, as_of: 8}},
+		]);
+		const result = await client.readAll('instances');
+		const read = result.unwrap();
+		expect(read.entries.map(({instanceId, revision}) => [instanceId, revision])).to.deep.equal([['i-1', 3], ['i-2', 7]]);
+		expect(read.asOf).to.equal(5);
+		expect(calls).to.deep.equal(['/kv-range?prefix=servers%2F', '/kv-range?prefix=servers%2F&after=servers%2Fi-1']);
+		close();
+	});
+
+	it('takes removals and refuses entries of other writers, which name no instance to use', async () => {
+		const {client, close} = await startStore([{
+			statusCode: 200,
+			body: {
+				events: [
+					{key: 'servers/i-1', revision: 9, tombstone: true},
+					item('i-2', 10, {address: 4}),
+					{...item('i-3', 11), value: '%%%'},
+					item('i-4', 12),
+					item('', 13),
+				], as_of: 13,
+			},
+		}]);
+		const result = await client.watch('instances', 8, 10);
+		const read = result.unwrap();
+		expect(read.entries.map(({instanceId, record}) => [instanceId, record !== null])).to.deep.equal([['i-1', false], ['i-2', false], ['i-3', false], ['i-4', true]]);
+		expect(read.refused.map(({key}) => key)).to.deep.equal(['servers/i-2', 'servers/i-3']);
+		close();
+	});
+
+	it('treats a configuration that was not written yet as empty', async () => {
+		const {client, close} = await startStore([{statusCode: 404}]);
+		const result = await client.readAll('config');
+		expect(result.unwrap().config).to.equal(undefined);
+		close();
+	});
+
+	const failures: ReadonlyArray<readonly [answer: Answer, failure: string]> = [
+		[{statusCode: 410}, 'history-gone'],
+		[{statusCode: 503}, 'turned-away'],
+		[{statusCode: 429}, 'turned-away'],
+		[{statusCode: 200, body: {other: true}}, 'undecodable'],
+		['reset', 'unreachable'],
+		['silent', 'silent'],
+	];
+	for (const [answer, failure] of failures) {
+		it(`reports ${failure} after ${typeof answer === 'string' ? answer : `status ${answer.statusCode}`}`, async () => {
+			const {client, close} = await startStore([answer]);
+			const result = await client.watch('instances', 1, 10);
+			expect(result.unwrapErr()).to.equal(failure);
+			close();
+		});
+	}
+});
