--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -90,7 +90,9 @@
 	const merge = (entry: InstanceEntry, nowMs: number): boolean => {
 		const before = known.get(entry.instanceId);
 		const knownRevision = before?.entry.revision ?? -1;
-		if (knownRevision >= entry.revision) {
+		// A reader that had no outage knows that the registration did not lapse.
+		const isFirmer = knownRevision === entry.revision && before?.entry.isLapsed === true && entry.isLapsed !== true;
+		if (knownRevision >= entry.revision && !isFirmer) {
 			return false;
 		}
 
--- a/packages/core/test/catalogue.test.ts
+++ b/packages/core/test/catalogue.test.ts
@@ -29,6 +29,8 @@
 		{title: 'does not revive a removed instance by an older statement', entries: [entry(6, null), entry(5)], ready: []},
 		{title: 'takes a new life under the same id', entries: [entry(5), entry(6, null), entry(7, {bornAtMs: 200, port: 81})], ready: [81]},
 		{title: 'ignores a late write of an earlier life', entries: [entry(5, {bornAtMs: 200, port: 81}), entry(6, {bornAtMs: 100})], ready: [81]},
+		{title: 'drops a lapsed instance once a reader without an outage says that it is gone', entries: [entry(5), {...entry(6, null), isLapsed: true}, entry(6, null)], ready: []},
+		{title: 'keeps to a removal when a reader after an outage calls it lapsed', entries: [entry(5), entry(6, null), {...entry(6, null), isLapsed: true}], ready: []},
 		{title: 'keeps a lapsed instance for a while', entries: [entry(5), {...entry(6, null), isLapsed: true}], ready: [80]},
 	];
 	for (const {title, entries, ready} of cases) {
