--- a/packages/agent/src/peers.ts
+++ b/packages/agent/src/peers.ts
@@ -2,7 +2,9 @@
 
 import dgram from 'node:dgram';
 import type {PeerAddress} from '@egretwing/core';
-import {createPeerStreams, createSealer, type PeerEndpoint} from '@egretwing/node';
+import {
+	bindDatagrams, createPeerStreams, createSealer, type PeerEndpoint,
+} from '@egretwing/node';
 import {createEnvelopeCodec, type EnvelopeError} from './envelope.ts';
 
 /** Largest sealed message that is sent as a datagram, in bytes. */
@@ -34,14 +36,6 @@
 	readonly onRefused: (reason: EnvelopeError) => void;
 };
 
-const bind = async (socket: dgram.Socket, port: number, address: string): Promise<void> => new Promise((resolve, reject) => {
-	socket.once('error', reject);
-	socket.bind(port, address, () => {
-		socket.off('error', reject);
-		resolve();
-	});
-});
-
 /** Starts listening on UDP and TCP at the same port; rejects when it can't be bound. */
 export const createPeers = async (options: PeersOptions): Promise<Peers> => {
 	const {address, peerPort, hostId, startedMs} = options;
@@ -67,7 +61,7 @@
 	};
 
 	const datagrams = dgram.createSocket('udp4');
-	await bind(datagrams, peerPort, address);
+	await bindDatagrams(datagrams, peerPort, address);
 	datagrams.on('error', () => {
 		// A datagram that could not be sent counts as lost.
 	});
--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -31,6 +31,8 @@
 	readonly findStalled: (nowMs: number) => readonly string[];
 	readonly report: (nowMs: number) => DispatchReport;
 	readonly hear: (peerId: string, report: DispatchReport, nowMs: number) => void;
+	/** Mean time that an answer takes. */
+	readonly serviceMs: () => number;
 	readonly explain: InstancePool['explain'];
 	readonly snapshot: (nowMs: number) => DispatcherSnapshot;
 };
@@ -158,6 +160,7 @@
 		findStalled: nowMs => pool.findStalled(contextAt(nowMs)),
 		report: pool.report,
 		hear: pool.hear,
+		serviceMs: () => serviceMs,
 		explain: pool.explain,
 		snapshot: nowMs => ({
 			waiting: queue.length(),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,9 +45,6 @@
 /** Wait of a call that watches the store, so that a silent store is noticed within a second. */
 export const watchWaitMs = 1000;
 
-/** Time beyond its wait after which a call to the store has failed. */
-export const storeTimeoutMs = 500;
-
 /** Shortest time between the starts of two calls that watch, so that many changes cost few calls: a tenth of the shortest time in which a change has to be in force. */
 export const watchIntervalMs = 200;
 
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -181,7 +181,7 @@
 		noteServed(name, isServed) {
 			serviceOf(name).dispatcher.noteServed(isServed, nowMs());
 		},
-		serviceMs: name => serviceOf(name).dispatcher.snapshot(nowMs()).serviceMs,
+		serviceMs: name => serviceOf(name).dispatcher.serviceMs(),
 		hear(name, peerId, peerReport) {
 			const service = serviceOf(name);
 			service.dispatcher.hear(peerId, peerReport, nowMs());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -78,7 +78,7 @@
 	let seeds = settings.seedAddresses;
 	let placed: ReadonlyMap<string, readonly CallerGateway[]> = new Map();
 	let placedVersion = -1;
-	let placedIds = '';
+	let placedIds: readonly string[] = [];
 	let nextUpkeepMs = 0;
 	let hostById: ReadonlyMap<string, EntryHost> = new Map();
 	let announcedUp = false;
@@ -141,8 +141,8 @@
 	};
 
 	const notePlaced = (): void => {
-		for (const gateway of [...placed.values()].flat()) {
-			placedAtMsById.set(gateway.hostId, nowMs());
+		for (const id of placedIds) {
+			placedAtMsById.set(id, nowMs());
 		}
 	};
 
@@ -256,10 +256,7 @@
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
-		retrySlackShare() {
-			const ids = [...placed.values()].flat().map(gateway => gateway.hostId);
-			return slackShareOf(ids.includes(hostId), ids.length, hostById.size);
-		},
+		retrySlackShare: () => slackShareOf(placedIds.includes(hostId), placedIds.length, hostById.size),
 		headerNames,
 		metrics,
 		log: createRequestLog(logger, nowMs),
@@ -296,8 +293,8 @@
 			hostId: host.hostId, dataCentre: host.dataCentre, capacity: host.capacity ?? 1, usable,
 		})), {perDataCentre: settings.gatewaysPerDataCentre});
 		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
-		if (gateways.join(',') !== placedIds) {
-			placedIds = gateways.join(',');
+		if (gateways.join(',') !== placedIds.join(',')) {
+			placedIds = gateways;
 			logger.info('callers placed', {members: present.length, gateways});
 		}
 	};
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -6,7 +6,7 @@
 	EntryHost, MemberMessage, ReportRow, SpreadMessage,
 } from '@egretwing/core';
 import {
-	createPeerStreams, decodeValue, encodeValue, type Logger, type PeerEndpoint,
+	bindDatagrams, createPeerStreams, decodeValue, encodeValue, type Logger, type PeerEndpoint,
 } from '@egretwing/node';
 
 /** Largest message that is sent as a datagram, in bytes. */
@@ -43,14 +43,6 @@
 /** Without field names, since it goes with every message. */
 type Envelope = readonly [hostId: string, address: string, peerPort: number, message: MeshMessage];
 
-const bind = async (socket: dgram.Socket, port: number, address: string): Promise<void> => new Promise((resolve, reject) => {
-	socket.once('error', reject);
-	socket.bind(port, address, () => {
-		socket.off('error', reject);
-		resolve();
-	});
-});
-
 /** Starts listening on UDP and TCP at one port; rejects when it can't be bound. */
 export const createMesh = async ({
 	hostId, address, peerPort, onMessage, logger,
@@ -73,7 +65,7 @@
 	};
 
 	const datagrams = dgram.createSocket('udp4');
-	await bind(datagrams, peerPort, address);
+	await bindDatagrams(datagrams, peerPort, address);
 	datagrams.on('error', error => {
 		logger.debug('datagram failed', {reason: String(error)});
 	});
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -101,6 +101,9 @@
 	}
 };
 
+/** True unless the attempt is known not to have run the request. */
+const mayHaveRunAfter = (outcome: UpstreamOutcome): boolean => outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
+
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
@@ -131,8 +134,7 @@
 
 	/** Whether a failed attempt is followed by another, and why not. */
 	const decideRetry = (context: Context, outcome: UpstreamOutcome, sends: number): 'retry' | 'not-repeatable' | 'attempts-spent' | 'no-time' | 'budget-spent' => {
-		const mayHaveRun = outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
-		if (mayHaveRun && context.route.semantics !== 'idempotent') {
+		if (mayHaveRunAfter(outcome) && context.route.semantics !== 'idempotent') {
 			return 'not-repeatable';
 		}
 
@@ -241,7 +243,7 @@
 				sends++;
 			}
 
-			mayHaveRun ||= outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
+			mayHaveRun ||= mayHaveRunAfter(outcome);
 			if (result === 'good') {
 				return concludeAttempt(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
 			}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -20,6 +20,7 @@
 export {runDaemon} from './main.ts';
 export {answerIsBounded, forwardedHeaders} from './headers.ts';
 export type {Headers} from './headers.ts';
+export {bindDatagrams} from './datagrams.ts';
 export {createPeerStreams} from './peer-streams.ts';
 export type {PeerEndpoint, PeerStreams} from './peer-streams.ts';
 export {
