feat(gateway): a silent idempotent request is also sent to a second instance

Change: after three mean service times of silence, and where an instance has room at once and the fleet's allowance of repeats holds, a second attempt runs beside the first; the first whole answer wins, the other attempt is cancelled. Ruled out: cutting the first attempt off, since a slow answer would be lost with it.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -33,6 +33,9 @@
 /** When callers of a process that knows too little are asked to come back. */
 export const notReadyRetryMs = 250;
 
+/** Silence, in mean service times, after which an idempotent request is also sent elsewhere: one answer in twenty-five takes longer where service times spread log-normally by 0.8. */
+export const hedgeFactor = 3;
+
 /** Connections that fail to open before a request is rejected. */
 export const maxUnreachable = 3;
 
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -26,6 +26,8 @@
 export type Dispatchers = {
 	/** Resolves once the request may be sent, or is rejected, or `signal` aborts. */
 	readonly place: (service: string, request: DispatchRequest, signal: AbortSignal) => Promise<Placed>;
+	/** A slot that is free now; undefined when the request would wait or be rejected. */
+	readonly placeNow: (service: string, request: DispatchRequest) => DispatchPlacement | undefined;
 	readonly finish: (service: string, placement: DispatchPlacement, result: AttemptResult) => void;
 	readonly noteServed: (service: string, isServed: boolean) => void;
 	readonly serviceMs: (service: string) => number;
@@ -169,6 +171,13 @@
 				resolve(decision);
 			});
 		},
+		placeNow(name, request) {
+			const {dispatcher} = serviceOf(name);
+			const waiting: Waiting = {...request, settle: () => undefined};
+			const decision = dispatcher.submit(waiting, nowMs());
+			dispatcher.cancel(waiting);
+			return decision.type === 'send' ? decision.placement : undefined;
+		},
 		finish(name, placement, result) {
 			const service = serviceOf(name);
 			if (service.dispatcher.finish(placement, result, nowMs())) {
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -7,6 +7,7 @@
 	type AttemptResult,
 	type Catalogue,
 	type DispatchPlacement,
+	type DispatchRequest,
 	type ErrorKind,
 	type PrefixRoute,
 	type PrefixRouteTable,
@@ -17,8 +18,11 @@
 } from '@egretwing/core';
 import {forwardedHeaders, refuse} from '@egretwing/node';
 import {readBody} from './body.ts';
-import {maxUnreachable, notReadyRetryMs, startWaitMs} from './constants.ts';
-import type {Dispatchers} from './dispatchers.ts';
+import {
+	hedgeFactor, maxUnreachable, notReadyRetryMs, startWaitMs,
+} from './constants.ts';
+import type {Dispatchers, Placed} from './dispatchers.ts';
+import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
 import type {HeaderNames} from './types.ts';
@@ -116,20 +120,26 @@
 		type: 'refusal', refusal: createRefusal(kind, ran), reason, ...(retryAfterMs !== undefined && {retryAfterMs}),
 	});
 
-	const attempt = async (context: Context, placement: DispatchPlacement): Promise<UpstreamOutcome> => {
+	const startAttempt = (context: Context, placement: DispatchPlacement): RunningAttempt => {
 		const instance = catalogue.ready(context.service).find(({instanceId}) => instanceId === placement.instanceId);
 		if (instance === undefined) {
-			return {type: 'unreachable', detail: 'instance left'};
+			return {placement, ended: Promise.resolve({type: 'unreachable', detail: 'instance left'}), abort: () => undefined};
 		}
 
 		const leftMs = context.finalAtMs - nowMs();
 		const {outcome, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
 		context.signal.addEventListener('abort', abort, {once: true});
-		const ended = await outcome;
-		clearTimeout(timer);
-		context.signal.removeEventListener('abort', abort);
-		return ended;
+		const release = (): void => {
+			clearTimeout(timer);
+			context.signal.removeEventListener('abort', abort);
+		};
+
+		return {
+			placement,
+			ended: outcome.finally(release),
+			abort,
+		};
 	};
 
 	/** Whether a failed attempt is followed by another, and why not. */
@@ -176,8 +186,80 @@
 		}
 	};
 
+	const toDispatchRequest = (context: Context, attemptedIds: readonly string[]): DispatchRequest => ({
+		requestId: context.requestId,
+		rank: context.route.rank,
+		isIdempotent: context.route.semantics === 'idempotent',
+		isReturning: context.isReturning || attemptedIds.length > 0,
+		bodyBytes: context.upstreamRequest.body?.length ?? 0,
+		objectiveAtMs: context.arrivedAtMs + context.route.latencyObjectiveMs,
+		finalAtMs: context.finalAtMs,
+		attemptedIds,
+	});
+
+	const logSent = ({requestId, route, service}: Context, {instanceId, isTrial}: DispatchPlacement, attempt: number, waitedMs: number): void => {
+		const {configVersion, instancesAsOf} = catalogue.digest();
+		log('sent', {
+			requestId,
+			route: route.name,
+			service,
+			instanceId,
+			attempt,
+			waitedMs: Math.round(waitedMs),
+			isTrial,
+			configVersion,
+			instancesAsOf,
+			...dispatchers.explain(service, instanceId),
+		});
+	};
+
+	const rejectPlaced = (context: Context, {reason, retryAfterMs}: Extract<Placed, {type: 'reject'}>): Final => {
+		log('rejected', {
+			requestId: context.requestId,
+			route: context.route.name,
+			service: context.service,
+			reason,
+			retryAfterMs,
+			leftMs: Math.round(context.finalAtMs - nowMs()),
+			...dispatchers.explain(context.service),
+		});
+		return refuseWith(kindOfReject[reason], reason, retryAfterMs);
+	};
+
+	/** A second attempt beside a silent first one, where an instance has room at once and the fleet's allowance of repeats holds. */
+	const startHedge = (context: Context, attemptedIds: readonly string[], attempt: number): RunningAttempt | undefined => {
+		const placement = dispatchers.placeNow(context.service, toDispatchRequest(context, attemptedIds));
+		if (placement === undefined) {
+			return undefined;
+		}
+
+		if (!parts.retryWindow(context.service).take(parts.retrySlackShare(), nowMs())) {
+			dispatchers.finish(context.service, placement, 'abandoned');
+			metrics.retriesRefused.inc({reason: 'budget-spent'});
+			return undefined;
+		}
+
+		metrics.retries.inc({reason: 'silent'});
+		logSent(context, placement, attempt, 0);
+		return startAttempt(context, placement);
+	};
+
+	const runAttempt = async (context: Context, placement: DispatchPlacement, attemptedIds: readonly string[], sends: number): Promise<readonly EndedAttempt[]> => {
+		const first = startAttempt(context, placement);
+		const mayHedge = context.route.semantics === 'idempotent' && sends + 2 <= context.route.maxAttempts;
+		if (!mayHedge) {
+			return [{placement, outcome: await first.ended, isLoser: false}];
+		}
+
+		return runHedged(first, {
+			afterMs: hedgeFactor * dispatchers.serviceMs(context.service),
+			startSecond: () => startHedge(context, [...attemptedIds, placement.instanceId], sends + 2),
+			isGood: outcome => toResult(outcome, false) === 'good',
+		});
+	};
+
 	const attemptUntilFinal = async (context: Context): Promise<Final> => {
-		const {service, route} = context;
+		const {requestId, service, signal} = context;
 		const attemptedIds: string[] = [];
 		let mayHaveRun = false;
 		let sends = 0;
@@ -185,76 +267,42 @@
 		let last: Final | undefined;
 		parts.retryWindow(service).noteRequest(nowMs());
 		for (;;) {
-			const placed = await dispatchers.place(service, {
-				requestId: context.requestId,
-				rank: route.rank,
-				isIdempotent: route.semantics === 'idempotent',
-				isReturning: context.isReturning || sends > 0,
-				bodyBytes: context.upstreamRequest.body?.length ?? 0,
-				objectiveAtMs: context.arrivedAtMs + route.latencyObjectiveMs,
-				finalAtMs: context.finalAtMs,
-				attemptedIds,
-			}, context.signal);
+			const placed = await dispatchers.place(service, toDispatchRequest(context, attemptedIds), signal);
 			if (placed.type === 'cancelled') {
 				return {type: 'caller-gone'};
 			}
 
 			if (placed.type === 'reject') {
-				log('rejected', {
-					requestId: context.requestId,
-					route: route.name,
-					service,
-					reason: placed.reason,
-					retryAfterMs: placed.retryAfterMs,
-					leftMs: Math.round(context.finalAtMs - nowMs()),
-					...dispatchers.explain(service),
-				});
-				if (last !== undefined) {
-					return last;
-				}
-
-				return refuseWith(kindOfReject[placed.reason], placed.reason, placed.retryAfterMs);
+				const rejection = rejectPlaced(context, placed);
+				return last ?? rejection;
 			}
 
-			const {placement, waitedMs} = placed;
-			const {instanceId} = placement;
-			metrics.waitDurationMs.observe({service}, waitedMs);
-			const {configVersion, instancesAsOf} = catalogue.digest();
-			log('sent', {
-				requestId: context.requestId,
-				route: route.name,
-				service,
-				instanceId,
-				attempt: sends + 1,
-				waitedMs: Math.round(waitedMs),
-				isTrial: placement.isTrial,
-				configVersion,
-				instancesAsOf,
-				...dispatchers.explain(service, instanceId),
-			});
-			const outcome = await attempt(context, placement);
-			const result = toResult(outcome, context.signal.aborted);
-			dispatchers.finish(service, placement, result);
-			metrics.attempts.inc({service, result});
-			attemptedIds.push(instanceId);
-			if (outcome.type === 'unreachable') {
-				unreachable++;
-			} else {
-				sends++;
+			metrics.waitDurationMs.observe({service}, placed.waitedMs);
+			logSent(context, placed.placement, sends + 1, placed.waitedMs);
+			const ended = await runAttempt(context, placed.placement, attemptedIds, sends);
+			for (const {placement, outcome, isLoser} of ended) {
+				const result = isLoser ? 'abandoned' : toResult(outcome, signal.aborted);
+				dispatchers.finish(service, placement, result);
+				metrics.attempts.inc({service, result});
+				attemptedIds.push(placement.instanceId);
+				unreachable += Number(outcome.type === 'unreachable');
+				sends += Number(outcome.type !== 'unreachable');
+				mayHaveRun ||= mayHaveRunAfter(outcome);
 			}
 
-			mayHaveRun ||= mayHaveRunAfter(outcome);
+			const {placement: {instanceId, startedAtMs}, outcome} = ended.at(-1)!;
+			const result = toResult(outcome, signal.aborted);
 			if (result === 'good') {
 				return concludeAttempt(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
 			}
 
-			if (context.signal.aborted) {
+			if (signal.aborted) {
 				return {type: 'caller-gone'};
 			}
 
 			const decision = unreachable >= maxUnreachable ? 'attempts-spent' : decideRetry(context, outcome, sends);
 			log('attempt failed', {
-				requestId: context.requestId, service, instanceId, result, tookMs: Math.round(nowMs() - placement.startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
+				requestId, service, instanceId, result, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
 			});
 			// An answer of an instance says more than the failure of a later attempt.
 			const final = concludeAttempt(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -188,6 +188,27 @@
 		});
 	}
 
+	it('serves an idempotent request from another instance while the first is silent, and cancels the silent attempt', async () => {
+		const gone: string[] = [];
+		let isFirst = true;
+		const hangsOnce: Handler = (request, response, body) => {
+			if (!isFirst) {
+				answerWith(200, 'ok')(request, response, body);
+				return;
+			}
+
+			isFirst = false;
+			request.socket.once('close', () => {
+				gone.push('silent');
+			});
+		};
+
+		await start([hangsOnce, hangsOnce]);
+		const answer = await callGateway('/idempotent/1');
+		await delay(100);
+		expect([answer.statusCode, arrivals(), gone]).to.deep.equal([200, 2, ['silent']]);
+	});
+
 	it('names itself to callers while it knows no other, and is ready once it knows enough', async () => {
 		await start([answerWith(200, 'ok')]);
 		expect(gateway.isReady()).to.equal(false);
