feat(gateway): what may run once is kept off connections that instances may have forgotten

Cause: instances may drop idle connections without notice (idle_race); what is sent next on one is reset, so that at-most-once work found out first and the instance was avoided for it. Change: two resets within two seconds on connections that had been idle are taken for it; for eight seconds at-most-once requests then use only connections idle for less than half of what was fatal, and such a reset is no evidence against the instance.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -102,3 +102,12 @@
 
 /** How long a new instance is left to the idempotent requests before any request may be its first. */
 export const introductionDelayMs = 2500;
+
+/** Shortest idle time at which a reset may mean that the instance forgot the connection: shorter ones are ends of other causes. */
+export const minIdleLossMs = 100;
+
+/** Time within which two such resets are taken for forgotten connections: failing instances give them one by one. */
+export const idleLossWindowMs = 2000;
+
+/** Time for which that is believed after the last reset: as long as an instance is avoided at most. */
+export const idleLossMemoryMs = 8000;
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -9,3 +9,5 @@
 export type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, InstanceReport, LateDecision, Placement, RejectReason,
 } from './types.ts';
+export {createIdleLimit} from './idle-limit.ts';
+export type {IdleLimit} from './idle-limit.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -66,7 +66,7 @@
 	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
 } from './catalogue/index.ts';
 export {
-	createDispatcher, createRetryWindow, fromReportRows, slackShareOf, toReportRows,
+	createDispatcher, createIdleLimit, createRetryWindow, fromReportRows, slackShareOf, toReportRows,
 } from './dispatch/index.ts';
 export type {ReportRow} from './dispatch/index.ts';
 export type {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -235,6 +235,7 @@
 	}));
 
 	const upstream = createUpstream({
+		nowMs,
 		localAddress: settings.address,
 		headerNames,
 		onConnect() {
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -96,7 +96,8 @@
 		}
 
 		case 'broken': {
-			return 'broken';
+			// A forgotten connection says nothing of the instance.
+			return outcome.isIdleLoss ? 'abandoned' : 'broken';
 		}
 
 		case 'aborted': {
@@ -432,6 +433,7 @@
 				target: incoming.url ?? '/',
 				headers: forwardedHeaders(incoming.headers, ownHeaders(headerNames)),
 				body: read.body,
+				isIdempotent: route.semantics === 'idempotent',
 			},
 			signal: gone.signal,
 		};
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -8,6 +8,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
+import {createIdleLimit} from '@egretwing/core';
 import {answerIsBounded} from '@egretwing/node';
 import {
 	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxIdleConnectionMs,
@@ -30,6 +31,8 @@
 	readonly headers: Readonly<Record<string, string | string[]>>;
 	/** Null when the request has none. */
 	readonly body: Buffer | null;
+	/** True when it may run more than once, so that it may be the one to find out that a connection is gone. */
+	readonly isIdempotent: boolean;
 };
 
 /** An answer of an instance; `body` is whole, or `rest` carries what did not fit. */
@@ -51,8 +54,8 @@
 		| {readonly type: 'not-executed'; readonly statusCode: number}
 	/** Nothing was sent. */
 		| {readonly type: 'unreachable'; readonly detail: string}
-	/** The request may have run; no whole answer to it came. */
-		| {readonly type: 'broken'; readonly detail: string}
+	/** The request may have run; no whole answer to it came. `isIdleLoss` when the instance seems to have forgotten the idle connection. */
+		| {readonly type: 'broken'; readonly detail: string; readonly isIdleLoss: boolean}
 	/** The attempt was given up; the request may have run if `isSent`. */
 		| {readonly type: 'aborted'; readonly isSent: boolean};
 
@@ -73,6 +76,7 @@
 
 /** What the upstream needs. */
 export type UpstreamOptions = {
+	readonly nowMs: () => number;
 	readonly localAddress: string;
 	readonly headerNames: HeaderNames;
 	readonly onConnect: () => void;
@@ -88,15 +92,35 @@
 	return seconds === undefined ? Number.POSITIVE_INFINITY : Number(seconds) * msPerSecond;
 };
 
-type AnswerSocket = net.Socket & {idleGuard?: () => void};
+type AnswerSocket = net.Socket & {idleGuard?: () => void; idleSinceMs?: number};
 
 /** Keeps connections for a bounded time and destroys those on which an instance speaks unasked. */
 class GuardedAgent extends http.Agent {
+	readonly #nowMs: () => number;
+
+	constructor(nowMs: () => number) {
+		super({keepAlive: true, scheduling: 'lifo', noDelay: true});
+		this.#nowMs = nowMs;
+	}
+
+	/** Closes connections that have been idle for longer. */
+	dropIdle(limitMs: number): void {
+		const beforeMs = this.#nowMs() - limitMs;
+		for (const sockets of Object.values(this.freeSockets)) {
+			for (const socket of sockets ?? []) {
+				if (((socket as AnswerSocket).idleSinceMs ?? 0) < beforeMs) {
+					socket.destroy();
+				}
+			}
+		}
+	}
+
 	override keepSocketAlive(socket: AnswerSocket): boolean {
 		if (socket.destroyed || socket.readableLength > 0) {
 			return false;
 		}
 
+		socket.idleSinceMs = this.#nowMs();
 		socket.idleGuard = () => {
 			socket.destroy();
 		};
@@ -138,11 +162,14 @@
 };
 
 /** Creates the connections to the instances. */
-export const createUpstream = ({localAddress, headerNames, onConnect}: UpstreamOptions): Upstream => {
+export const createUpstream = ({
+	nowMs, localAddress, headerNames, onConnect,
+}: UpstreamOptions): Upstream => {
+	const idleLimit = createIdleLimit();
 	const agents = new Map<string, GuardedAgent>();
 
 	const agentOf = ({instanceId}: UpstreamTarget): GuardedAgent => {
-		const agent = agents.get(instanceId) ?? new GuardedAgent({keepAlive: true, scheduling: 'lifo', noDelay: true});
+		const agent = agents.get(instanceId) ?? new GuardedAgent(nowMs);
 		agents.set(instanceId, agent);
 		return agent;
 	};
@@ -158,8 +185,17 @@
 	};
 
 	const send = (target: UpstreamTarget, request: UpstreamRequest, leftMs: number): UpstreamAttempt => {
+		const idleLimitMs = idleLimit.limitMs(nowMs());
+		if (idleLimitMs !== undefined && !request.isIdempotent) {
+			agentOf(target).dropIdle(idleLimitMs);
+		}
+
+		/** How long the connection had been idle; undefined for a new one. */
+		let idleMs: number | undefined;
 		let isSent = false;
 		let isAborted = false;
+		let hasAnswered = false;
+		let isEnded = false;
 		let settle: (outcome: UpstreamOutcome) => void;
 		const outcome = new Promise<UpstreamOutcome>(resolve => {
 			settle = resolve;
@@ -186,14 +222,29 @@
 			}
 		}, connectTimeoutMs);
 
+		const noteIdleLoss = (): boolean => {
+			if (idleMs === undefined || hasAnswered) {
+				return false;
+			}
+
+			idleLimit.noteReset(idleMs, nowMs());
+			const limitMs = idleLimit.limitMs(nowMs());
+			return limitMs !== undefined && idleMs > limitMs;
+		};
+
 		const fail = (detail: string): void => {
+			if (isEnded) {
+				return;
+			}
+
+			isEnded = true;
 			clearTimeout(connectTimer);
 			if (isAborted) {
 				settle({type: 'aborted', isSent});
 				return;
 			}
 
-			settle(isSent ? {type: 'broken', detail} : {type: 'unreachable', detail});
+			settle(isSent ? {type: 'broken', detail, isIdleLoss: noteIdleLoss()} : {type: 'unreachable', detail});
 		};
 
 		const toAnswer = (answer: http.IncomingMessage, chunks: readonly Buffer[]): UpstreamAnswer => ({
@@ -237,6 +288,7 @@
 		};
 
 		const takeAnswer = (answer: http.IncomingMessage): void => {
+			hasAnswered = true;
 			// An instance that answers before it has read the body would take the rest of it for a request.
 			if (!outgoing.writableFinished) {
 				outgoing.shouldKeepAlive = false;
@@ -266,6 +318,7 @@
 			};
 
 			if (outgoing.reusedSocket) {
+				idleMs = nowMs() - ((socket as AnswerSocket).idleSinceMs ?? nowMs());
 				onReady();
 				return;
 			}
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -204,6 +204,10 @@
 		};
 
 		await start([hangsOnce, hangsOnce]);
+		while (!gateway.isReady()) {
+			await delay(20);
+		}
+
 		const answer = await callGateway('/idempotent/1');
 		await delay(100);
 		expect([answer.statusCode, arrivals(), gone]).to.deep.equal([200, 2, ['silent']]);
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {defaultHeaderNames} from '@egretwing/gateway';
@@ -43,7 +44,7 @@
 };
 
 const request = (changes: Partial<UpstreamRequest> = {}): UpstreamRequest => ({
-	requestId: 'r1', method: 'GET', target: '/a', headers: {host: 'a.example'}, body: null, ...changes,
+	requestId: 'r1', method: 'GET', target: '/a', headers: {host: 'a.example'}, body: null, isIdempotent: true, ...changes,
 });
 
 const whole = (id: string, body = 'ok', extra = ''): string =>
@@ -71,7 +72,7 @@
 };
 
 describe('upstream', () => {
-	const create = () => createUpstream({localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined});
+	const create = () => createUpstream({nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined});
 
 	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end'; readonly outcome: string}> = [
 		{title: 'passes a whole answer', answer: whole('r1'), outcome: 'answered 200 ok'},
@@ -100,6 +101,29 @@
 		});
 	}
 
+	it('opens a connection for what may run once, after two idle connections were reset, and does not blame the instance for a third', async () => {
+		const instance = await startInstance([whole('r1'), '', whole('r1'), '', whole('r1'), '', whole('r1'), whole('r1')]);
+		const upstream = create();
+		const send = async (isIdempotent: boolean): Promise<UpstreamOutcome> => {
+			const {outcome} = upstream.send({instanceId: 'i', address, port: instance.port}, request({isIdempotent}), 1000);
+			const ended = await outcome;
+			await delay(150);
+			return ended;
+		};
+
+		const outcomes: UpstreamOutcome[] = [];
+		for (const isIdempotent of [false, false, false, false, true, true, true, false]) {
+			outcomes.push(await send(isIdempotent));
+		}
+
+		expect(outcomes.map(outcome => outcome.type === 'broken' ? `idle loss ${outcome.isIdleLoss}` : outcome.type)).to.deep.equal([
+			'answered', 'idle loss false', 'answered', 'idle loss true', 'answered', 'idle loss true', 'answered', 'answered',
+		]);
+		expect(instance.connections()).to.equal(5);
+		upstream.close();
+		instance.close();
+	});
+
 	it('reports a refused connection as unreachable', async () => {
 		const instance = await startInstance([]);
 		instance.close();
