--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,7 @@
 	const election = createReaderElection(startedAtMs);
 	const knownHosts = new Map<string, EntryHost>();
 	const placedAtMsById = new Map<string, number>();
+	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
 	let routes = createPrefixRouteTable([]);
 	let seeds = settings.seedAddresses;
@@ -200,7 +201,15 @@
 	};
 
 	const mesh = await createMesh({
-		hostId, address: settings.address, peerPort, onMessage: receive, logger,
+		hostId,
+		address: settings.address,
+		peerPort,
+		onMessage: receive,
+		onSent(kind, sizeBytes) {
+			metrics.peerBytes.inc({kind}, sizeBytes);
+			sentBytesByKind.set(kind, (sentBytesByKind.get(kind) ?? 0) + sizeBytes);
+		},
+		logger,
 	});
 
 	const tellStore = (isReachable: boolean): void => {
@@ -392,7 +401,9 @@
 			server.closeIdleConnections();
 		}
 
-		logger.info('shutdown ended', {connections: await connectionsLeft(), tookMs: Math.round(nowMs() - beganAtMs)});
+		logger.info('shutdown ended', {
+			connections: await connectionsLeft(), tookMs: Math.round(nowMs() - beganAtMs), peerSentBytes: Object.fromEntries(sentBytesByKind),
+		});
 		sendMembers(membership.leave(nowMs()));
 		for (const reader of readers) {
 			reader.stop();
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -37,15 +37,20 @@
 /** Where the mesh listens and who takes messages. */
 export type MeshOptions = MeshPeer & {
 	readonly onMessage: (from: MeshPeer, message: MeshMessage) => void;
+	/** Called for each message sent, with its kind and size. */
+	readonly onSent: (kind: string, sizeBytes: number) => void;
 	readonly logger: Logger;
 };
 
 /** Without field names, since it goes with every message. */
 type Envelope = readonly [hostId: string, address: string, peerPort: number, message: MeshMessage];
 
+const kindOf = (message: MeshMessage): string =>
+	message.type === 'member' || message.type === 'spread' ? `${message.type} ${message.message.type}` : message.type;
+
 /** Starts listening on UDP and TCP at one port; rejects when it can't be bound. */
 export const createMesh = async ({
-	hostId, address, peerPort, onMessage, logger,
+	hostId, address, peerPort, onMessage, onSent, logger,
 }: MeshOptions): Promise<Mesh> => {
 	const take = (bytes: Buffer): boolean => {
 		const decoded = decodeValue(bytes);
@@ -81,6 +86,7 @@
 
 			const envelope: Envelope = [hostId, address, peerPort, message];
 			const bytes = encodeValue(envelope);
+			onSent(kindOf(message), bytes.length);
 			if (transport === 'stream' || bytes.length > maxDatagramBytes) {
 				streams.send(to, bytes);
 				return;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -18,6 +18,8 @@
 	/** Attempts by service and how they ended. */
 	readonly attempts: Counter<'service' | 'result'>;
 	readonly connections: Counter;
+	/** Bytes sent to other gateways by kind of message. */
+	readonly peerBytes: Counter<'kind'>;
 	readonly storeCalls: Counter<'topic' | 'result'>;
 	readonly requestDurationMs: Histogram<'service'>;
 	readonly waitDurationMs: Histogram<'service'>;
@@ -49,6 +51,9 @@
 			name: 'egretwing_attempts_total', help: 'Attempts by service and end', labelNames: ['service', 'result'], registers,
 		}),
 		connections: new Counter({name: 'egretwing_instance_connections_total', help: 'Connections opened to instances', registers}),
+		peerBytes: new Counter({
+			name: 'egretwing_peer_sent_bytes_total', help: 'Bytes sent to other gateways by kind of message', labelNames: ['kind'], registers,
+		}),
 		storeCalls: new Counter({
 			name: 'egretwing_store_calls_total', help: 'Calls to the platform store by topic and result', labelNames: ['topic', 'result'], registers,
 		}),
