--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -8,6 +8,9 @@
 import {
 	bindDatagrams, createPeerStreams, decodeValue, encodeValue, type Logger, type PeerEndpoint,
 } from '@egretwing/node';
+import {
+	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
+} from './member-rows.ts';
 
 /** Largest message that is sent as a datagram, in bytes. */
 const maxDatagramBytes = 1200;
@@ -42,8 +45,59 @@
 	readonly logger: Logger;
 };
 
+/** Messages as they travel: hosts and members as rows. */
+type WireMessage
+	= | Exclude<MeshMessage, {type: 'member' | 'join' | 'hosts'}>
+		| {readonly type: 'member'; readonly message: MemberRowsMessage}
+		| {readonly type: 'join'; readonly host: HostRow}
+		| {readonly type: 'hosts'; readonly hosts: readonly HostRow[]};
+
 /** Without field names, since it goes with every message. */
-type Envelope = readonly [hostId: string, address: string, peerPort: number, message: MeshMessage];
+type Envelope = readonly [hostId: string, address: string, peerPort: number, message: WireMessage];
+
+const toWire = (message: MeshMessage): WireMessage => {
+	switch (message.type) {
+		case 'member': {
+			return {type: 'member', message: toMemberRows(message.message)};
+		}
+
+		case 'join': {
+			return {type: 'join', host: toHostRow(message.host)};
+		}
+
+		case 'hosts': {
+			return {type: 'hosts', hosts: message.hosts.map(host => toHostRow(host))};
+		}
+
+		case 'spread':
+		case 'load':
+		case 'store': {
+			return message;
+		}
+	}
+};
+
+const fromWire = (message: WireMessage): MeshMessage => {
+	switch (message.type) {
+		case 'member': {
+			return {type: 'member', message: fromMemberRows(message.message)};
+		}
+
+		case 'join': {
+			return {type: 'join', host: fromHostRow(message.host)};
+		}
+
+		case 'hosts': {
+			return {type: 'hosts', hosts: message.hosts.map(row => fromHostRow(row))};
+		}
+
+		case 'spread':
+		case 'load':
+		case 'store': {
+			return message;
+		}
+	}
+};
 
 const kindOf = (message: MeshMessage): string =>
 	message.type === 'member' || message.type === 'spread' ? `${message.type} ${message.message.type}` : message.type;
@@ -61,7 +115,7 @@
 
 		try {
 			const [fromId, fromAddress, fromPort, message] = decoded.value as Envelope;
-			onMessage({hostId: fromId, address: fromAddress, peerPort: fromPort}, message);
+			onMessage({hostId: fromId, address: fromAddress, peerPort: fromPort}, fromWire(message));
 			return true;
 		} catch (error) {
 			logger.warn('message of a peer refused', {reason: String(error)});
@@ -84,7 +138,7 @@
 				return;
 			}
 
-			const envelope: Envelope = [hostId, address, peerPort, message];
+			const envelope: Envelope = [hostId, address, peerPort, toWire(message)];
 			const bytes = encodeValue(envelope);
 			onSent(kindOf(message), bytes.length);
 			if (transport === 'stream' || bytes.length > maxDatagramBytes) {
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -72,7 +72,9 @@
 };
 
 describe('upstream', () => {
-	const create = () => createUpstream({nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined});
+	const create = () => createUpstream({
+		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined,
+	});
 
 	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end'; readonly outcome: string}> = [
 		{title: 'passes a whole answer', answer: whole('r1'), outcome: 'answered 200 ok'},
