fix(core): gateways that callers are not sent to spread their few requests over all instances

All gateways lost power at 32.05 s, so that a fifth of the requests of the last two seconds was lost, and three of eight sound instances had got none in them: the placed gateways keep to the instances with the youngest good answers, and the others, since instances of the first list are not introduced any more, all chose the same instance of their data centre. Change: a gateway that callers are not sent to chooses at random among those of its data centre that are not avoided. Its requests also find failing instances before callers' requests do. Ruled out: rotation at the placed gateways, which on the replay costs one failed request in a hundred.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -46,9 +46,9 @@
 	readonly serviceMs: number;
 };
 
-/** Creates the dispatcher of a gateway in `dataCentre`. */
-export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random): Dispatcher<Request> => {
-	const pool = createInstancePool(dataCentre);
+/** Creates the dispatcher of a gateway in `dataCentre`; `isScout` tells whether callers are sent elsewhere. */
+export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random, isScout: () => boolean = () => false): Dispatcher<Request> => {
+	const pool = createInstancePool(dataCentre, random);
 	const queue = createWaitQueue<Request>();
 	let serviceMs = initialServiceMs;
 	let results: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
@@ -59,7 +59,9 @@
 		return unserved > 1 && unserved > spreadUnservedShare * results.length;
 	};
 
-	const contextAt = (nowMs: number): ChoiceContext => ({nowMs, serviceMs, isSpread: isSpread(nowMs)});
+	const contextAt = (nowMs: number): ChoiceContext => ({
+		nowMs, serviceMs, isSpread: isSpread(nowMs), isScout: isScout(),
+	});
 
 	/** Time until a slot is free for a request behind `ahead` others: this gateway's part of the slots turns over once a service time. */
 	const expectedWaitMs = (ahead: number, nowMs: number): number => {
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -5,6 +5,7 @@
  * itself last, in the own data centre before others, and never beyond the slots that all gateways together use.
  */
 
+import type {Random} from '../random.ts';
 import {
 	crowdingCost, idempotentRiskFactor, introductionDelayMs, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, patienceFactor, patientRisk, remoteCost, remoteCostPerMegabyte, reportLifetimeMs, spreadIdleMs, stalledFactor,
 } from './constants.ts';
@@ -22,6 +23,8 @@
 	readonly serviceMs: number;
 	/** True when work is spread over all usable instances rather than kept at the proven ones. */
 	readonly isSpread: boolean;
+	/** True when callers are not sent to this gateway, so that the few requests it gets serve best as trials for the others. */
+	readonly isScout: boolean;
 };
 
 /** The instances of one service at one gateway. */
@@ -88,7 +91,7 @@
 const canRepeat = ({isIdempotent, attemptedIds}: DispatchRequest): boolean => isIdempotent && attemptedIds.length === 0;
 
 /** Creates the pool of a gateway in `dataCentre`. */
-export const createInstancePool = (dataCentre: string): InstancePool => {
+export const createInstancePool = (dataCentre: string, random: Random): InstancePool => {
 	const members = new Map<string, Member>();
 	/** When the first instances became known; those known since then are no news. */
 	let firstKnownMs = Number.POSITIVE_INFINITY;
@@ -137,8 +140,14 @@
 		|| !(request.isIdempotent || nowMs - facts.knownSinceMs >= introductionDelayMs);
 
 	const costOf = (member: Member, request: DispatchRequest, context: ChoiceContext): number => {
-		const {nowMs, serviceMs, isSpread} = context;
+		const {
+			nowMs, serviceMs, isSpread, isScout,
+		} = context;
 		const {facts, trust} = member;
+		if (isScout) {
+			return random.next() + (facts.dataCentre === dataCentre ? 0 : 1);
+		}
+
 		// A new instance shows with its first request whether it can be used.
 		if (!isIntroduced(member, request, nowMs)) {
 			return -1;
@@ -207,7 +216,7 @@
 		take(request, context, isPatient) {
 			const {nowMs} = context;
 			const usable = usableMembers(context);
-			const avoidsRisk = isPatient && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
+			const avoidsRisk = isPatient && !context.isScout && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
 			let best: Member | undefined;
 			let bestCost = Number.POSITIVE_INFINITY;
 			for (const member of usable) {
--- a/packages/core/test/dispatch/load-replay.test.ts
+++ b/packages/core/test/dispatch/load-replay.test.ts
@@ -84,6 +84,31 @@
 		});
 	}
 
+	it('reaches seven in ten of the instances in nearly any two seconds by the few requests of gateways that callers are not sent to', () => {
+		const random = createRandom(5);
+		const scouts = Array.from({length: 41}, (_, index) => {
+			const dispatcher = createDispatcher('a', createRandom(index + 1), () => true);
+			dispatcher.setInstances(createInstances(18, 2));
+			return dispatcher;
+		});
+		const startsMs = new Map<string, number[]>();
+		for (let nowMs = 0; nowMs < 30_000; nowMs += 68) {
+			const scout = scouts[Math.floor(random.next() * scouts.length)]!;
+			const decision = scout.submit({
+				requestId: 'r', rank: 0, isIdempotent: false, isReturning: false, bodyBytes: 0, objectiveAtMs: nowMs + 800, finalAtMs: nowMs + 1200, attemptedIds: [],
+			}, nowMs);
+			if (decision.type === 'send') {
+				const {placement} = decision;
+				startsMs.set(placement.instanceId, [...startsMs.get(placement.instanceId) ?? [], nowMs]);
+				scout.finish(placement, 'good', nowMs + 220);
+			}
+		}
+
+		const reachedFrom = (fromMs: number): number => [...startsMs.values()].filter(times => times.some(timeMs => timeMs >= fromMs && timeMs < fromMs + 2000)).length;
+		const shares = Array.from({length: 14}, (_, index) => reachedFrom(index * 2000) / 18);
+		expect(shares.filter(share => share >= 0.7).length).to.be.at.least(13);
+	});
+
 	it('uses every sound instance again after its episode', () => {
 		const load = {
 			...base, breaks: episodes, lengthMs: 60_000, perSecond: () => 120,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -147,8 +147,10 @@
 		}
 	};
 
+	const isScout = (): boolean => placedIds.length > 0 && nowMs() - (placedAtMsById.get(hostId) ?? Number.NEGATIVE_INFINITY) >= reportingMs;
+
 	const dispatchers = createDispatchers({
-		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, tell: tellSharers,
+		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isScout, tell: tellSharers,
 	});
 
 	const learnHosts = (hosts: readonly EntryHost[]): void => {
