refactor: one draw of random items, one rule of presence, one pause; context of a decision computed once

Found on a last reading of the change. `drawSome` in core replaces three copies of the same loop (membership, relay, spread) and a fourth in line; the agent and the gateway use core's `isPresent` in place of two more of their own; the gateway pauses with the timers that the other programs use; `toNews` takes entries in place of a change with an empty source; a dispatcher computes the context of a decision once in place of up to four times; two comments say what their code does.

--- a/packages/agent/src/exchange.ts
+++ b/packages/agent/src/exchange.ts
@@ -1,14 +1,13 @@
 /** The agent's part in the fleet: membership and configuration, exchanged with the other agents. */
 
 import {
-	createConfigStore, createConfigSync, createMembership, selectRelays,
+	createConfigStore, createConfigSync, createMembership, isPresent, selectRelays,
 	type ConfigMessage, type ConfigRecord, type ConfigStore, type EntryHost, type EntryState, type HostList, type MemberMessage,
 	type MemberSend, type MembershipCounters, type MemberView, type PeerAddress, type Random, type RefusedRecord,
 	type SyncStep,
 } from '@egretwing/core';
 import {createHostListExchange, type HostListMessage} from './host-list-exchange.ts';
 import type {Peers} from './peers.ts';
-import {isPresent} from './presence.ts';
 
 /** A message between agents. Unknown kinds are ignored. */
 type PeerMessage
--- a/packages/agent/src/world.ts
+++ b/packages/agent/src/world.ts
@@ -1,10 +1,9 @@
 /** The host's view of the world, put together from the configuration, the host list and the membership. */
 
 import {
-	messageVersion, orderForCaller, placeService,
+	isPresent, messageVersion, orderForCaller, placeService,
 	type AgentToEntry, type ConfigStore, type EntryHost, type FleetMember, type HostList, type Instance, type MemberView, type Random, type ServiceRecord,
 } from '@egretwing/core';
-import {isPresent} from './presence.ts';
 
 /** Where the view comes from. */
 export type WorldOptions = {
--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -64,8 +64,7 @@
 	});
 
 	/** Time until a slot is free for a request behind `ahead` others: this gateway's part of the slots turns over once a service time. */
-	const expectedWaitMs = (ahead: number, nowMs: number): number => {
-		const context = contextAt(nowMs);
+	const expectedWaitMs = (ahead: number, context: ChoiceContext): number => {
 		const own = pool.ownInFlight();
 		const all = Math.max(own, pool.inFlight(context));
 		const slots = pool.usableSlots(context);
@@ -73,8 +72,8 @@
 		return (ahead + 1) * serviceMs / ownSlots;
 	};
 
-	const reject = (reason: Extract<DispatchDecision, {type: 'reject'}>['reason'], nowMs: number): Extract<DispatchDecision, {type: 'reject'}> => {
-		const waitMs = expectedWaitMs(queue.length(), nowMs);
+	const reject = (reason: Extract<DispatchDecision, {type: 'reject'}>['reason'], context: ChoiceContext): Extract<DispatchDecision, {type: 'reject'}> => {
+		const waitMs = expectedWaitMs(queue.length(), context);
 		// Spread, so that rejected callers don't come back together.
 		const spreadMs = waitMs * (0.5 + random.next());
 		return {type: 'reject', reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, spreadMs)))};
@@ -96,24 +95,25 @@
 	return {
 		setInstances: pool.setInstances,
 		submit(request, nowMs) {
+			const context = contextAt(nowMs);
 			if (nowMs >= request.finalAtMs) {
-				return reject('expired', nowMs);
+				return reject('expired', context);
 			}
 
 			if (!pool.hasOther(request.attemptedIds)) {
-				return reject('no-instance', nowMs);
+				return reject('no-instance', context);
 			}
 
 			// Those that wait for a better instance leave the risky ones to others.
 			const isFirst = queue.inOrder().every(other => isPatient(other, nowMs) || compareUrgency(other, request) > 0);
-			const placement = isFirst ? pool.take(request, contextAt(nowMs), true) : undefined;
+			const placement = isFirst ? pool.take(request, context, true) : undefined;
 			if (placement !== undefined) {
 				return {type: 'send', placement, waitedMs: 0};
 			}
 
-			if (nowMs + expectedWaitMs(queue.countBefore(request), nowMs) > latestStartMs(request, nowMs)) {
-				const lastChance = isFirst ? pool.take(request, contextAt(nowMs), false) : undefined;
-				return lastChance === undefined ? reject('wait-too-long', nowMs) : {type: 'send', placement: lastChance, waitedMs: 0};
+			if (nowMs + expectedWaitMs(queue.countBefore(request), context) > latestStartMs(request, nowMs)) {
+				const lastChance = isFirst ? pool.take(request, context, false) : undefined;
+				return lastChance === undefined ? reject('wait-too-long', context) : {type: 'send', placement: lastChance, waitedMs: 0};
 			}
 
 			queue.add(request, nowMs);
@@ -147,7 +147,7 @@
 				isFull ||= !waits && request.attemptedIds.length === 0;
 				if (nowMs + (serviceMs / 2) >= request.finalAtMs || !pool.hasOther(request.attemptedIds)) {
 					queue.remove(request);
-					decisions.push({request, decision: reject('wait-too-long', nowMs)});
+					decisions.push({request, decision: reject('wait-too-long', context)});
 				}
 			}
 
@@ -164,12 +164,15 @@
 		hear: pool.hear,
 		serviceMs: () => serviceMs,
 		explain: pool.explain,
-		snapshot: nowMs => ({
-			waiting: queue.length(),
-			ownInFlight: pool.ownInFlight(),
-			inFlight: pool.inFlight(contextAt(nowMs)),
-			usableSlots: pool.usableSlots(contextAt(nowMs)),
-			serviceMs: Math.round(serviceMs),
-		}),
+		snapshot(nowMs) {
+			const context = contextAt(nowMs);
+			return {
+				waiting: queue.length(),
+				ownInFlight: pool.ownInFlight(),
+				inFlight: pool.inFlight(context),
+				usableSlots: pool.usableSlots(context),
+				serviceMs: Math.round(serviceMs),
+			};
+		},
 	};
 };
--- a/packages/core/src/dispatch/instance-trust.ts
+++ b/packages/core/src/dispatch/instance-trust.ts
@@ -56,7 +56,7 @@
 		return !wasAvoided;
 	};
 
-	/** Silence may be due to the way from this gateway to the instance, so that it is not told to others. */
+	/** For evidence about the instance itself. Silence may be due to the way from this gateway to it, and is not told to others. */
 	const avoidAndTell = (durationMs: number, nowMs: number): boolean => {
 		toldAvoidUntilMs = Math.max(toldAvoidUntilMs, nowMs + durationMs);
 		return avoid(durationMs, nowMs);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export {selectRelays} from './relay/select.ts';
 export type {ConfigMessage, ConfigSend} from './relay/types.ts';
 export {createMembership} from './membership/membership.ts';
+export {isPresent} from './membership/table.ts';
 export type {Membership, PeerAddress} from './membership/membership.ts';
 export type {
 	EntryState, MemberMessage, MemberSend, MemberStatus, MembershipCounters, MemberUpdate, MemberView,
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -7,7 +7,7 @@
  */
 
 import type {EntryHost} from '../platform/types.ts';
-import type {Random} from '../random.ts';
+import {drawSome, type Random} from '../random.ts';
 import {createBroadcasts} from './broadcasts.ts';
 import {
 	compareIntervalMs, contactIntervalMs, deadRetentionMs, gossipBursts, gossipFanout, gossipIntervalMs, indirectHelpers,
@@ -107,15 +107,8 @@
 
 	const isConfirmed = ({host, suspectedBy}: MemberUpdate): boolean => suspectedBy.length >= requiredSuspecters(host.hostId);
 
-	const pickOthers = (count: number, except = ''): readonly MemberUpdate[] => {
-		const candidates = others().filter(({host}) => host.hostId !== except);
-		const picked: MemberUpdate[] = [];
-		while (picked.length < count && candidates.length > 0) {
-			picked.push(...candidates.splice(Math.floor(random.next() * candidates.length), 1));
-		}
-
-		return picked;
-	};
+	const pickOthers = (count: number, except = ''): readonly MemberUpdate[] =>
+		drawSome(others().filter(({host}) => host.hostId !== except), count, random);
 
 	const sendDatagram = (to: PeerAddress, message: MemberMessage): void => {
 		outbox.push({to, transport: 'datagram', message});
@@ -370,9 +363,8 @@
 			const member = table.get(hostId);
 			return hostId !== self.hostId && (member === undefined || !isPresent(member));
 		});
-		for (let count = isAlone ? gossipFanout : 1; count > 0 && absent.length > 0; count--) {
-			const [host] = absent.splice(Math.floor(random.next() * absent.length), 1);
-			sendPing(host!, noProbe, true);
+		for (const host of drawSome(absent, isAlone ? gossipFanout : 1, random)) {
+			sendPing(host, noProbe, true);
 		}
 	};
 
--- a/packages/core/src/membership/table.ts
+++ b/packages/core/src/membership/table.ts
@@ -8,7 +8,7 @@
 	alive: 0, suspect: 1, dead: 2, left: 3,
 };
 
-/** True for members that are probed and counted. */
+/** True for members that are probed and counted: all but those believed dead or gone; a suspected one is still there. */
 export const isPresent = ({status}: Pick<MemberUpdate, 'status'>): boolean => status === 'alive' || status === 'suspect';
 
 const uniteSuspecters = (current: MemberUpdate, update: MemberUpdate): MemberUpdate | undefined => {
--- a/packages/core/src/random.ts
+++ b/packages/core/src/random.ts
@@ -26,6 +26,17 @@
 	/* eslint-enable no-bitwise */
 };
 
+/** Draws up to `count` different ones of `items`. */
+export const drawSome = <Item>(items: readonly Item[], count: number, random: Random): readonly Item[] => {
+	const rest = [...items];
+	const drawn: Item[] = [];
+	while (drawn.length < count && rest.length > 0) {
+		drawn.push(...rest.splice(Math.floor(random.next() * rest.length), 1));
+	}
+
+	return drawn;
+};
+
 /** Hashes `text` to an unsigned 32-bit integer (FNV-1a with a final avalanche). Stable across processes and versions. */
 export const hashText = (text: string): number => {
 	/* eslint-disable no-bitwise */
--- a/packages/core/src/relay/sync.ts
+++ b/packages/core/src/relay/sync.ts
@@ -2,7 +2,7 @@
 
 import {bucketsPerGroup} from '../config/digest.ts';
 import type {ConfigStore, MergeReport} from '../config/store.ts';
-import type {Random} from '../random.ts';
+import {drawSome, type Random} from '../random.ts';
 import {createRecordMessages, maxTextBytes} from './messages.ts';
 import {createReadiness} from './readiness.ts';
 import type {ConfigMessage, ConfigSend} from './types.ts';
@@ -67,16 +67,6 @@
 /** Time between two comparisons while the agent is not ready. */
 const startIntervalMs = 100;
 
-const pickRandom = (items: readonly string[], count: number, random: Random): readonly string[] => {
-	const rest = [...items];
-	const picked: string[] = [];
-	while (picked.length < count && rest.length > 0) {
-		picked.push(...rest.splice(Math.floor(random.next() * rest.length), 1));
-	}
-
-	return picked;
-};
-
 const differingIndexes = (own: readonly number[], other: readonly number[]): readonly number[] =>
 	own.flatMap((digest, index) => digest === other[index] ? [] : [index]);
 
@@ -108,7 +98,7 @@
 
 		const length = changedTexts.reduce((sum, text) => sum + text.length, 0);
 		const candidates = peers().filter(peer => peer !== except);
-		return pickRandom(candidates, config.pushFanout, random).map(peer => pushTo(peer, changedTexts, length));
+		return drawSome(candidates, config.pushFanout, random).map(peer => pushTo(peer, changedTexts, length));
 	};
 
 	const answerRecords = (from: string, buckets: readonly number[], wanted: readonly number[]): SyncStep => {
@@ -198,7 +188,7 @@
 			const spread = 0.5 + random.next();
 			nextCompareMs = nowMs + (isStarting ? startIntervalMs : config.compareIntervalMs * spread);
 			const candidates = isStarting ? live.filter(peer => !readiness.hasAnswered(peer)) : live;
-			const targets = pickRandom(candidates.length > 0 ? candidates : live, 1, random);
+			const targets = drawSome(candidates.length > 0 ? candidates : live, 1, random);
 			return {sends: targets.map(peer => compareWith(peer))};
 		},
 		isReady: readiness.isReady,
--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -8,7 +8,7 @@
 
 import type {Catalogue} from '../catalogue/catalogue.ts';
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
-import type {Random} from '../random.ts';
+import {drawSome, type Random} from '../random.ts';
 import {
 	compareIntervalMs, doubtMs, firstCompareIntervalMs, newsFanout, newsGraceMs, pullTimeoutMs, readerFanout,
 } from './constants.ts';
@@ -81,23 +81,13 @@
 	/** The newer configuration that a peer was asked for, and who else has it. */
 	let wanted: WantedConfig | undefined;
 
-	const pickFrom = (ids: readonly string[], count: number): readonly string[] => {
-		const candidates = [...ids];
-		const picked: string[] = [];
-		while (picked.length < count && candidates.length > 0) {
-			picked.push(...candidates.splice(Math.floor(random.next() * candidates.length), 1));
-		}
-
-		return picked;
-	};
-
 	/** Random peers of the own data centre; others make up the number where it has too few. */
 	const pickNear = (count: number, except: string): readonly string[] => {
 		const near = nearPeerIds().filter(id => id !== except);
 		const missing = count - near.length;
 		return [
-			...pickFrom(near, count),
-			...(missing > 0 ? pickFrom(peerIds().filter(id => id !== except && !near.includes(id)), missing) : []),
+			...drawSome(near, count, random),
+			...(missing > 0 ? drawSome(peerIds().filter(id => id !== except && !near.includes(id)), missing, random) : []),
 		];
 	};
 
@@ -120,7 +110,7 @@
 		return change;
 	};
 
-	const toNews = ({entries}: SpreadChange): SpreadMessage => ({
+	const toNews = (entries: readonly InstanceEntry[]): SpreadMessage => ({
 		type: 'news',
 		entries,
 		instancesAsOf: catalogue.digest().instancesAsOf,
@@ -132,12 +122,12 @@
 			return [];
 		}
 
-		const message = toNews(change);
+		const message = toNews(change.entries);
 		return receivers().map(to => ({to, message, transport: 'stream'}));
 	};
 
 	const sendNews = (to: string, entries: readonly InstanceEntry[]): readonly SpreadSend[] =>
-		entries.length === 0 ? [] : [{to, message: toNews({source: '', entries}), transport: 'stream'}];
+		entries.length === 0 ? [] : [{to, message: toNews(entries), transport: 'stream'}];
 
 	const passOn = (change: SpreadChange | undefined, from: string): readonly SpreadSend[] => tell(change, () => pickNear(newsFanout, from));
 
@@ -299,7 +289,7 @@
 	};
 
 	return {
-		takeRead: (read, nowMs) => tell(merge('store', read, nowMs), () => pickFrom(peerIds(), readerFanout)),
+		takeRead: (read, nowMs) => tell(merge('store', read, nowMs), () => drawSome(peerIds(), readerFanout, random)),
 		receive(from, message, nowMs) {
 			switch (message.type) {
 				case 'news': {
@@ -339,7 +329,7 @@
 			}
 
 			nextCompareMs = nowMs + ((catalogue.isWhole() ? compareIntervalMs : firstCompareIntervalMs) * (0.75 + (0.5 * random.next())));
-			return [...sends, ...pickFrom(peerIds(), 1).map(to => compareTo(to, false))];
+			return [...sends, ...drawSome(peerIds(), 1, random).map(to => compareTo(to, false))];
 		},
 		takeSilentPeers() {
 			const peers = silentPeers;
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -59,7 +59,7 @@
 	lastRequestMs: number;
 	lastReportMs: number;
 	lastReport: string;
-	/** Instances told in the report before, so that an instance that fell idle is told once more. */
+	/** True when the next report is not to wait for its interval, since an instance is avoided from now on. */
 	isReportDue: boolean;
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,8 +2,9 @@
 
 import http from 'node:http';
 import type net from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, fromReportRows, gatewaysForCaller, hashText, placeCallers, slackShareOf, toReportRows,
+	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, fromReportRows, gatewaysForCaller, hashText, isPresent, placeCallers, slackShareOf, toReportRows,
 	type CallerGateway, type DispatchReport, type EntryHost, type MemberSend, type RetryWindow, type SpreadSend,
 } from '@egretwing/core';
 import {
@@ -298,7 +299,7 @@
 
 		placedVersion = membership.version();
 		const members = membership.members();
-		const present = members.filter(({status}) => status === 'alive' || status === 'suspect');
+		const present = members.filter(member => isPresent(member));
 		hostById = new Map(present.map(({host}) => [host.hostId, host]));
 		metrics.members.set(present.length);
 		placed = placeCallers(members.map(({host, usable}) => ({
@@ -386,20 +387,16 @@
 		});
 	});
 
-	const pause = async (durationMs: number): Promise<void> => new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-
 	const shutdown = async (): Promise<void> => {
 		const beganAtMs = nowMs();
 		isDraining = true;
 		logger.info('shutdown begun', {connections: await connectionsLeft()});
 		sendMembers(membership.setEntry('draining', incarnation, beganAtMs));
-		await pause(settings.shutdownMs * drainAcceptShare);
+		await delay(settings.shutdownMs * drainAcceptShare);
 		server.close();
 		server.closeIdleConnections();
 		while (nowMs() - beganAtMs < settings.shutdownMs * drainEndShare && await connectionsLeft() > 0) {
-			await pause(tickIntervalMs);
+			await delay(tickIntervalMs);
 			server.closeIdleConnections();
 		}
 
@@ -411,7 +408,7 @@
 			reader.stop();
 		}
 
-		await pause(tickIntervalMs);
+		await delay(tickIntervalMs);
 		clearInterval(ticks);
 		store.close();
 		upstream.close();
