fix(gateway): a gateway that can't bind its addresses leaves nothing open, and its tests bind ports of their own

Cause: the tests of the gateway bound fixed ports from 43100 up on 127.0.0.1, inside the range from which the system gives ports to connections and to listeners on port 0. Ruled out: a leak in the tests that passed; the same file alone ends by itself.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -365,8 +365,7 @@
 		}
 	};
 
-	await listen(server, settings.entryPort, settings.address);
-	const operator = await createOperatorServer({
+	const openOperator = async () => createOperatorServer({
 		address: settings.address,
 		port: settings.operatorPort,
 		registry: metrics.registry,
@@ -376,6 +375,19 @@
 			}
 			: undefined,
 	});
+
+	const openListeners = async () => {
+		try {
+			await listen(server, settings.entryPort, settings.address);
+			return await openOperator();
+		} catch (error) {
+			mesh.close();
+			server.close();
+			throw error;
+		}
+	};
+
+	const operator = await openListeners();
 	const ticks = setInterval(tick, tickIntervalMs);
 	logger.info('gateway listens', {
 		address: settings.address, entryPort: settings.entryPort, peerPort, dataCentre: settings.dataCentre,
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -9,9 +9,11 @@
 	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
 } from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
+import {networkOf} from '../../../test/support/network.ts';
 
-const address = '127.0.0.1';
-const firstPort = 43_100;
+const address = `${networkOf(206)}.1`;
+/** Below the ports that the system hands out to connections and to the instances of these tests. */
+const firstPort = 21_100;
 
 type Handler = (request: http.IncomingMessage, response: http.ServerResponse, body: string) => void;
 
@@ -132,6 +134,7 @@
 	const ports = {next: firstPort};
 	let port = 0;
 	let gateway: Gateway;
+	const running: Gateway[] = [];
 	let instances: ReadonlyArray<Awaited<ReturnType<typeof startInstance>>> = [];
 
 	const start = async (handlers: readonly Handler[]): Promise<void> => {
@@ -139,6 +142,7 @@
 		ports.next += 10;
 		instances = await Promise.all(handlers.map(async handle => startInstance(handle)));
 		gateway = await startGateway(settings(port), {store: createStore(instances.map(instance => instance.port)), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
+		running.push(gateway);
 	};
 
 	const callGateway = async (path: string, body?: string): Promise<Answer> => call(port, path, body);
@@ -146,7 +150,7 @@
 	const arrivals = (): number => instances.reduce((sum, instance) => sum + instance.arrivals.length, 0);
 
 	afterEach(async () => {
-		await gateway.shutdown();
+		await Promise.all(running.splice(0).map(async started => started.shutdown()));
 		for (const instance of instances) {
 			instance.close();
 		}
@@ -213,6 +217,19 @@
 		expect([answer.statusCode, arrivals(), gone]).to.deep.equal([200, 2, ['silent']]);
 	});
 
+	it('leaves nothing open when an address is in use', async () => {
+		await start([answerWith(200, 'ok')]);
+		const second = {...settings(port), peerPort: port + 5};
+		const parts = {store: createStore([]), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)};
+		const failure = await startGateway(second, parts).catch((error: unknown) => error);
+		expect((failure as NodeJS.ErrnoException).code).to.equal('EADDRINUSE');
+		const third = await startGateway({
+			...second, entryPort: port + 6, operatorPort: port + 7,
+		}, parts);
+		running.push(third);
+		expect(third.isReady()).to.equal(false);
+	});
+
 	it('names itself to callers while it knows no other, and is ready once it knows enough', async () => {
 		await start([answerWith(200, 'ok')]);
 		expect(gateway.isReady()).to.equal(false);
