--- a/packages/core/src/dispatch/idle-limit.ts
+++ b/packages/core/src/dispatch/idle-limit.ts
@@ -1,9 +1,8 @@
 /**
- * How long a connection may have been idle for the next request on it.
+ * How long a connection may have been idle for a request that must not be lost with it.
  *
  * Answers the load in which instances forget idle connections without notice: what is sent next on such a connection is
- * reset. One reset says little, since failing instances reset as well; a second within moments is taken for it. While it
- * is, no request uses a connection that was idle for longer, so that further resets tell of a failing instance.
+ * reset. One reset says little, since failing instances reset as well; a second within moments is taken for it.
  */
 
 import {
@@ -14,7 +13,7 @@
 export type IdleLimit = {
 	/** A request was reset on a connection that had been idle for `idleMs`. */
 	readonly noteReset: (idleMs: number, nowMs: number) => void;
-	/** Idle time up to which a connection may carry a request; undefined while nothing speaks against any. */
+	/** Idle time up to which a connection may carry a request that can't be repeated; undefined while nothing speaks against any. */
 	readonly limitMs: (nowMs: number) => number | undefined;
 };
 
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -433,6 +433,7 @@
 				target: incoming.url ?? '/',
 				headers: forwardedHeaders(incoming.headers, ownHeaders(headerNames)),
 				body: read.body,
+				isIdempotent: route.semantics === 'idempotent',
 			},
 			signal: gone.signal,
 		};
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -31,6 +31,8 @@
 	readonly headers: Readonly<Record<string, string | string[]>>;
 	/** Null when the request has none. */
 	readonly body: Buffer | null;
+	/** True when it may run more than once, so that it may be the one to find out that a connection is gone. */
+	readonly isIdempotent: boolean;
 };
 
 /** An answer of an instance; `body` is whole, or `rest` carries what did not fit. */
@@ -184,7 +186,7 @@
 
 	const send = (target: UpstreamTarget, request: UpstreamRequest, leftMs: number): UpstreamAttempt => {
 		const idleLimitMs = idleLimit.limitMs(nowMs());
-		if (idleLimitMs !== undefined) {
+		if (idleLimitMs !== undefined && !request.isIdempotent) {
 			agentOf(target).dropIdle(idleLimitMs);
 		}
 
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -44,7 +44,7 @@
 };
 
 const request = (changes: Partial<UpstreamRequest> = {}): UpstreamRequest => ({
-	requestId: 'r1', method: 'GET', target: '/a', headers: {host: 'a.example'}, body: null, ...changes,
+	requestId: 'r1', method: 'GET', target: '/a', headers: {host: 'a.example'}, body: null, isIdempotent: true, ...changes,
 });
 
 const whole = (id: string, body = 'ok', extra = ''): string =>
@@ -103,21 +103,25 @@
 		});
 	}
 
-	it('opens a connection for the next request after two idle connections were reset, and blames the instance for a reset on it', async () => {
+	it('opens a connection for what may run once, after two idle connections were reset, and does not blame the instance for a third', async () => {
 		const instance = await startInstance([whole('r1'), '', whole('r1'), '', whole('r1'), '', whole('r1'), whole('r1')]);
 		const upstream = create();
-		const outcomes: UpstreamOutcome[] = [];
-		for (let count = 0; count < 8; count++) {
-			const {outcome} = upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000);
-			outcomes.push(await outcome);
+		const send = async (isIdempotent: boolean): Promise<UpstreamOutcome> => {
+			const {outcome} = upstream.send({instanceId: 'i', address, port: instance.port}, request({isIdempotent}), 1000);
+			const ended = await outcome;
 			await delay(150);
+			return ended;
+		};
+
+		const outcomes: UpstreamOutcome[] = [];
+		for (const isIdempotent of [false, false, false, false, true, true, true, false]) {
+			outcomes.push(await send(isIdempotent));
 		}
 
 		expect(outcomes.map(outcome => outcome.type === 'broken' ? `idle loss ${outcome.isIdleLoss}` : outcome.type)).to.deep.equal([
-			'answered', 'idle loss false', 'answered', 'idle loss true', 'answered', 'idle loss false', 'answered', 'answered',
+			'answered', 'idle loss false', 'answered', 'idle loss true', 'answered', 'idle loss true', 'answered', 'answered',
 		]);
-		// The second and the fourth request used an idle connection, no other did.
-		expect(instance.connections()).to.equal(6);
+		expect(instance.connections()).to.equal(5);
 		upstream.close();
 		instance.close();
 	});
