feat(gateway): a gateway at which requests wait for the catalogue reads the store at once

Load pattern: all gateways lose power at the same moment while callers go on. Cause: after such a loss each gateway waited 600 ms for the election of readers before any of them read the store, and up to another 500 ms until the news reached it. Ruled out: start of the process itself (listening at once by the log); reading by every gateway at its start (two calls each, while only those that callers know get requests in these moments).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -74,7 +74,7 @@
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, Dispatcher, DispatcherSnapshot, InstanceReport, LateDecision, RejectReason, RetryLimits, RetryWindow,
 } from './dispatch/index.ts';
 export type {Placement as DispatchPlacement} from './dispatch/index.ts';
-export {createReaderElection, createSpread} from './spread/index.ts';
+export {createReaderElection, createSpread, electionWaitMs} from './spread/index.ts';
 export type {
 	ReaderCandidate, ReaderElection, Spread, SpreadChange, SpreadMessage, SpreadSend,
 } from './spread/index.ts';
--- a/packages/core/src/spread/readers.ts
+++ b/packages/core/src/spread/readers.ts
@@ -1,7 +1,8 @@
 /**
  * Which gateways read the store: two in different data centres, so that calls stay few and the loss of one costs nothing.
  *
- * A member that the store turns away, or does not answer, says so and is passed over for a while.
+ * A member that the store turns away, or does not answer, says so and is passed over for a while. A gateway that knows
+ * nothing while requests wait at it reads at once: after a loss of all gateways no peer could tell it anything sooner.
  */
 
 import {rankNodes} from '../placement/rendezvous.ts';
@@ -18,8 +19,8 @@
 	/** A member said, or this gateway found, that the store can't be reached from there. */
 	readonly noteUnreachable: (hostId: string, nowMs: number) => void;
 	readonly noteReachable: (hostId: string) => void;
-	/** Whether `selfId` reads the store now. */
-	readonly isReader: (selfId: string, members: readonly ReaderCandidate[], nowMs: number) => boolean;
+	/** Whether `selfId` reads the store now; `isAwaited` while requests wait there for the catalogue. */
+	readonly isReader: (selfId: string, members: readonly ReaderCandidate[], nowMs: number, isAwaited?: boolean) => boolean;
 };
 
 /** The members that read, best first: the highest ranked, then the highest ranked of another data centre. */
@@ -43,6 +44,8 @@
 export const createReaderElection = (startedAtMs: number): ReaderElection => {
 	const unreachableAtMs = new Map<string, number>();
 
+	const isReachable = (hostId: string, nowMs: number): boolean => nowMs - (unreachableAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) >= unreachableHoldMs;
+
 	return {
 		noteUnreachable(hostId, nowMs) {
 			unreachableAtMs.set(hostId, nowMs);
@@ -50,12 +53,16 @@
 		noteReachable(hostId) {
 			unreachableAtMs.delete(hostId);
 		},
-		isReader(selfId, members, nowMs) {
+		isReader(selfId, members, nowMs, isAwaited = false) {
+			if (isAwaited && isReachable(selfId, nowMs)) {
+				return true;
+			}
+
 			if (nowMs - startedAtMs < electionWaitMs) {
 				return false;
 			}
 
-			const reachable = members.filter(({hostId}) => nowMs - (unreachableAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) >= unreachableHoldMs);
+			const reachable = members.filter(({hostId}) => isReachable(hostId, nowMs));
 			// With the store out of reach for everyone, the first ones keep trying.
 			return selectReaders(reachable.length === 0 ? members : reachable).includes(selfId);
 		},
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -179,6 +179,21 @@
 		expect(readersAt(100)).to.deep.equal([]);
 	});
 
+	const awaitedCases: ReadonlyArray<{readonly title: string; readonly isUnreachable: boolean; readonly expected: boolean}> = [
+		{title: 'include at once a member at which requests wait for the catalogue', isUnreachable: false, expected: true},
+		{title: 'do not include such a member once the store has turned it away', isUnreachable: true, expected: false},
+	];
+	for (const {title, isUnreachable, expected} of awaitedCases) {
+		it(title, () => {
+			const election = createReaderElection(0);
+			if (isUnreachable) {
+				election.noteUnreachable('g-0', 50);
+			}
+
+			expect(election.isReader('g-0', members, 100, true)).to.equal(expected);
+		});
+	}
+
 	it('are replaced while the store does not answer them, and come back later', () => {
 		const [first = ''] = readersAt(1000);
 		const withFailure = (nowMs: number): readonly string[] => readersAt(nowMs, election => {
--- a/packages/gateway/src/gate.ts
+++ b/packages/gateway/src/gate.ts
@@ -5,6 +5,8 @@
 	readonly open: () => void;
 	/** True once the gate is open; false when `signal` aborted before. */
 	readonly wait: (signal: AbortSignal) => Promise<boolean>;
+	/** True while somebody waits. */
+	readonly isAwaited: () => boolean;
 };
 
 /** Creates a closed gate. */
@@ -21,6 +23,7 @@
 
 			waiting.clear();
 		},
+		isAwaited: () => waiting.size > 0,
 		async wait(signal) {
 			if (isOpen || signal.aborted) {
 				return isOpen;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,6 +87,9 @@
 	let isDraining = false;
 	let nextJoinMs = 0;
 
+	/** Opens once configuration and instances are known. */
+	const whole = createGate();
+
 	const peerIds = (): readonly string[] => [...hostById.keys()].filter(id => id !== hostId);
 
 	const sendTo = (id: string, message: MeshMessage, transport: 'datagram' | 'stream'): void => {
@@ -174,6 +177,7 @@
 
 			case 'spread': {
 				sendSpread(spread.receive(from.hostId, message.message, nowMs()));
+				announce();
 				return;
 			}
 
@@ -221,13 +225,14 @@
 		}
 	};
 
-	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...hostById.values()], nowMs());
+	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...hostById.values()], nowMs(), whole.isAwaited());
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
 		sendSpread(spread.takeRead({
 			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: statements, instancesAsOf: asOf}),
 		}, nowMs()));
+		announce();
 	};
 
 	const onFailure = (failure: StoreFailure): void => {
@@ -273,7 +278,14 @@
 		headerNames,
 		metrics,
 		log: createRequestLog(logger, nowMs),
-		whenWhole: async signal => whole.wait(signal),
+		async whenWhole(signal) {
+			const opened = whole.wait(signal);
+			for (const reader of readers) {
+				reader.tick();
+			}
+
+			return opened;
+		},
 	});
 
 	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, async (incoming, response) => {
@@ -312,8 +324,6 @@
 		}
 	};
 
-	const whole = createGate();
-
 	const join = (): void => {
 		const timeMs = nowMs();
 		if (timeMs < nextJoinMs) {
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -1,9 +1,10 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import {electionWaitMs, type FleetConfig, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {
 	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
@@ -217,6 +218,13 @@
 		expect([answer.statusCode, arrivals(), gone]).to.deep.equal([200, 2, ['silent']]);
 	});
 
+	it('reads the store as soon as a request waits for it, before gateways have elected readers', async () => {
+		await start([answerWith(200, 'ok')]);
+		const sentAtMs = performance.now();
+		await callGateway('/idempotent/1');
+		expect(performance.now() - sentAtMs).to.be.below(electionWaitMs);
+	});
+
 	it('leaves nothing open when an address is in use', async () => {
 		await start([answerWith(200, 'ok')]);
 		const second = {...settings(port), peerPort: port + 5};
