feat(core): callers are sent to gateways that have just started

Load pattern: all gateways lose power at the same moment while callers go on. Cause: placement took only gateways that were ready, and a gateway that did not trust its view yet named itself for two seconds. Ruled out: naming the seeds (they may be down, and on grown fleets have links of 10 Mbit/s). Change: a gateway that is alive and not ready yet counts for the placement; it holds requests and reads at once. Until its view is trusted a gateway names those it has heard of, for 400 ms. Tests: table of the placement of callers (it had none); four real gateways that start together without a store name the same one, which each of them did only for itself before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -78,5 +78,5 @@
 export type {
 	ReaderCandidate, ReaderElection, Spread, SpreadChange, SpreadMessage, SpreadSend,
 } from './spread/index.ts';
-export {gatewaysForCaller, placeCallers} from './placement/callers.ts';
+export {gatewaysForCaller, placeCallers, toCallerGateways} from './placement/callers.ts';
 export type {CallerGateway} from './placement/callers.ts';
--- a/packages/core/src/placement/callers.ts
+++ b/packages/core/src/placement/callers.ts
@@ -5,8 +5,12 @@
  * load, the strongest first, so that one gateway sees most requests to an instance.
  */
 
+import type {MemberView} from '../membership/types.ts';
 import {rankNodes} from './rendezvous.ts';
 
+/** What membership says of a gateway that could take callers. */
+export type GatewayMember = Pick<MemberView, 'host' | 'status' | 'entryState' | 'usable'>;
+
 /** A gateway as the placement of callers sees it. */
 export type CallerGateway = {
 	readonly hostId: string;
@@ -30,6 +34,23 @@
 /** Gateways with at least this part of the strongest one's capacity are preferred to all weaker ones. */
 const strongShare = 0.5;
 
+const defaultCapacity = 1;
+
+/**
+ * The gateways of a fleet, for the placement.
+ *
+ * One that has just started counts as usable: it holds requests until it knows enough, which takes less than finding
+ * another gateway. After a loss of all gateways the callers thus stay together from the first moment.
+ */
+export const toCallerGateways = (members: readonly GatewayMember[]): readonly CallerGateway[] => members.map(({
+	host, status, entryState, usable,
+}) => ({
+	hostId: host.hostId,
+	dataCentre: host.dataCentre,
+	capacity: host.capacity ?? defaultCapacity,
+	usable: usable || (status === 'alive' && entryState === 'down'),
+}));
+
 const rankStrongest = (gateways: readonly CallerGateway[]): readonly CallerGateway[] => {
 	const strongest = Math.max(...gateways.map(({capacity}) => capacity));
 	const isStrong = ({capacity}: CallerGateway): boolean => capacity >= strongest * strongShare;
--- /dev/null
+++ b/packages/core/test/callers.test.ts
@@ -0,0 +1,65 @@
+import {expect} from 'chai';
+import {
+	gatewaysForCaller, placeCallers, toCallerGateways, type EntryState, type MemberStatus,
+} from '@egretwing/core';
+
+type Member = {
+	readonly id: string;
+	readonly dataCentre: string;
+	readonly capacity?: number;
+	readonly status?: MemberStatus;
+	readonly entryState?: EntryState;
+};
+
+const toMember = ({id, dataCentre, capacity, status = 'alive', entryState = 'up'}: Member) => ({
+	host: {
+		role: 'entry' as const, hostId: id, address: '127.0.0.1', region: 'r', dataCentre, state: 'live' as const, entryPort: 1, locatePort: 2, peerPort: 3, ...(capacity !== undefined && {capacity}),
+	},
+	status,
+	entryState,
+	usable: status === 'alive' && entryState === 'up',
+});
+
+describe('placement of callers', () => {
+	const cases: ReadonlyArray<{readonly title: string; readonly members: readonly Member[]; readonly caller: string | undefined; readonly expected: readonly string[]}> = [
+		{
+			title: 'names the strongest gateway of the data centre of the caller',
+			members: [{id: 'a1', dataCentre: 'a', capacity: 0.1}, {id: 'a2', dataCentre: 'a', capacity: 1}, {id: 'b1', dataCentre: 'b', capacity: 1}],
+			caller: 'a',
+			expected: ['a2'],
+		},
+		{
+			title: 'names those of all data centres to a caller of none',
+			members: [{id: 'a1', dataCentre: 'a'}, {id: 'b1', dataCentre: 'b'}],
+			caller: undefined,
+			expected: ['a1', 'b1'],
+		},
+		{
+			title: 'names those of other data centres when the own one has none',
+			members: [{id: 'a1', dataCentre: 'a', status: 'dead'}, {id: 'b1', dataCentre: 'b'}],
+			caller: 'a',
+			expected: ['b1'],
+		},
+		{
+			title: 'names gateways that have just started, so that callers stay together after a loss of all',
+			members: [{id: 'a1', dataCentre: 'a', capacity: 0.1, entryState: 'down'}, {id: 'a2', dataCentre: 'a', capacity: 1, entryState: 'down'}],
+			caller: 'a',
+			expected: ['a2'],
+		},
+		{
+			title: 'passes over gateways that leave, have left or are suspected',
+			members: [
+				{id: 'a1', dataCentre: 'a', entryState: 'draining'}, {id: 'a2', dataCentre: 'a', status: 'left', entryState: 'down'},
+				{id: 'a3', dataCentre: 'a', status: 'suspect', entryState: 'down'}, {id: 'a4', dataCentre: 'a'},
+			],
+			caller: 'a',
+			expected: ['a4'],
+		},
+	];
+	for (const {title, members, caller, expected} of cases) {
+		it(title, () => {
+			const placed = placeCallers(toCallerGateways(members.map(member => toMember(member))));
+			expect(gatewaysForCaller(placed, caller).map(({hostId}) => hostId)).to.deep.equal(expected);
+		});
+	}
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,6 +45,9 @@
 /** How long callers keep the addresses they were told: short, so that they leave a lost gateway soon. */
 export const locateKeepMs = 2000;
 
+/** The same while this gateway does not trust its view of the fleet: members that start together find each other within it. */
+export const untrustedLocateKeepMs = 400;
+
 /** Wait of a call that watches the store, so that a silent store is noticed within a second. */
 export const watchWaitMs = 1000;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,14 +4,14 @@
 import type net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, fromReportRows, gatewaysForCaller, hashText, isPresent, placeCallers, slackShareOf, toReportRows,
+	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, fromReportRows, gatewaysForCaller, hashText, isPresent, placeCallers, slackShareOf, toCallerGateways, toReportRows,
 	type CallerGateway, type DispatchReport, type EntryHost, type MemberSend, type RetryWindow, type SpreadSend,
 } from '@egretwing/core';
 import {
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
 } from '@egretwing/node';
 import {
-	drainAcceptShare, drainEndShare, joinIntervalMs, locateKeepMs, rejoinIntervalMs, reportingMs, tickIntervalMs, upkeepIntervalMs,
+	drainAcceptShare, drainEndShare, joinIntervalMs, locateKeepMs, rejoinIntervalMs, reportingMs, tickIntervalMs, untrustedLocateKeepMs, upkeepIntervalMs,
 } from './constants.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
@@ -84,6 +84,8 @@
 	let nextUpkeepMs = 0;
 	let hostById: ReadonlyMap<string, EntryHost> = new Map();
 	let announcedUp = false;
+	/** True once the view of the fleet was trusted for the first time. */
+	let wasTrusted = false;
 	let isDraining = false;
 	let nextJoinMs = 0;
 
@@ -314,9 +316,7 @@
 		const present = members.filter(member => isPresent(member));
 		hostById = new Map(present.map(({host}) => [host.hostId, host]));
 		metrics.members.set(present.length);
-		placed = placeCallers(members.map(({host, usable}) => ({
-			hostId: host.hostId, dataCentre: host.dataCentre, capacity: host.capacity ?? 1, usable,
-		})), {perDataCentre: settings.gatewaysPerDataCentre});
+		placed = placeCallers(toCallerGateways(members), {perDataCentre: settings.gatewaysPerDataCentre});
 		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
 		if (gateways.join(',') !== placedIds.join(',')) {
 			placedIds = gateways;
@@ -352,6 +352,7 @@
 		const timeMs = nowMs();
 		join();
 		sendMembers(membership.tick(timeMs));
+		wasTrusted ||= membership.isTrusted(timeMs);
 		refreshPlacement();
 		notePlaced();
 		catalogue.tick(timeMs);
@@ -439,17 +440,24 @@
 		server.closeAllConnections();
 	};
 
-	/** Until this gateway knows the others it names itself: a gateway that starts serves sooner than a caller finds another. */
-	const locate = (dataCentre: string | undefined): LocatedGateways['addresses'] => {
+	/**
+	 * A gateway that starts names those that it has heard of so far, itself included, for a short time. One that wakes from
+	 * a pause names itself until it has heard from the others again.
+	 */
+	const locate = (dataCentre: string | undefined): LocatedGateways => {
 		const placedHosts = gatewaysForCaller(placed, dataCentre).flatMap(gateway => hostById.get(gateway.hostId) ?? []);
-		const isKnown = membership.isTrusted(nowMs()) && placedHosts.length > 0;
+		const isTrusted = membership.isTrusted(nowMs());
+		const isKnown = (isTrusted || !wasTrusted) && placedHosts.length > 0;
 		const hosts = isKnown || isDraining ? placedHosts : [self];
-		return hosts.map(host => ({address: host.address, port: host.entryPort}));
+		return {
+			addresses: hosts.map(host => ({address: host.address, port: host.entryPort})),
+			keepMs: isTrusted ? locateKeepMs : untrustedLocateKeepMs,
+		};
 	};
 
 	let ending: Promise<void> | undefined;
 	return {
-		locate: dataCentre => ({addresses: locate(dataCentre), keepMs: locateKeepMs}),
+		locate,
 		isReady: () => announcedUp && !isDraining,
 		setSeeds(addresses) {
 			seeds = addresses;
--- /dev/null
+++ b/packages/gateway/test/fleet-start.test.ts
@@ -0,0 +1,62 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
+} from '@egretwing/gateway';
+import {Err} from 'ts-results-es';
+import {networkOf} from '../../../test/support/network.ts';
+
+const network = networkOf(207);
+const port = 21_500;
+/** Several rounds in which members find each other, and less than they need to trust what they found. */
+const settlingMs = 900;
+
+const settings = (number: number): GatewaySettings => ({
+	hostId: `g-${number}`,
+	address: `${network}.${number}`,
+	region: 'r',
+	dataCentre: 'a',
+	entryPort: port,
+	locatePort: port + 1,
+	peerPort: port + 2,
+	operatorPort: port + 3,
+	seedAddresses: [`${network}.1`, `${network}.2`],
+	capacity: 1,
+	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
+	shutdownMs: 500,
+	gatewaysPerDataCentre: 1,
+	logLevel: 0,
+});
+
+/** A store that turns everybody away. */
+const closedStore: StoreClient = {
+	readAll: async () => Err('turned-away'),
+	watch: async () => Err('turned-away'),
+	close: () => undefined,
+};
+
+describe('gateways that start together', () => {
+	let gateways: readonly Gateway[] = [];
+
+	afterEach(async () => {
+		await Promise.all(gateways.map(async gateway => gateway.shutdown()));
+	});
+
+	it('send all callers of a data centre to the same one before any of them knows the instances', async () => {
+		const parts = {store: closedStore, headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)};
+		gateways = await Promise.all([1, 2, 3, 4].map(async number => startGateway(settings(number), parts)));
+		await delay(settlingMs);
+		const answers = gateways.map(gateway => gateway.locate('a').addresses.map(({address}) => address).join(','));
+		expect(new Set(answers)).to.have.length(1);
+		expect(gateways.map(gateway => gateway.isReady())).to.deep.equal([false, false, false, false]);
+	});
+
+	it('let callers keep such answers for a shorter time than those of a fleet that is known', async () => {
+		const parts = {store: closedStore, headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)};
+		gateways = [await startGateway(settings(1), parts)];
+		const early = gateways[0]!.locate('a').keepMs;
+		await delay(settlingMs + 500);
+		expect(early).to.be.below(gateways[0]!.locate('a').keepMs);
+	});
+});
