--- a/packages/core/test/callers.test.ts
+++ b/packages/core/test/callers.test.ts
@@ -42,15 +42,25 @@
 		},
 		{
 			title: 'names gateways that have just started, so that callers stay together after a loss of all',
-			members: [{id: 'a1', dataCentre: 'a', capacity: 0.1, entryState: 'down'}, {id: 'a2', dataCentre: 'a', capacity: 1, entryState: 'down'}],
+			members: [{
+				id: 'a1', dataCentre: 'a', capacity: 0.1, entryState: 'down',
+			}, {
+				id: 'a2', dataCentre: 'a', capacity: 1, entryState: 'down',
+			}],
 			caller: 'a',
 			expected: ['a2'],
 		},
 		{
 			title: 'passes over gateways that leave, have left or are suspected',
 			members: [
-				{id: 'a1', dataCentre: 'a', entryState: 'draining'}, {id: 'a2', dataCentre: 'a', status: 'left', entryState: 'down'},
-				{id: 'a3', dataCentre: 'a', status: 'suspect', entryState: 'down'}, {id: 'a4', dataCentre: 'a'},
+				{id: 'a1', dataCentre: 'a', entryState: 'draining'},
+				{
+					id: 'a2', dataCentre: 'a', status: 'left', entryState: 'down',
+				},
+				{
+					id: 'a3', dataCentre: 'a', status: 'suspect', entryState: 'down',
+				},
+				{id: 'a4', dataCentre: 'a'},
 			],
 			caller: 'a',
 			expected: ['a4'],
