test(platform): a fault soak of the gateway

Gateways as separate processes, callers, instances and a store of our own on loopback addresses; a proxy before the store and each instance delays, resets, or drops bytes of one direction or both; processes are killed, stopped, paused, hung up, one or all; instances fail in six ways and are replaced; configurations change.

--- /dev/null
+++ b/test/platform/soak/gateways.ts
@@ -0,0 +1,158 @@
+/** The gateway program as separate processes, harmed by signals only. */
+
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+const restartAfterMs = 300;
+const killAfterMs = 3000;
+
+/** Ports of a gateway; addresses tell gateways apart. */
+export const gatewayPorts = {
+	front: 7000, ready: 7001, lookup: 7002, peer: 7003, control: 7004, store: 7005,
+} as const;
+
+/** Builds the program that the platform runs; gives its file. */
+export const buildGateway = async (): Promise<string> => {
+	const outfile = path.join(root, 'target/soak/egretwing-gateway.cjs');
+	await build({
+		entryPoints: [path.join(root, 'platform/main.ts')], bundle: true, platform: 'node', target: 'node20', conditions: ['source'], external: ['cbor-extract'], outfile, logLevel: 'warning',
+	});
+	return outfile;
+};
+
+/** Running gateways by number. */
+export type SoakGateways = {
+	/** Sends a signal to the process of this run, if it is up. */
+	readonly signal: (number: number, signal: NodeJS.Signals) => void;
+	/** Process id; undefined before the first start. */
+	readonly pid: (number: number) => number | undefined;
+	/** Number of times that the process was started. */
+	readonly lives: (number: number) => number;
+	/** Ends by themselves that no signal asked for. */
+	readonly ownEnds: () => readonly string[];
+	/** What the processes wrote, the newest last. */
+	readonly logs: () => readonly string[];
+	readonly stop: () => Promise<void>;
+};
+
+/** What a gateway is started with. */
+export type SoakGatewaysOptions = {
+	readonly file: string;
+	readonly addresses: readonly string[];
+	readonly dataCentreOf: (number: number) => string;
+	readonly storeAddress: string;
+};
+
+const maxLogLines = 200_000;
+
+/** Starts the gateways; one that ends is started again, as the platform does it. */
+export const startGateways = ({
+	file, addresses, dataCentreOf, storeAddress,
+}: SoakGatewaysOptions): SoakGateways => {
+	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-soak-'));
+	const children = new Map<number, ChildProcess>();
+	const lives = new Map<number, number>();
+	const asked = new Set<ChildProcess>();
+	const ownEnds: string[] = [];
+	const logs: string[] = [];
+	let isStopping = false;
+
+	const settingsOf = (number: number) => {
+		const address = addresses[number]!;
+		return {
+			hostId: `gateway-${number}`,
+			address,
+			region: 'region-1',
+			dataCentre: dataCentreOf(number),
+			entryListener: `${address}:${gatewayPorts.front}`,
+			readinessListener: `${address}:${gatewayPorts.ready}`,
+			locateListener: `${address}:${gatewayPorts.lookup}`,
+			peerPort: gatewayPorts.peer,
+			seeds: addresses.slice(0, 2).map(seed => `${seed}:${gatewayPorts.control}`),
+			cpuShare: 1,
+			cores: 1,
+			linkMegabitsPerSecond: 1000,
+			storeAddress: `${storeAddress}:${gatewayPorts.store}`,
+			bounds: {grace_s: 2},
+		};
+	};
+
+	const start = (number: number): void => {
+		const settings = path.join(folder, `${number}.json`);
+		writeFileSync(settings, JSON.stringify(settingsOf(number)));
+		const child = spawn(process.execPath, [file], {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+		children.set(number, child);
+		lives.set(number, (lives.get(number) ?? 0) + 1);
+		for (const stream of [child.stdout, child.stderr]) {
+			stream.setEncoding('utf8').on('data', (text: string) => {
+				if (logs.length < maxLogLines) {
+					logs.push(text);
+				}
+			});
+		}
+
+		child.once('exit', (code, signal) => {
+			if (!asked.has(child)) {
+				ownEnds.push(`gateway-${number} ended with ${code ?? signal}`);
+			}
+
+			if (!isStopping) {
+				setTimeout(() => {
+					if (!isStopping) {
+						start(number);
+					}
+				}, restartAfterMs);
+			}
+		});
+	};
+
+	for (const number of addresses.keys()) {
+		start(number);
+	}
+
+	return {
+		signal(number, signal) {
+			const child = children.get(number);
+			if (child === undefined) {
+				return;
+			}
+
+			if (signal === 'SIGKILL' || signal === 'SIGTERM') {
+				asked.add(child);
+			}
+
+			child.kill(signal);
+		},
+		pid: number => children.get(number)?.pid,
+		lives: number => lives.get(number) ?? 0,
+		ownEnds: () => ownEnds,
+		logs: () => logs,
+		async stop() {
+			isStopping = true;
+			await Promise.all([...children.values()].map(async child => {
+				if (child.exitCode !== null || child.signalCode !== null) {
+					return;
+				}
+
+				asked.add(child);
+				const ended = new Promise(resolve => {
+					child.once('exit', resolve);
+				});
+				child.kill('SIGCONT');
+				child.kill('SIGTERM');
+				const timer = setTimeout(() => {
+					child.kill('SIGKILL');
+				}, killAfterMs);
+				await ended;
+				clearTimeout(timer);
+			}));
+			rmSync(folder, {recursive: true, force: true});
+		},
+	};
+};
--- /dev/null
+++ b/test/platform/soak/instances.ts
@@ -0,0 +1,134 @@
+/** Instances of a service that fail on request, and the record of what they ran. */
+
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Random} from '@egretwing/core';
+import {platformHeaderNames as names} from '../../../platform/names.ts';
+
+/** How an instance treats a share of its requests. */
+export type Behaviour = 'sound' | 'errors' | 'resets' | 'resets-after-work' | 'hangs' | 'sheds' | 'spoils';
+
+/** One run of a request. */
+export type Run = {
+	readonly requestId: string;
+	readonly instanceId: string;
+	readonly atMs: number;
+	/** What was sent is not what arrived; empty when it is. */
+	readonly flaw: string;
+};
+
+/** A running instance. */
+export type SoakInstance = {
+	readonly instanceId: string;
+	readonly setBehaviour: (behaviour: Behaviour) => void;
+	readonly close: () => void;
+};
+
+/** Where an instance listens and where it notes its runs. */
+export type SoakInstanceOptions = {
+	readonly instanceId: string;
+	readonly address: string;
+	readonly port: number;
+	readonly slots: number;
+	readonly random: Random;
+	readonly runs: Run[];
+};
+
+/** Header in which callers say what body they sent. */
+export const digestHeader = 'x-soak-digest';
+
+/** Digest of a body. */
+export const digestOf = (body: Uint8Array | string): string => createHash('sha256').update(body).digest('hex').slice(0, 16);
+
+/** Share of requests that a failing instance fails. */
+const failingShare = 0.6;
+const hangMs = 4000;
+const workMs = {least: 10, spread: 40} as const;
+
+/** Starts an instance; its answer to a request is the request's id and the digest of the body. */
+export const createSoakInstance = async ({
+	instanceId, address, port, slots, random, runs,
+}: SoakInstanceOptions): Promise<SoakInstance> => {
+	let behaviour: Behaviour = 'sound';
+	let atWork = 0;
+
+	const answer = (response: http.ServerResponse, statusCode: number, text: string, headers: http.OutgoingHttpHeaders = {}): void => {
+		response.writeHead(statusCode, {'content-length': Buffer.byteLength(text), 'keep-alive': 'timeout=5', ...headers});
+		response.end(text);
+	};
+
+	const run = async (request: http.IncomingMessage, response: http.ServerResponse, body: Uint8Array): Promise<void> => {
+		const requestId = String(request.headers[names.requestId]);
+		const digest = digestOf(body);
+		const isFailing = random.next() < failingShare;
+		if (behaviour === 'resets' && isFailing) {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		runs.push({
+			requestId, instanceId, atMs: Date.now(), flaw: request.headers[digestHeader] === digest ? '' : 'another body',
+		});
+		await delay(workMs.least + (workMs.spread * random.next()) + (behaviour === 'hangs' && isFailing ? hangMs : 0));
+		if (behaviour === 'resets-after-work' && isFailing) {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		const headers = {[names.requestId]: requestId, [names.signature]: instanceId};
+		if (behaviour === 'errors' && isFailing) {
+			answer(response, 500, '', headers);
+			return;
+		}
+
+		if (behaviour === 'spoils' && isFailing) {
+			request.socket.write(`HTTP/1.1 200 OK\r\n${names.requestId}: another\r\n${names.signature}: ${instanceId}\r\ncontent-length: 5\r\n\r\nother`);
+			return;
+		}
+
+		answer(response, 200, `${requestId} ${digest}`, headers);
+	};
+
+	const server = http.createServer(async (request, response) => {
+		const chunks: Buffer[] = [];
+		try {
+			for await (const chunk of request as AsyncIterable<Buffer>) {
+				chunks.push(chunk);
+			}
+		} catch {
+			// The gateway gave the request up; it has not run.
+			return;
+		}
+
+		if (request.headers[names.targetInstance] !== instanceId) {
+			answer(response, 421, '');
+			return;
+		}
+
+		if (atWork >= slots || (behaviour === 'sheds' && random.next() < failingShare)) {
+			answer(response, 503, '', {[names.notExecuted]: '1'});
+			return;
+		}
+
+		atWork++;
+		await run(request, response, Buffer.concat(chunks));
+		atWork--;
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, address, resolve);
+	});
+
+	return {
+		instanceId,
+		setBehaviour(next) {
+			behaviour = next;
+		},
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
--- /dev/null
+++ b/test/platform/soak/proxy.ts
@@ -0,0 +1,99 @@
+/** A loopback proxy between gateways and what they talk to, which harms connections from outside both processes. */
+
+import net from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** What is done to the bytes of all connections. */
+export type ProxyFault
+	= | {readonly type: 'none'}
+		| {readonly type: 'delay'; readonly delayMs: number}
+		/** Open connections are reset, new ones at once. */
+		| {readonly type: 'reset'}
+		/** Bytes of the named direction are dropped; nothing is closed. */
+		| {readonly type: 'silence'; readonly direction: 'requests' | 'answers' | 'both'};
+
+/** A running proxy. */
+export type Proxy = {
+	readonly setFault: (fault: ProxyFault) => void;
+	readonly close: () => void;
+};
+
+/** Listens on `address` and `port` and passes connections on to `targetPort` of the same address. */
+export const createProxy = async (address: string, port: number, targetPort: number): Promise<Proxy> => {
+	let fault: ProxyFault = {type: 'none'};
+	const pairs = new Set<readonly [net.Socket, net.Socket]>();
+
+	const pass = (from: net.Socket, to: net.Socket, direction: 'requests' | 'answers'): void => {
+		let last = Promise.resolve();
+		/** Keeps the order of bytes and of the end, also while they are delayed. */
+		const inOrder = (act: () => void): void => {
+			const delayMs = fault.type === 'delay' ? fault.delayMs : 0;
+			last = last.then(async () => {
+				await (delayMs > 0 ? delay(delayMs) : undefined);
+				act();
+			});
+		};
+
+		from.on('data', bytes => {
+			if (fault.type === 'silence' && (fault.direction === 'both' || fault.direction === direction)) {
+				return;
+			}
+
+			inOrder(() => {
+				to.write(bytes);
+			});
+		});
+		from.on('end', () => {
+			inOrder(() => {
+				to.end();
+			});
+		});
+	};
+
+	const server = net.createServer({allowHalfOpen: true}, incoming => {
+		if (fault.type === 'reset') {
+			incoming.resetAndDestroy();
+			return;
+		}
+
+		const outgoing = net.connect({host: address, port: targetPort, allowHalfOpen: true});
+		const pair = [incoming, outgoing] as const;
+		pairs.add(pair);
+		for (const [socket, other] of [[incoming, outgoing], [outgoing, incoming]] as const) {
+			socket.on('error', () => {
+				other.resetAndDestroy();
+			});
+			socket.on('close', () => {
+				pairs.delete(pair);
+				other.destroySoon();
+			});
+		}
+
+		pass(incoming, outgoing, 'requests');
+		pass(outgoing, incoming, 'answers');
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, address, resolve);
+	});
+
+	const resetAll = (): void => {
+		for (const [incoming, outgoing] of pairs) {
+			incoming.resetAndDestroy();
+			outgoing.resetAndDestroy();
+		}
+	};
+
+	return {
+		setFault(next) {
+			fault = next;
+			if (next.type === 'reset') {
+				resetAll();
+			}
+		},
+		close() {
+			server.close();
+			resetAll();
+		},
+	};
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -37,9 +37,9 @@
 		},
 	},
 	{
-		files: ['**/test/**/*.ts', 'scripts/**/*.ts', 'test/**/*.ts'],
+		files: ['**/test/**/*.ts', 'scripts/**/*.ts', 'test/**/*.ts', 'platform/**/*.ts'],
 		rules: {
-			// Test libraries are dependencies of the root, not of each package.
+			// Test libraries are dependencies of the root, not of each package; the packages are workspaces of the root.
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
 			// Property assertions of chai.
