--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -16,6 +16,9 @@
 /** Below the ports that the system hands out to connections and to the instances of these tests. */
 const firstPort = 21_100;
 
+/** Time for which an instance may go on working after the caller has left. */
+const workAfterLeavingMs = 500;
+
 type Handler = (request: http.IncomingMessage, response: http.ServerResponse, body: string) => void;
 
 /** Starts an instance of the service; `handle` decides about each request. */
@@ -238,6 +241,38 @@
 		expect(third.isReady()).to.equal(false);
 	});
 
+	const leavers: ReadonlyArray<readonly [title: string, path: string, body: string | undefined]> = [
+		['an idempotent request', '/idempotent/1', undefined],
+		['an at-most-once request', '/at-most-once/1', 'x'],
+	];
+	for (const [title, path, body] of leavers) {
+		it(`stops the work of ${title} and sends it nowhere else once its caller has left`, async () => {
+			const leftAtMs = {caller: 0, gateway: 0};
+			const hang: Handler = request => {
+				request.socket.once('close', () => {
+					leftAtMs.gateway = performance.now();
+				});
+			};
+
+			await start([hang, hang]);
+			const request = http.request({
+				host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
+			});
+			request.on('error', () => undefined);
+			request.end(body);
+			while (arrivals() === 0) {
+				await delay(10);
+			}
+
+			leftAtMs.caller = performance.now();
+			request.destroy();
+			await delay(workAfterLeavingMs);
+			expect(leftAtMs.gateway).to.be.within(leftAtMs.caller, leftAtMs.caller + workAfterLeavingMs);
+			await delay(1000);
+			expect(arrivals()).to.equal(1);
+		});
+	}
+
 	it('names itself to callers while it knows no other, and is ready once it knows enough', async () => {
 		await start([answerWith(200, 'ok')]);
 		expect(gateway.isReady()).to.equal(false);
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -7,6 +7,8 @@
 import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
 
 const address = '127.0.0.1';
+/** More than the buffers of a loopback connection hold. */
+const longBodyBytes = 16_000_000;
 
 /** Starts an instance that answers each request with the next of `answers`; '' resets the connection. */
 const startInstance = async (answers: readonly string[], end: 'keep' | 'end' = 'keep') => {
@@ -163,6 +165,37 @@
 		});
 	}
 
+	it('sends nothing else on a connection whose instance answered before it had read the body', async () => {
+		const sockets: net.Socket[] = [];
+		const server = net.createServer(socket => {
+			sockets.push(socket);
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				socket.pause();
+				socket.write(whole('r1'));
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, address, resolve);
+		});
+		const {port} = server.address() as net.AddressInfo;
+		const upstream = create();
+		const body = Buffer.alloc(longBodyBytes);
+		const outcomes: string[] = [];
+		for (let count = 0; count < 2; count++) {
+			const {outcome} = upstream.send({instanceId: 'i', address, port}, request({method: 'POST', body}), 1000);
+			outcomes.push(describeOutcome(await outcome));
+			await delay(20);
+		}
+
+		expect([outcomes, sockets.length]).to.deep.equal([['answered 200 ok', 'answered 200 ok'], 2]);
+		upstream.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+
 	it('closes the connection when an attempt is given up', async () => {
 		const instance = await startInstance([]);
 		const upstream = create();
