--- a/packages/gateway/test/fleet-start.test.ts
+++ b/packages/gateway/test/fleet-start.test.ts
@@ -6,27 +6,15 @@
 } from '@egretwing/gateway';
 import {Err} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {createTestSettings} from './support/settings.ts';
 
 const network = networkOf(207);
 const port = 21_500;
 /** Several rounds in which members find each other, and less than they need to trust what they found. */
 const settlingMs = 900;
 
-const settings = (number: number): GatewaySettings => ({
-	hostId: `g-${number}`,
-	address: `${network}.${number}`,
-	region: 'r',
-	dataCentre: 'a',
-	entryPort: port,
-	locatePort: port + 1,
-	peerPort: port + 2,
-	operatorPort: port + 3,
-	seedAddresses: [`${network}.1`, `${network}.2`],
-	capacity: 1,
-	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
-	shutdownMs: 500,
-	gatewaysPerDataCentre: 1,
-	logLevel: 0,
+const settings = (number: number): GatewaySettings => createTestSettings(`g-${number}`, `${network}.${number}`, port, {
+	seedAddresses: [`${network}.1`, `${network}.2`], shutdownMs: 500,
 });
 
 /** A store that turns everybody away. */
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -11,6 +11,7 @@
 } from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(206)}.1`;
 /** Below the ports that the system hands out to connections and to the instances of these tests. */
@@ -83,22 +84,7 @@
 	close: () => undefined,
 });
 
-const settings = (port: number): GatewaySettings => ({
-	hostId: `g-${port}`,
-	address,
-	region: 'r',
-	dataCentre: 'a',
-	entryPort: port,
-	locatePort: port + 1,
-	peerPort: port + 2,
-	operatorPort: port + 3,
-	seedAddresses: [],
-	capacity: 1,
-	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
-	shutdownMs: 1500,
-	gatewaysPerDataCentre: 1,
-	logLevel: 0,
-});
+const settings = (port: number): GatewaySettings => createTestSettings(`g-${port}`, address, port);
 
 type Answer = {readonly statusCode: number; readonly body: string; readonly headers: http.IncomingHttpHeaders};
 
--- /dev/null
+++ b/packages/gateway/test/support/settings.ts
@@ -0,0 +1,26 @@
+/** Settings of a gateway under test. */
+
+import type {GatewaySettings} from '@egretwing/gateway';
+
+const locateOffset = 1;
+const peerOffset = 2;
+const operatorOffset = 3;
+
+/** Settings that take four ports from `port` on; `changes` go before the rest. */
+export const createTestSettings = (hostId: string, address: string, port: number, changes: Partial<GatewaySettings> = {}): GatewaySettings => ({
+	hostId,
+	address,
+	region: 'r',
+	dataCentre: 'a',
+	entryPort: port,
+	locatePort: port + locateOffset,
+	peerPort: port + peerOffset,
+	operatorPort: port + operatorOffset,
+	seedAddresses: [],
+	capacity: 1,
+	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
+	shutdownMs: 1500,
+	gatewaysPerDataCentre: 1,
+	logLevel: 0,
+	...changes,
+});
--- a/scripts/lib/processes.ts
+++ b/scripts/lib/processes.ts
@@ -42,7 +42,12 @@
 	readonly kill: () => void;
 };
 
-const endProcess = async (child: ChildProcess): Promise<void> => {
+/** Asks a running process to shut down, wakes it for that if it is paused, and kills it after 5 s. */
+export const endProcess = async (child: ChildProcess): Promise<void> => {
+	if (child.exitCode !== null || child.signalCode !== null) {
+		return;
+	}
+
 	const ended = new Promise(resolve => {
 		child.once('exit', resolve);
 	});
--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -7,10 +7,10 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
+import {endProcess} from '../../../scripts/lib/processes.ts';
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
 const restartAfterMs = 300;
-const killAfterMs = 3000;
 
 /** Ports of a gateway; addresses tell gateways apart. */
 export const gatewayPorts = {
@@ -136,21 +136,8 @@
 		async stop() {
 			isStopping = true;
 			await Promise.all([...children.values()].map(async child => {
-				if (child.exitCode !== null || child.signalCode !== null) {
-					return;
-				}
-
 				asked.add(child);
-				const ended = new Promise(resolve => {
-					child.once('exit', resolve);
-				});
-				child.kill('SIGCONT');
-				child.kill('SIGTERM');
-				const timer = setTimeout(() => {
-					child.kill('SIGKILL');
-				}, killAfterMs);
-				await ended;
-				clearTimeout(timer);
+				await endProcess(child);
 			}));
 			rmSync(folder, {recursive: true, force: true});
 		},
