feat(core): callers of a large data centre are told more than one gateway

Load pattern: callers that move to a data centre while some of them repeat at once; a fleet of 126 unequal gateways. Cause: one gateway a data centre is told whatever the size of the fleet. Change: one gateway named for each 20 usable ones of a data centre: one where there are 15, two where there are 42, the strong ones first. Tests: table of fleet sizes.

--- a/packages/core/src/placement/callers.ts
+++ b/packages/core/src/placement/callers.ts
@@ -23,13 +23,14 @@
 /** How many gateways callers are told. */
 export type CallerPlacement = {
 	/**
-	 * Gateways named in each data centre.
-	 * @default 1
+	 * Usable gateways of a data centre for each one that is named there; at least one is.
+	 * @default 20
 	 */
-	readonly perDataCentre?: number;
+	readonly membersPerNamed?: number;
 };
 
-const defaultPerDataCentre = 1;
+/** The platform sizes its fleet by the load, so that more members stand for more requests: 44 in three data centres need one each, 126 two. */
+const defaultMembersPerNamed = 20;
 
 /** Gateways with at least this part of the strongest one's capacity are preferred to all weaker ones. */
 const strongShare = 0.5;
@@ -60,13 +61,13 @@
 };
 
 /** The gateways that take callers, by data centre. */
-export const placeCallers = (gateways: readonly CallerGateway[], {perDataCentre = defaultPerDataCentre}: CallerPlacement = {}): ReadonlyMap<string, readonly CallerGateway[]> => {
+export const placeCallers = (gateways: readonly CallerGateway[], {membersPerNamed = defaultMembersPerNamed}: CallerPlacement = {}): ReadonlyMap<string, readonly CallerGateway[]> => {
 	const usable = gateways.filter(gateway => gateway.usable);
 	const dataCentres = [...new Set(usable.map(({dataCentre}) => dataCentre))].toSorted();
-	return new Map(dataCentres.map(dataCentre => [
-		dataCentre,
-		rankStrongest(usable.filter(gateway => gateway.dataCentre === dataCentre)).slice(0, perDataCentre),
-	]));
+	return new Map(dataCentres.map(dataCentre => {
+		const local = usable.filter(gateway => gateway.dataCentre === dataCentre);
+		return [dataCentre, rankStrongest(local).slice(0, Math.max(1, Math.round(local.length / membersPerNamed)))];
+	}));
 };
 
 /** The gateways to name to a caller: those of its data centre, or all when it has none. */
--- a/packages/core/test/callers.test.ts
+++ b/packages/core/test/callers.test.ts
@@ -66,6 +66,16 @@
 			expected: ['a4'],
 		},
 	];
+	const sizes: ReadonlyArray<readonly [members: number, strong: number, named: number]> = [[1, 1, 1], [15, 15, 1], [42, 3, 2], [126, 8, 6]];
+	for (const [count, strong, named] of sizes) {
+		it(`names ${named} of ${count} gateways of a data centre, the strong ones first`, () => {
+			const members = Array.from({length: count}, (_, index): Member => ({id: `a${index}`, dataCentre: 'a', capacity: index < strong ? 1 : 0.1}));
+			const ids = gatewaysForCaller(placeCallers(toCallerGateways(members.map(member => toMember(member)))), 'a').map(({hostId}) => hostId);
+			expect(ids).to.have.length(named);
+			expect(ids.every(id => Number(id.slice(1)) < strong)).to.equal(true);
+		});
+	}
+
 	for (const {title, members, caller, expected} of cases) {
 		it(title, () => {
 			const placed = placeCallers(toCallerGateways(members.map(member => toMember(member))));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -316,7 +316,7 @@
 		const present = members.filter(member => isPresent(member));
 		hostById = new Map(present.map(({host}) => [host.hostId, host]));
 		metrics.members.set(present.length);
-		placed = placeCallers(toCallerGateways(members), {perDataCentre: settings.gatewaysPerDataCentre});
+		placed = placeCallers(toCallerGateways(members), {membersPerNamed: settings.membersPerNamed});
 		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
 		if (gateways.join(',') !== placedIds.join(',')) {
 			placedIds = gateways;
