refactor(gateway): the view of the fleet in a module of its own

gateway.ts held membership, placement and answers to callers beside everything else; behaviour as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,16 +4,32 @@
 import type net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	createCatalogue, createMembership, createPrefixRouteTable, createRandom, createReaderElection, createRetryWindow, createSpread, entriesOfFullRead, fromReportRows, gatewaysForCaller, hashText, isPresent, placeCallers, slackShareOf, toCallerGateways, toReportRows,
-	type CallerGateway, type DispatchReport, type EntryHost, type MemberSend, type RetryWindow, type SpreadSend,
+	createCatalogue,
+	createMembership,
+	createPrefixRouteTable,
+	createRandom,
+	createReaderElection,
+	createRetryWindow,
+	createSpread,
+	entriesOfFullRead,
+	fromReportRows,
+	hashText,
+	slackShareOf,
+	toReportRows,
+	type DispatchReport,
+	type EntryHost,
+	type MemberSend,
+	type RetryWindow,
+	type SpreadSend,
 } from '@egretwing/core';
 import {
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
 } from '@egretwing/node';
 import {
-	drainAcceptShare, drainEndShare, joinIntervalMs, locateKeepMs, rejoinIntervalMs, reportingMs, tickIntervalMs, untrustedLocateKeepMs, upkeepIntervalMs,
+	drainAcceptShare, drainEndShare, joinIntervalMs, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
 } from './constants.ts';
 import {createDispatchers} from './dispatchers.ts';
+import {createFleetView, type LocatedGateways} from './fleet-view.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
 import {createRequestLog} from './request-log.ts';
@@ -26,12 +42,6 @@
 import {createGate} from './gate.ts';
 import {createUpstream} from './upstream.ts';
 
-/** Where callers may connect, and for how long the answer holds. */
-export type LocatedGateways = {
-	readonly addresses: ReadonlyArray<{readonly address: string; readonly port: number}>;
-	readonly keepMs: number;
-};
-
 /** A running gateway. */
 export type Gateway = {
 	/** Gateways for the callers of a data centre; empty while this gateway does not know the others. */
@@ -73,29 +83,31 @@
 	});
 	const election = createReaderElection(startedAtMs);
 	const knownHosts = new Map<string, EntryHost>();
-	const placedAtMsById = new Map<string, number>();
 	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
 	let routes = createPrefixRouteTable([]);
 	let seeds = settings.seedAddresses;
-	let placed: ReadonlyMap<string, readonly CallerGateway[]> = new Map();
-	let placedVersion = -1;
-	let placedIds: readonly string[] = [];
 	let nextUpkeepMs = 0;
-	let hostById: ReadonlyMap<string, EntryHost> = new Map();
 	let announcedUp = false;
-	/** True once the view of the fleet was trusted for the first time. */
-	let wasTrusted = false;
 	let isDraining = false;
 	let nextJoinMs = 0;
 
 	/** Opens once configuration and instances are known. */
 	const whole = createGate();
 
-	const peerIds = (): readonly string[] => [...hostById.keys()].filter(id => id !== hostId);
+	const fleet = createFleetView({
+		self,
+		membership,
+		membersPerNamed: settings.membersPerNamed,
+		nowMs,
+		logger,
+		onPresent(count) {
+			metrics.members.set(count);
+		},
+	});
 
 	const sendTo = (id: string, message: MeshMessage, transport: 'datagram' | 'stream'): void => {
-		const host = hostById.get(id);
+		const host = fleet.hosts().get(id);
 		if (host !== undefined) {
 			mesh.send(host, message, transport);
 		}
@@ -116,8 +128,8 @@
 	const spread = createSpread({
 		catalogue,
 		random,
-		peerIds,
-		nearPeerIds: () => peerIds().filter(id => hostById.get(id)?.dataCentre === settings.dataCentre),
+		peerIds: fleet.peerIds,
+		nearPeerIds: fleet.nearPeerIds,
 		onChange({source, config, entries}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
@@ -134,29 +146,15 @@
 		},
 	});
 
-	/** Told are the gateways that callers are sent to, or were a moment ago: the others get next to no requests. */
 	const tellSharers = (service: string, report: DispatchReport): void => {
-		const timeMs = nowMs();
 		const rows = toReportRows(report);
-		for (const [id, placedAtMs] of placedAtMsById) {
-			if (timeMs - placedAtMs >= reportingMs) {
-				placedAtMsById.delete(id);
-			} else if (id !== hostId) {
-				sendTo(id, {type: 'load', service, rows}, 'datagram');
-			}
-		}
-	};
-
-	const notePlaced = (): void => {
-		for (const id of placedIds) {
-			placedAtMsById.set(id, nowMs());
+		for (const id of fleet.sharerIds()) {
+			sendTo(id, {type: 'load', service, rows}, 'datagram');
 		}
 	};
 
-	const isScout = (): boolean => placedIds.length > 0 && nowMs() - (placedAtMsById.get(hostId) ?? Number.NEGATIVE_INFINITY) >= reportingMs;
-
 	const dispatchers = createDispatchers({
-		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isScout, tell: tellSharers,
+		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isScout: fleet.isScout, tell: tellSharers,
 	});
 
 	const learnHosts = (hosts: readonly EntryHost[]): void => {
@@ -222,12 +220,12 @@
 	});
 
 	const tellStore = (isReachable: boolean): void => {
-		for (const id of peerIds()) {
+		for (const id of fleet.peerIds()) {
 			sendTo(id, {type: 'store', isReachable}, 'datagram');
 		}
 	};
 
-	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...hostById.values()], nowMs(), whole.isAwaited());
+	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...fleet.hosts().values()], nowMs(), whole.isAwaited());
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
@@ -276,7 +274,7 @@
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
-		retrySlackShare: () => slackShareOf(placedIds.includes(hostId), placedIds.length, hostById.size),
+		retrySlackShare: () => slackShareOf(fleet.placedIds().includes(hostId), fleet.placedIds().length, fleet.hosts().size),
 		headerNames,
 		metrics,
 		log: createRequestLog(logger, nowMs),
@@ -306,32 +304,14 @@
 		refuseUnreadable(error, socket as net.Socket);
 	});
 
-	const refreshPlacement = (): void => {
-		if (membership.version() === placedVersion) {
-			return;
-		}
-
-		placedVersion = membership.version();
-		const members = membership.members();
-		const present = members.filter(member => isPresent(member));
-		hostById = new Map(present.map(({host}) => [host.hostId, host]));
-		metrics.members.set(present.length);
-		placed = placeCallers(toCallerGateways(members), {membersPerNamed: settings.membersPerNamed});
-		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
-		if (gateways.join(',') !== placedIds.join(',')) {
-			placedIds = gateways;
-			logger.info('callers placed', {members: present.length, gateways});
-		}
-	};
-
 	const join = (): void => {
 		const timeMs = nowMs();
 		if (timeMs < nextJoinMs) {
 			return;
 		}
 
-		nextJoinMs = timeMs + (peerIds().length === 0 ? joinIntervalMs : rejoinIntervalMs * (0.5 + random.next()));
-		const known = new Set([settings.address, ...Array.from(hostById.values(), host => host.address)]);
+		nextJoinMs = timeMs + (fleet.peerIds().length === 0 ? joinIntervalMs : rejoinIntervalMs * (0.5 + random.next()));
+		const known = new Set([settings.address, ...Array.from(fleet.hosts().values(), host => host.address)]);
 		for (const address of seeds) {
 			if (!known.has(address)) {
 				mesh.send({address, peerPort}, {type: 'join', host: self}, 'datagram');
@@ -352,13 +332,11 @@
 		const timeMs = nowMs();
 		join();
 		sendMembers(membership.tick(timeMs));
-		wasTrusted ||= membership.isTrusted(timeMs);
-		refreshPlacement();
-		notePlaced();
+		fleet.refresh();
 		catalogue.tick(timeMs);
 		sendSpread(spread.tick(timeMs));
 		for (const id of spread.takeSilentPeers()) {
-			const host = hostById.get(id);
+			const host = fleet.hosts().get(id);
 			if (host !== undefined) {
 				mesh.reset(host);
 			}
@@ -440,24 +418,9 @@
 		server.closeAllConnections();
 	};
 
-	/**
-	 * A gateway that starts names those that it has heard of so far, itself included, for a short time. One that wakes from
-	 * a pause names itself until it has heard from the others again.
-	 */
-	const locate = (dataCentre: string | undefined): LocatedGateways => {
-		const placedHosts = gatewaysForCaller(placed, dataCentre).flatMap(gateway => hostById.get(gateway.hostId) ?? []);
-		const isTrusted = membership.isTrusted(nowMs());
-		const isKnown = (isTrusted || !wasTrusted) && placedHosts.length > 0;
-		const hosts = isKnown || isDraining ? placedHosts : [self];
-		return {
-			addresses: hosts.map(host => ({address: host.address, port: host.entryPort})),
-			keepMs: isTrusted ? locateKeepMs : untrustedLocateKeepMs,
-		};
-	};
-
 	let ending: Promise<void> | undefined;
 	return {
-		locate,
+		locate: dataCentre => fleet.locate(dataCentre, isDraining),
 		isReady: () => announcedUp && !isDraining,
 		setSeeds(addresses) {
 			seeds = addresses;
