--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -46,8 +46,8 @@
 	readonly serviceMs: number;
 };
 
-/** Creates the dispatcher of a gateway in `dataCentre`; `isScout` tells whether callers are sent elsewhere. */
-export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random, isScout: () => boolean = () => false): Dispatcher<Request> => {
+/** Creates the dispatcher of a gateway in `dataCentre`; `isUnplaced` tells whether callers are sent elsewhere. */
+export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random, isUnplaced: () => boolean = () => false): Dispatcher<Request> => {
 	const pool = createInstancePool(dataCentre, random);
 	const queue = createWaitQueue<Request>();
 	let serviceMs = initialServiceMs;
@@ -60,7 +60,7 @@
 	};
 
 	const contextAt = (nowMs: number): ChoiceContext => ({
-		nowMs, serviceMs, isSpread: isSpread(nowMs), isScout: isScout(),
+		nowMs, serviceMs, isSpread: isSpread(nowMs), isUnplaced: isUnplaced(),
 	});
 
 	/** Time until a slot is free for a request behind `ahead` others: this gateway's part of the slots turns over once a service time. */
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -24,7 +24,7 @@
 	/** True when work is spread over all usable instances rather than kept at the proven ones. */
 	readonly isSpread: boolean;
 	/** True when callers are not sent to this gateway, so that the few requests it gets serve best as trials for the others. */
-	readonly isScout: boolean;
+	readonly isUnplaced: boolean;
 };
 
 /** The instances of one service at one gateway. */
@@ -141,10 +141,10 @@
 
 	const costOf = (member: Member, request: DispatchRequest, context: ChoiceContext): number => {
 		const {
-			nowMs, serviceMs, isSpread, isScout,
+			nowMs, serviceMs, isSpread, isUnplaced,
 		} = context;
 		const {facts, trust} = member;
-		if (isScout) {
+		if (isUnplaced) {
 			return random.next() + (facts.dataCentre === dataCentre ? 0 : 1);
 		}
 
@@ -216,7 +216,7 @@
 		take(request, context, isPatient) {
 			const {nowMs} = context;
 			const usable = usableMembers(context);
-			const avoidsRisk = isPatient && !context.isScout && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
+			const avoidsRisk = isPatient && !context.isUnplaced && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
 			let best: Member | undefined;
 			let bestCost = Number.POSITIVE_INFINITY;
 			for (const member of usable) {
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -47,7 +47,7 @@
 	readonly nowMs: () => number;
 	readonly logger: Logger;
 	/** True while callers are sent to other gateways. */
-	readonly isScout: () => boolean;
+	readonly isUnplaced: () => boolean;
 	/** Tells the gateways that share a service. */
 	readonly tell: (service: string, report: DispatchReport) => void;
 };
@@ -74,7 +74,7 @@
 
 /** Creates the dispatchers of a gateway. */
 export const createDispatchers = ({
-	dataCentre, catalogue, random, nowMs, logger, isScout, tell,
+	dataCentre, catalogue, random, nowMs, logger, isUnplaced, tell,
 }: DispatchersOptions): Dispatchers => {
 	const services = new Map<string, Service>();
 
@@ -90,7 +90,7 @@
 		if (service === undefined) {
 			service = {
 				name,
-				dispatcher: createDispatcher<Waiting>(dataCentre, random, isScout),
+				dispatcher: createDispatcher<Waiting>(dataCentre, random, isUnplaced),
 				catalogueVersion: -1,
 				lastRequestMs: Number.NEGATIVE_INFINITY,
 				lastReportMs: Number.NEGATIVE_INFINITY,
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -26,7 +26,7 @@
 	/** Peers that callers are sent to, or were a moment ago. */
 	readonly sharerIds: () => readonly string[];
 	/** True while callers are sent to other gateways, and have been for a moment. */
-	readonly isScout: () => boolean;
+	readonly isUnplaced: () => boolean;
 	/** Gateways for the callers of a data centre. */
 	readonly locate: (dataCentre: string | undefined, isDraining: boolean) => LocatedGateways;
 };
@@ -96,7 +96,7 @@
 		nearPeerIds: () => peerIds().filter(id => hosts.get(id)?.dataCentre === self.dataCentre),
 		placedIds: () => placedIds,
 		sharerIds: () => [...placedAtMsById.keys()].filter(id => id !== self.hostId),
-		isScout: () => placedIds.length > 0 && !placedAtMsById.has(self.hostId),
+		isUnplaced: () => placedIds.length > 0 && !placedAtMsById.has(self.hostId),
 		/**
 		 * A gateway that starts names those that it has heard of so far, itself included, for a short time. One that wakes
 		 * from a pause names itself until it has heard from the others again.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -154,7 +154,7 @@
 	};
 
 	const dispatchers = createDispatchers({
-		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isScout: fleet.isScout, tell: tellSharers,
+		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, tell: tellSharers,
 	});
 
 	const learnHosts = (hosts: readonly EntryHost[]): void => {
--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -22,7 +22,7 @@
 		random: createRandom(1),
 		nowMs: clock.nowMs,
 		logger: createLogger('test', 'h', 0),
-		isScout: () => false,
+		isUnplaced: () => false,
 		tell(_service, report) {
 			reports.push(report);
 		},
