--- a/packages/core/src/health/service-health.ts
+++ b/packages/core/src/health/service-health.ts
@@ -30,9 +30,6 @@
 /** Share of the threshold from which the median score shows a failure of the whole service. */
 const serviceWideShare = 0.5;
 
-/** Failures that the score of an instance in use must weigh for a trial request: one that few successes have outweighed since. */
-const doubtFailures = 0.5;
-
 /** The rules of the service that health depends on. */
 export type HealthRules = {
 	readonly floorShare: number;
@@ -406,33 +403,15 @@
 	const hasEvidence = ({succeeded, failed, spellNumber, instance}: TrackedInstance): boolean =>
 		succeeded + failed + spellNumber > 0 || leaving.isLeaving(instance.hostId);
 
-	/**
-	 * True if a request should find out whether the instance works: one that is out of use and has been held long enough,
-	 * or one in use that has failed anywhere, since a choice by requests in flight leaves a stalled one too few to tell.
-	 */
-	const isInDoubt = (tracked: TrackedInstance, nowMs: number): boolean => {
-		switch (tracked.standing.kind) {
-			case 'ejected':
-			case 'spared':
-			case 'avoided': {
-				return nowMs >= ((tracked.spell ?? tracked.cut)?.holdUntilMs ?? -Infinity);
-			}
-
-			case 'use': {
-				return tracked.pooled.value() >= doubtFailures * steps.failed;
-			}
-
-			case 'leaving': {
-				return false;
-			}
-		}
+	const isTrialDue = (tracked: TrackedInstance, nowMs: number): boolean => {
+		const {kind} = tracked.standing;
+		const holdUntilMs = (tracked.spell ?? tracked.cut)?.holdUntilMs ?? -Infinity;
+		return (kind === 'ejected' || kind === 'spared' || kind === 'avoided')
+			&& nowMs >= holdUntilMs
+			&& nowMs - tracked.lastTrialAtMs >= trialIntervalMs
+			&& ![...inFlight].some(({instanceId}) => instanceId === tracked.instance.hostId);
 	};
 
-	const isTrialDue = (tracked: TrackedInstance, nowMs: number): boolean =>
-		isInDoubt(tracked, nowMs)
-		&& nowMs - tracked.lastTrialAtMs >= trialIntervalMs
-		&& ![...inFlight].some(({instanceId}) => instanceId === tracked.instance.hostId);
-
 	const reasonOf = (tracked: TrackedInstance, medianScore: number): string => {
 		const {kind} = tracked.standing;
 		switch (kind) {
