--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -227,6 +227,16 @@
 		expect(third.isReady()).to.equal(false);
 	});
 
+	/** A request whose answer nobody waits for. */
+	const beginRequest = (path: string, body: string | undefined): http.ClientRequest => {
+		const request = http.request({
+			host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
+		});
+		request.on('error', () => undefined);
+		request.end(body);
+		return request;
+	};
+
 	const leavers: ReadonlyArray<readonly [title: string, path: string, body: string | undefined]> = [
 		['an idempotent request', '/idempotent/1', undefined],
 		['an at-most-once request', '/at-most-once/1', 'x'],
@@ -241,11 +251,7 @@
 			};
 
 			await start([hang, hang]);
-			const request = http.request({
-				host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
-			});
-			request.on('error', () => undefined);
-			request.end(body);
+			const request = beginRequest(path, body);
 			while (arrivals() === 0) {
 				await delay(10);
 			}
