refactor: one way to listen, one figure for the gateways named in a data centre

The soak's proxy, store and instances each spelled out what listen of packages/node does; the platform's settings repeated the default of the placement. Two comments told of behaviour that has changed. Behaviour as before: 68 tests of soak, decoding, placement and gateway pass, linter clean on the files touched.

--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -23,7 +23,7 @@
 	readonly nearPeerIds: () => readonly string[];
 	/** Gateways that callers are sent to. */
 	readonly placedIds: () => readonly string[];
-	/** Peers that callers are sent to, or were a moment ago. */
+	/** Peers that callers are sent to, or were a moment ago: the others get next to no requests. */
 	readonly sharerIds: () => readonly string[];
 	/** True while callers are sent to other gateways, and have been for a moment. */
 	readonly isUnplaced: () => boolean;
@@ -35,7 +35,7 @@
 export type FleetViewOptions = {
 	readonly self: EntryHost;
 	readonly membership: Membership;
-	readonly membersPerNamed: number;
+	readonly membersPerNamed: number | undefined;
 	readonly nowMs: () => number;
 	readonly logger: Logger;
 	readonly onPresent: (count: number) => void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,7 +44,7 @@
 
 /** A running gateway. */
 export type Gateway = {
-	/** Gateways for the callers of a data centre; empty while this gateway does not know the others. */
+	/** Gateways for the callers of a data centre; those heard of so far, for a short time, while this gateway does not know the fleet. */
 	readonly locate: (dataCentre: string | undefined) => LocatedGateways;
 	/** True when requests can be served and no shutdown was asked for. */
 	readonly isReady: () => boolean;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,8 +26,8 @@
 	retryLimits: z.object({ratio: z.number().min(0), slack: z.number().min(0), windowMs: z.number().positive()}),
 	/** Time after a request to shut down within which the process has to end. */
 	shutdownMs: z.number().positive(),
-	/** Usable gateways of a data centre for each one that its callers are told. */
-	membersPerNamed: z.number().min(1),
+	/** Usable gateways of a data centre for each one that its callers are told; the default is that of the placement. */
+	membersPerNamed: z.number().min(1).optional(),
 	/** Least severe log lines that are written: 0 errors only to 4 everything. */
 	logLevel: z.int().min(0).max(4),
 }).readonly();
--- a/packages/gateway/test/support/settings.ts
+++ b/packages/gateway/test/support/settings.ts
@@ -20,7 +20,6 @@
 	capacity: 1,
 	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
 	shutdownMs: 1500,
-	membersPerNamed: 20,
 	logLevel: 0,
 	...changes,
 });
--- a/test/platform/soak/instances.ts
+++ b/test/platform/soak/instances.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Random} from '@egretwing/core';
+import {listen} from '@egretwing/node';
 import {platformHeaderNames as names} from '../../../platform/names.ts';
 
 /** How an instance treats a share of its requests. */
@@ -116,10 +117,7 @@
 		await run(request, response, Buffer.concat(chunks));
 		atWork--;
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
+	await listen(server, port, address);
 
 	return {
 		instanceId,
--- a/test/platform/soak/proxy.ts
+++ b/test/platform/soak/proxy.ts
@@ -2,6 +2,7 @@
 
 import net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {listen} from '@egretwing/node';
 
 /** What is done to the bytes of all connections. */
 export type ProxyFault
@@ -72,10 +73,7 @@
 		pass(incoming, outgoing, 'requests');
 		pass(outgoing, incoming, 'answers');
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
+	await listen(server, port, address);
 
 	const resetAll = (): void => {
 		for (const [incoming, outgoing] of pairs) {
--- a/test/platform/soak/store.ts
+++ b/test/platform/soak/store.ts
@@ -2,7 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
-import {sendJson} from '@egretwing/node';
+import {listen, sendJson} from '@egretwing/node';
 
 type Item = {
 	readonly key: string;
@@ -95,10 +95,7 @@
 			}
 		}
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
+	await listen(server, port, address);
 
 	return {
 		put(key, value) {
