feat(gateway): a log line and a gauge for what is believed of a service

The lines of single requests do not tell why an instance gets none. Once a second while requests come, each service has a line with its instances that are avoided, await a trial or have rested, whether work is spread, and what was not served; the gauge egretwing_instances has the same.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -9,7 +9,9 @@
 import {
 	initialServiceMs, maxRetryAfterMs, maxWaitShare, minRetryAfterMs, patienceFactor, serviceTimeWeight, servedWindowMs, spreadUnservedShare,
 } from './constants.ts';
-import {createInstancePool, type ChoiceContext, type InstancePool} from './instance-pool.ts';
+import {
+	createInstancePool, type ChoiceContext, type InstanceCensus, type InstancePool,
+} from './instance-pool.ts';
 import type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, LateDecision, Placement,
 } from './types.ts';
@@ -35,6 +37,7 @@
 	readonly serviceMs: () => number;
 	readonly explain: InstancePool['explain'];
 	readonly snapshot: (nowMs: number) => DispatcherSnapshot;
+	readonly state: (nowMs: number) => DispatcherState;
 };
 
 /** Figures for logs and metrics. */
@@ -46,6 +49,15 @@
 	readonly serviceMs: number;
 };
 
+/** What a gateway believes of a service, for logs and metrics. */
+export type DispatcherState = InstanceCensus & {
+	/** True while work is spread over all usable instances. */
+	readonly isSpread: boolean;
+	/** Final answers to callers in the last `servedWindowMs`, and those of them that were not served. */
+	readonly answered: number;
+	readonly unserved: number;
+};
+
 /** Creates the dispatcher of a gateway in `dataCentre`; `isUnplaced` tells whether callers are sent elsewhere. */
 export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random, isUnplaced: () => boolean = () => false): Dispatcher<Request> => {
 	const pool = createInstancePool(dataCentre, random);
@@ -53,9 +65,13 @@
 	let serviceMs = initialServiceMs;
 	let results: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
 
-	const isSpread = (nowMs: number): boolean => {
+	const countUnserved = (nowMs: number): number => {
 		results = results.filter(({atMs}) => nowMs - atMs < servedWindowMs);
-		const unserved = results.filter(({isServed}) => !isServed).length;
+		return results.filter(({isServed}) => !isServed).length;
+	};
+
+	const isSpread = (nowMs: number): boolean => {
+		const unserved = countUnserved(nowMs);
 		return unserved > 1 && unserved > spreadUnservedShare * results.length;
 	};
 
@@ -174,5 +190,11 @@
 				serviceMs: Math.round(serviceMs),
 			};
 		},
+		state(nowMs) {
+			const unserved = countUnserved(nowMs);
+			return {
+				...pool.census(contextAt(nowMs)), isSpread: isSpread(nowMs), answered: results.length, unserved,
+			};
+		},
 	};
 };
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -1,7 +1,7 @@
 /** Waiting, placing and rejecting: the decisions of a gateway under load. */
 
 export {createDispatcher} from './dispatcher.ts';
-export type {Dispatcher, DispatcherSnapshot} from './dispatcher.ts';
+export type {Dispatcher, DispatcherSnapshot, DispatcherState} from './dispatcher.ts';
 export {createRetryWindow, slackShareOf} from './retry-window.ts';
 export type {RetryLimits, RetryWindow} from './retry-window.ts';
 export {fromReportRows, toReportRows} from './report-rows.ts';
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -27,6 +27,16 @@
 	readonly isUnplaced: boolean;
 };
 
+/** Instances of a service by what this gateway believes of them. */
+export type InstanceCensus = {
+	readonly known: number;
+	readonly avoided: number;
+	/** Not avoided, but without a good answer since they were, or since they became known. */
+	readonly awaitingTrial: number;
+	/** Not avoided, but without a request of this gateway for `spreadIdleMs`. */
+	readonly rested: number;
+};
+
 /** The instances of one service at one gateway. */
 export type InstancePool = {
 	readonly setInstances: (instances: readonly DispatchInstance[]) => void;
@@ -45,6 +55,8 @@
 	readonly inFlight: (context: ChoiceContext) => number;
 	readonly report: (nowMs: number) => DispatchReport;
 	readonly hear: (peerId: string, report: DispatchReport, nowMs: number) => void;
+	/** How many instances are in which state, for logs and metrics. */
+	readonly census: (context: ChoiceContext) => InstanceCensus;
 	/** What decides about an instance, for logs. */
 	readonly explain: (instanceId: string, nowMs: number) => Readonly<Record<string, unknown>>;
 };
@@ -292,6 +304,16 @@
 				member.trust.hear(goodAgeMs === undefined ? undefined : nowMs - goodAgeMs, avoidMs === undefined ? undefined : nowMs + avoidMs, nowMs);
 			}
 		},
+		census({nowMs}) {
+			const all = [...members.values()];
+			const open = all.filter(({trust}) => !trust.isAvoided(nowMs));
+			return {
+				known: all.length,
+				avoided: all.length - open.length,
+				awaitingTrial: open.filter(({trust}) => trust.needsTrial()).length,
+				rested: open.filter(({usedAtMs}) => nowMs - usedAtMs > spreadIdleMs).length,
+			};
+		},
 		explain(instanceId, nowMs) {
 			const member = members.get(instanceId);
 			if (member === undefined) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,7 +71,7 @@
 } from './dispatch/index.ts';
 export type {ReportRow} from './dispatch/index.ts';
 export type {
-	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, Dispatcher, DispatcherSnapshot, InstanceReport, LateDecision, RejectReason, RetryLimits, RetryWindow,
+	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, Dispatcher, DispatcherSnapshot, DispatcherState, InstanceReport, LateDecision, RejectReason, RetryLimits, RetryWindow,
 } from './dispatch/index.ts';
 export type {Placement as DispatchPlacement} from './dispatch/index.ts';
 export {createReaderElection, createSpread, electionWaitMs} from './spread/index.ts';
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -15,6 +15,9 @@
 /** Time after the last request for which a gateway goes on reporting. */
 export const reportingMs = 5000;
 
+/** Time between two log lines about what is believed of a service that takes requests. */
+export const stateLogIntervalMs = 1000;
+
 /** Reports in one datagram, at most, so that it fits one packet. */
 export const reportsPerDatagram = 24;
 
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -9,12 +9,13 @@
 	type DispatchReport,
 	type DispatchRequest,
 	type Dispatcher,
+	type DispatcherState,
 	type LiveInstance,
 	type Random,
 } from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {
-	idleReportIntervalMs, reportIntervalMs, reportingMs, reportsPerDatagram,
+	idleReportIntervalMs, reportIntervalMs, reportingMs, reportsPerDatagram, stateLogIntervalMs,
 } from './constants.ts';
 
 /** What becomes of a request that asks for an instance. */
@@ -50,6 +51,8 @@
 	readonly isUnplaced: () => boolean;
 	/** Tells the gateways that share a service. */
 	readonly tell: (service: string, report: DispatchReport) => void;
+	/** Takes what is believed of a service, once in `stateLogIntervalMs` while it takes requests. */
+	readonly onState: (service: string, state: DispatcherState) => void;
 };
 
 type Service = {
@@ -59,6 +62,7 @@
 	lastRequestMs: number;
 	lastReportMs: number;
 	lastReport: string;
+	lastStateLogMs: number;
 	/** True when the next report is not to wait for its interval, since an instance is avoided from now on. */
 	isReportDue: boolean;
 };
@@ -74,7 +78,7 @@
 
 /** Creates the dispatchers of a gateway. */
 export const createDispatchers = ({
-	dataCentre, catalogue, random, nowMs, logger, isUnplaced, tell,
+	dataCentre, catalogue, random, nowMs, logger, isUnplaced, tell, onState,
 }: DispatchersOptions): Dispatchers => {
 	const services = new Map<string, Service>();
 
@@ -95,6 +99,7 @@
 				lastRequestMs: Number.NEGATIVE_INFINITY,
 				lastReportMs: Number.NEGATIVE_INFINITY,
 				lastReport: '',
+				lastStateLogMs: Number.NEGATIVE_INFINITY,
 				isReportDue: false,
 			};
 			services.set(name, service);
@@ -117,6 +122,19 @@
 		service.isReportDue = true;
 	};
 
+	const logState = (service: Service): void => {
+		const timeMs = nowMs();
+		const isActive = timeMs - service.lastRequestMs < stateLogIntervalMs;
+		if (!isActive || timeMs - service.lastStateLogMs < stateLogIntervalMs) {
+			return;
+		}
+
+		service.lastStateLogMs = timeMs;
+		const state = service.dispatcher.state(timeMs);
+		logger.info('service state', {service: service.name, instancesAsOf: catalogue.digest().instancesAsOf, ...state});
+		onState(service.name, state);
+	};
+
 	const report = (service: Service): void => {
 		const timeMs = nowMs();
 		const sinceMs = timeMs - service.lastReportMs;
@@ -211,6 +229,7 @@
 
 				settleWaiting(service);
 				report(service);
+				logState(service);
 			}
 		},
 		snapshots: () => Array.from(services.values(), ({name, dispatcher}) => ({service: name, ...dispatcher.snapshot(nowMs())})),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,6 +155,13 @@
 
 	const dispatchers = createDispatchers({
 		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, tell: tellSharers,
+		onState(service, {known, avoided, awaitingTrial, rested}) {
+			for (const [state, count] of Object.entries({
+				known, avoided, awaitingTrial, rested,
+			})) {
+				metrics.instances.set({service, state}, count);
+			}
+		},
 	});
 
 	const learnHosts = (hosts: readonly EntryHost[]): void => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -23,6 +23,8 @@
 	readonly storeCalls: Counter<'topic' | 'result'>;
 	readonly requestDurationMs: Histogram<'service'>;
 	readonly waitDurationMs: Histogram<'service'>;
+	/** Instances by service and what is believed of them. */
+	readonly instances: Gauge<'service' | 'state'>;
 	readonly configVersion: Gauge;
 	readonly members: Gauge;
 };
@@ -63,6 +65,9 @@
 		waitDurationMs: new Histogram({
 			name: 'egretwing_wait_duration_ms', help: 'Time for which a request waited for an instance', labelNames: ['service'], buckets: durationBucketsMs, registers,
 		}),
+		instances: new Gauge({
+			name: 'egretwing_instances', help: 'Instances by service and state at this gateway', labelNames: ['service', 'state'], registers,
+		}),
 		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
 		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
 	};
--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	createCatalogue, createManualClock, createRandom, type DispatchReport,
+	createCatalogue, createManualClock, createRandom, type DispatcherState, type DispatchReport,
 } from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {createDispatchers, type Dispatchers} from '../src/dispatchers.ts';
@@ -8,6 +8,7 @@
 const createSubject = () => {
 	const clock = createManualClock(1000);
 	const reports: DispatchReport[] = [];
+	const states: DispatcherState[] = [];
 	const catalogue = createCatalogue();
 	catalogue.mergeInstances([{
 		instanceId: 'i-1',
@@ -26,6 +27,9 @@
 		tell(_service, report) {
 			reports.push(report);
 		},
+		onState(_service, state) {
+			states.push(state);
+		},
 	});
 	const runMs = (durationMs: number): void => {
 		for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
@@ -35,7 +39,7 @@
 	};
 
 	return {
-		clock, dispatchers, reports, runMs,
+		clock, dispatchers, reports, runMs, states,
 	};
 };
 
@@ -68,3 +72,27 @@
 		expect(reports.map(({instances}) => instances.map(({inFlight}) => inFlight))).to.deep.equal([[0]]);
 	});
 });
+
+describe('state of a service', () => {
+	it('is told once a second while requests come in, with the instances that wait for a trial', async () => {
+		const {
+			clock, dispatchers, runMs, states,
+		} = createSubject();
+		const placed = await place(dispatchers, clock.nowMs());
+		if (placed.type !== 'send') {
+			throw new Error('expected a placement');
+		}
+
+		dispatchers.finish('s', placed.placement, 'broken');
+		dispatchers.noteServed('s', false);
+		runMs(900);
+		expect(states).to.deep.equal([{
+			known: 1, avoided: 1, awaitingTrial: 0, rested: 0, isSpread: false, answered: 1, unserved: 1,
+		}]);
+		runMs(5000);
+		expect(states).to.have.length(1);
+		await place(dispatchers, clock.nowMs());
+		runMs(100);
+		expect(states.at(-1)).to.include({avoided: 0, awaitingTrial: 1});
+	});
+});
