test(dispatch): sound instances without requests while more than a tenth is not served, known red

A replay of six gateways and 219 instances of 4 slots in virtual time, with the dispatchers and their cut reports as they run, 560 requests/s that may run once. Half of the instances, or seven in ten, reset half of their requests from 4 s on. The length of an episode (3 s), the objective and the time-out are assumptions.

--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -182,6 +182,88 @@
 	});
 });
 
+/** Share of the sound instances that get requests while many aren't served (`floor_share`). */
+const floorShare = 0.7;
+
+/** A dispatcher that spreads its work at 10 s, since half of its last answers were no use to callers. */
+const createSpreading = (count: number, seed = 1): Dispatcher<DispatchRequest> => {
+	const dispatcher = createDispatcher('a', createRandom(seed));
+	dispatcher.setInstances(createInstances(count, 1));
+	for (let index = 0; index < 20; index++) {
+		dispatcher.noteServed(index % 2 === 0, 9900);
+	}
+
+	return dispatcher;
+};
+
+const idOf = (index: number): string => `i-${index}`;
+
+const rangeOf = (count: number): readonly number[] => Array.from({length: count}, (_, index) => index);
+
+/** A peer had good answers of the first `count` instances. */
+const hearGood = (dispatcher: Dispatcher<DispatchRequest>, count: number, nowMs: number): void => {
+	dispatcher.hear('peer', {instances: rangeOf(count).map(index => ({instanceId: idOf(index), inFlight: 0, goodAgeMs: 0}))}, nowMs);
+};
+
+describe('dispatch decisions while work is spread', () => {
+	/** Sends a request each 100 ms, one after another, and counts the instances that got one. */
+	const countUsed = (dispatcher: Dispatcher<DispatchRequest>, requests: number): number => {
+		const used = rangeOf(requests).map(index => {
+			const nowMs = 10_000 + (index * 100);
+			dispatcher.noteServed(false, nowMs);
+			return run(dispatcher, 'good', nowMs, 90);
+		});
+		return new Set(used).size;
+	};
+
+	for (const count of [20, 40]) {
+		it(`uses each of ${count} idle instances before it uses one again`, () => {
+			const dispatcher = createSpreading(count);
+			hearGood(dispatcher, count, 9000);
+			expect(countUsed(dispatcher, count)).to.equal(count);
+		});
+	}
+
+	it('begins with other instances at each gateway', () => {
+		const chosen = [1, 2, 3].map(seed => {
+			const dispatcher = createSpreading(30, seed);
+			hearGood(dispatcher, 30, 8000);
+			return rangeOf(6).map(() => sentTo(dispatcher.submit(request(), 10_000))).join(' ');
+		});
+		expect(new Set(chosen).size).to.equal(3);
+	});
+
+	it('prefers an instance that no peer has used for a while', () => {
+		const dispatcher = createSpreading(4);
+		hearGood(dispatcher, 4, 8000);
+		hearGood(dispatcher, 3, 9950);
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('i-3');
+	});
+
+	const unproven: ReadonlyArray<readonly [title: string, prepare: (dispatcher: Dispatcher<DispatchRequest>, id: string) => void]> = [
+		['was never tried', () => undefined],
+		['failed once and is avoided no longer', (dispatcher, instanceId) => {
+			dispatcher.hear('other', {instances: [{instanceId, inFlight: 0, goodAgeMs: 0}]}, 3900);
+			dispatcher.hear('other', {instances: [{instanceId, inFlight: 0, avoidMs: 5000}]}, 4000);
+		}],
+	];
+	for (const [title, prepare] of unproven) {
+		it(`sends an instance that ${title} one request at a time, also what can't be repeated`, () => {
+			const dispatcher = createSpreading(6);
+			prepare(dispatcher, 'i-5');
+			hearGood(dispatcher, 5, 9950);
+			expect(countUsed(dispatcher, 20)).to.equal(6);
+		});
+	}
+
+	it('leaves the share of slots in use that the floor asks for when most instances look bad', () => {
+		const dispatcher = createSpreading(10);
+		dispatcher.hear('peer', {instances: rangeOf(10).map(index => ({instanceId: idOf(index), inFlight: 0, avoidMs: 5000}))}, 7900);
+		const sent = rangeOf(10).map(() => dispatcher.submit(request(), 10_000).type).filter(type => type === 'send').length;
+		expect(sent / 10).to.be.at.least(floorShare);
+	});
+});
+
 describe('report rows', () => {
 	it('carry a report without loss', () => {
 		const report = {instances: [{instanceId: 'i-1', inFlight: 2, goodAgeMs: 30}, {instanceId: 'i-2', inFlight: 0, avoidMs: 900}]};
--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -5,18 +5,18 @@
 import {createLogger} from '@egretwing/node';
 import {createDispatchers, type Dispatchers} from '../src/dispatchers.ts';
 
-const createSubject = () => {
+const createSubject = (instances = 1) => {
 	const clock = createManualClock(1000);
 	const reports: DispatchReport[] = [];
 	const states: DispatcherState[] = [];
 	const catalogue = createCatalogue();
-	catalogue.mergeInstances([{
-		instanceId: 'i-1',
-		revision: 1,
+	catalogue.mergeInstances(Array.from({length: instances}, (_, index) => ({
+		instanceId: `i-${index + 1}`,
+		revision: index + 1,
 		record: {
-			service: 's', address: '10.0.0.1', port: 80, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+			service: 's', address: '10.0.0.1', port: 80 + index, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
 		},
-	}], 1, clock.nowMs());
+	})), instances, clock.nowMs());
 	const dispatchers = createDispatchers({
 		dataCentre: 'a',
 		catalogue,
@@ -71,6 +71,28 @@
 		runMs(3000);
 		expect(reports.map(({instances}) => instances.map(({inFlight}) => inFlight))).to.deep.equal([[0]]);
 	});
+
+	for (const instances of [20, 60]) {
+		it(`name all requests in flight at ${instances} instances within a second`, async () => {
+			const {
+				clock, dispatchers, reports, runMs,
+			} = createSubject(instances);
+			const peer = createSubject(instances);
+			for (let index = 0; index < instances; index++) {
+				await place(dispatchers, clock.nowMs());
+			}
+
+			for (let passedMs = 0; passedMs < 1000; passedMs += 100) {
+				runMs(100);
+				peer.clock.advanceMs(100);
+				for (const report of reports.splice(0)) {
+					peer.dispatchers.hear('s', 'peer', report);
+				}
+			}
+
+			expect(peer.dispatchers.explain('s').inFlight).to.equal(instances);
+		});
+	}
 });
 
 describe('state of a service', () => {
--- /dev/null
+++ b/packages/gateway/test/floor-replay.test.ts
@@ -0,0 +1,46 @@
+import {expect} from 'chai';
+import {replayFleet, type FleetLoad} from './support/fleet-model.ts';
+
+/** Share of the sound instances that have to get requests in any two seconds (`floor_share`). */
+const floorShare = 0.7;
+
+/** Running time of a replay on a busy machine, at most. */
+const replayTimeoutMs = 60_000;
+
+const base: FleetLoad = {
+	seed: 1,
+	lengthMs: 7000,
+	gateways: {a: 2, b: 2, c: 2},
+	instances: {a: 77, b: 67, c: 75},
+	slots: 4,
+	perSecond: 560,
+	serviceMs: 350,
+	serviceSpread: 0.8,
+	objectiveMs: 1600,
+	timeoutMs: 3500,
+	errorShare: 0.012,
+	episodes: {
+		instanceShare: 0.3, periodMs: 9000, lengthMs: 3000, resetShare: 0.85,
+	},
+	failure: {
+		fromMs: 4000, untilMs: 8000, instanceShare: 0.5, resetShare: 0.5,
+	},
+};
+
+describe('dispatch of several gateways under a replayed load', () => {
+	const cases: ReadonlyArray<readonly [seed: number, instanceShare: number]> = [
+		[1, 0.5],
+		[2, 0.7],
+	];
+	for (const [seed, instanceShare] of cases) {
+		it(`reaches seven in ten of the sound instances in any two seconds while ${Math.round(instanceShare * 100)} in 100 reset half of their requests, seed ${seed}`, async () => {
+			const {windows} = await replayFleet({...base, seed, failure: {...base.failure, instanceShare}});
+			const [worst] = windows.toSorted((left, right) => (left.reached / left.sound) - (right.reached / right.sound));
+			if (worst === undefined) {
+				throw new Error('expected a window in which more than a tenth of the requests are not served');
+			}
+
+			expect(worst.reached / worst.sound, JSON.stringify(worst)).to.be.at.least(floorShare);
+		}).timeout(replayTimeoutMs);
+	}
+});
