--- /dev/null
+++ b/packages/gateway/src/mesh-message.ts
@@ -0,0 +1,92 @@
+/** Messages between gateways, and how they are written in bytes. */
+
+import type {Buffer} from 'node:buffer';
+import type {
+	EntryHost, MemberMessage, ReportRow, SpreadMessage,
+} from '@egretwing/core';
+import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
+import type {Result} from 'ts-results-es';
+import {
+	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
+} from './member-rows.ts';
+
+/** What gateways tell each other. */
+export type MeshMessage
+	= | {readonly type: 'member'; readonly message: MemberMessage}
+		| {readonly type: 'spread'; readonly message: SpreadMessage}
+		| {readonly type: 'load'; readonly service: string; readonly rows: readonly ReportRow[]}
+	/** Asks for the hosts that the receiver knows. */
+		| {readonly type: 'join'; readonly host: EntryHost}
+		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
+	/** Whether the sender, a reader of the store, gets answers from it. */
+		| {readonly type: 'store'; readonly isReachable: boolean};
+
+/** Sender of a message. */
+export type MeshPeer = PeerEndpoint & {readonly hostId: string};
+
+/** Messages as they travel: hosts and members as rows. */
+type WireMessage
+	= | Exclude<MeshMessage, {type: 'member' | 'join' | 'hosts'}>
+		| {readonly type: 'member'; readonly message: MemberRowsMessage}
+		| {readonly type: 'join'; readonly host: HostRow}
+		| {readonly type: 'hosts'; readonly hosts: readonly HostRow[]};
+
+/** Without field names, since it goes with every message. */
+type Envelope = readonly [hostId: string, address: string, peerPort: number, message: WireMessage];
+
+const toWire = (message: MeshMessage): WireMessage => {
+	switch (message.type) {
+		case 'member': {
+			return {type: 'member', message: toMemberRows(message.message)};
+		}
+
+		case 'join': {
+			return {type: 'join', host: toHostRow(message.host)};
+		}
+
+		case 'hosts': {
+			return {type: 'hosts', hosts: message.hosts.map(host => toHostRow(host))};
+		}
+
+		case 'spread':
+		case 'load':
+		case 'store': {
+			return message;
+		}
+	}
+};
+
+const fromWire = (message: WireMessage): MeshMessage => {
+	switch (message.type) {
+		case 'member': {
+			return {type: 'member', message: fromMemberRows(message.message)};
+		}
+
+		case 'join': {
+			return {type: 'join', host: fromHostRow(message.host)};
+		}
+
+		case 'hosts': {
+			return {type: 'hosts', hosts: message.hosts.map(row => fromHostRow(row))};
+		}
+
+		case 'spread':
+		case 'load':
+		case 'store': {
+			return message;
+		}
+	}
+};
+
+/** The bytes of a message of `from`. */
+export const encodeMessage = ({hostId, address, peerPort}: MeshPeer, message: MeshMessage): Buffer => {
+	const envelope: Envelope = [hostId, address, peerPort, toWire(message)];
+	return encodeValue(envelope);
+};
+
+/** The message in `bytes` and its sender; throws where the value isn't one. */
+export const decodeMessage = (bytes: Uint8Array): Result<{readonly from: MeshPeer; readonly message: MeshMessage}, 'undecodable'> =>
+	decodeValue(bytes).map(value => {
+		const [hostId, address, peerPort, message] = value as Envelope;
+		return {from: {hostId, address, peerPort}, message: fromWire(message)};
+	});
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -2,33 +2,18 @@
 
 import dgram from 'node:dgram';
 import type {Buffer} from 'node:buffer';
-import type {
-	EntryHost, MemberMessage, ReportRow, SpreadMessage,
-} from '@egretwing/core';
 import {
-	bindDatagrams, createPeerStreams, decodeValue, encodeValue, type Logger, type PeerEndpoint,
+	bindDatagrams, createPeerStreams, type Logger, type PeerEndpoint,
 } from '@egretwing/node';
 import {
-	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
-} from './member-rows.ts';
+	decodeMessage, encodeMessage, type MeshMessage, type MeshPeer,
+} from './mesh-message.ts';
+
+export type {MeshMessage, MeshPeer} from './mesh-message.ts';
 
 /** Largest message that is sent as a datagram, in bytes. */
 const maxDatagramBytes = 1200;
 
-/** What gateways tell each other. */
-export type MeshMessage
-	= | {readonly type: 'member'; readonly message: MemberMessage}
-		| {readonly type: 'spread'; readonly message: SpreadMessage}
-		| {readonly type: 'load'; readonly service: string; readonly rows: readonly ReportRow[]}
-	/** Asks for the hosts that the receiver knows. */
-		| {readonly type: 'join'; readonly host: EntryHost}
-		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
-	/** Whether the sender, a reader of the store, gets answers from it. */
-		| {readonly type: 'store'; readonly isReachable: boolean};
-
-/** Sender of a message. */
-export type MeshPeer = PeerEndpoint & {readonly hostId: string};
-
 /** Channel to the other gateways. */
 export type Mesh = {
 	readonly send: (to: PeerEndpoint, message: MeshMessage, transport: 'datagram' | 'stream') => void;
@@ -45,60 +30,6 @@
 	readonly logger: Logger;
 };
 
-/** Messages as they travel: hosts and members as rows. */
-type WireMessage
-	= | Exclude<MeshMessage, {type: 'member' | 'join' | 'hosts'}>
-		| {readonly type: 'member'; readonly message: MemberRowsMessage}
-		| {readonly type: 'join'; readonly host: HostRow}
-		| {readonly type: 'hosts'; readonly hosts: readonly HostRow[]};
-
-/** Without field names, since it goes with every message. */
-type Envelope = readonly [hostId: string, address: string, peerPort: number, message: WireMessage];
-
-const toWire = (message: MeshMessage): WireMessage => {
-	switch (message.type) {
-		case 'member': {
-			return {type: 'member', message: toMemberRows(message.message)};
-		}
-
-		case 'join': {
-			return {type: 'join', host: toHostRow(message.host)};
-		}
-
-		case 'hosts': {
-			return {type: 'hosts', hosts: message.hosts.map(host => toHostRow(host))};
-		}
-
-		case 'spread':
-		case 'load':
-		case 'store': {
-			return message;
-		}
-	}
-};
-
-const fromWire = (message: WireMessage): MeshMessage => {
-	switch (message.type) {
-		case 'member': {
-			return {type: 'member', message: fromMemberRows(message.message)};
-		}
-
-		case 'join': {
-			return {type: 'join', host: fromHostRow(message.host)};
-		}
-
-		case 'hosts': {
-			return {type: 'hosts', hosts: message.hosts.map(row => fromHostRow(row))};
-		}
-
-		case 'spread':
-		case 'load':
-		case 'store': {
-			return message;
-		}
-	}
-};
-
 const kindOf = (message: MeshMessage): string =>
 	message.type === 'member' || message.type === 'spread' ? `${message.type} ${message.message.type}` : message.type;
 
@@ -107,15 +38,14 @@
 	hostId, address, peerPort, onMessage, onSent, logger,
 }: MeshOptions): Promise<Mesh> => {
 	const take = (bytes: Buffer): boolean => {
-		const decoded = decodeValue(bytes);
-		if (decoded.isErr()) {
-			logger.warn('message of a peer refused', {reason: decoded.error});
-			return false;
-		}
-
 		try {
-			const [fromId, fromAddress, fromPort, message] = decoded.value as Envelope;
-			onMessage({hostId: fromId, address: fromAddress, peerPort: fromPort}, fromWire(message));
+			const decoded = decodeMessage(bytes);
+			if (decoded.isErr()) {
+				logger.warn('message of a peer refused', {reason: decoded.error});
+				return false;
+			}
+
+			onMessage(decoded.value.from, decoded.value.message);
 			return true;
 		} catch (error) {
 			logger.warn('message of a peer refused', {reason: String(error)});
@@ -138,8 +68,7 @@
 				return;
 			}
 
-			const envelope: Envelope = [hostId, address, peerPort, toWire(message)];
-			const bytes = encodeValue(envelope);
+			const bytes = encodeMessage({hostId, address, peerPort}, message);
 			onSent(kindOf(message), bytes.length);
 			if (transport === 'stream' || bytes.length > maxDatagramBytes) {
 				streams.send(to, bytes);
