--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -153,6 +153,22 @@
 		expect([...fleet.nodes.values()].map(({catalogue}) => catalogue.config()?.version)).to.deep.equal([1, 1, 1, 1, 1, 1]);
 	});
 
+	it('brings the newest configuration within a second to a gateway that started beside one that is behind', () => {
+		let phase: 'before start' | 'cut' | 'healed' = 'before start';
+		const isBehind = (id: string): boolean => id === 'g-4' || id === 'g-5';
+		const fleet = createFleet(6, (from, {to}) => (phase === 'cut' && isBehind(from) !== isBehind(to)) || (phase === 'before start' && (from === 'g-4' || to === 'g-4')));
+		fleet.read('g-0', {config: config(1), entries: [], instancesAsOf: 1});
+		fleet.runUntil(2000);
+		phase = 'cut';
+		fleet.read('g-0', {config: config(2)});
+		fleet.runUntil(4000);
+		const started = fleet.nodes.get('g-4')!.catalogue;
+		expect([started.isWhole(), started.digest().configVersion]).to.deep.equal([true, 1]);
+		phase = 'healed';
+		fleet.runUntil(5000);
+		expect(started.digest().configVersion).to.equal(2);
+	});
+
 	it('does not take a catalogue for whole by changes alone', () => {
 		const fleet = createFleet(2);
 		fleet.read('g-0', {config: config(1)});
--- /dev/null
+++ b/packages/gateway/test/large-config.test.ts
@@ -0,0 +1,84 @@
+import {expect} from 'chai';
+import {createLargeConfig} from './support/large-config.ts';
+import {createLinkedFleet} from './support/links.ts';
+
+/** Time within which a change has to be in force on all gateways. */
+const applyMs = 2500;
+const fleetSize = 126;
+const stormIntervalMs = 333;
+const stormVersions = 12;
+
+/** A fleet that holds a small configuration. */
+const startFleet = (seed: number) => {
+	const fleet = createLinkedFleet(fleetSize, seed);
+	const first = {...createLargeConfig(1), routes: []};
+	for (const id of ['g-0', 'g-1']) {
+		fleet.read(id, {config: first, entries: [], instancesAsOf: 1});
+	}
+
+	fleet.run(3000);
+	fleet.resetCounts();
+	return fleet;
+};
+
+const behind = (fleet: ReturnType<typeof createLinkedFleet>, version: number): number =>
+	[...fleet.hosts.values()].filter(({catalogue}) => catalogue.digest().configVersion < version).length;
+
+const copiesPerGateway = (fleet: ReturnType<typeof createLinkedFleet>): number =>
+	[...fleet.hosts.values()].reduce((sum, {copies}) => sum + copies, 0) / fleetSize;
+
+const sentBytes = (fleet: ReturnType<typeof createLinkedFleet>): number =>
+	[...fleet.hosts.values()].reduce((sum, host) => sum + host.sentBytes, 0);
+
+describe('a configuration of 1,440 routes at 126 gateways with links of 10 Mbit/s', () => {
+	for (const seed of [1, 2, 3]) {
+		it(`is in force everywhere within 2,500 ms of its read (seed ${seed})`, function () {
+			this.timeout(60_000);
+			const fleet = startFleet(seed);
+			const config = createLargeConfig(2);
+			const startMs = fleet.nowMs();
+			for (const id of ['g-0', 'g-1']) {
+				fleet.read(id, {config});
+			}
+
+			fleet.run(applyMs, () => behind(fleet, 2) === 0);
+			const seen = `${behind(fleet, 2)} behind after ${fleet.nowMs() - startMs} ms, ${copiesPerGateway(fleet).toFixed(2)} copies for each, ${sentBytes(fleet)} bytes`;
+
+			expect(behind(fleet, 2), seen).to.equal(0);
+		});
+	}
+
+	it('is in force everywhere within 2,500 ms although twelve versions follow each other in 4 s', function () {
+		this.timeout(120_000);
+		const fleet = startFleet(4);
+		const configs = Array.from({length: stormVersions}, (_, index) => createLargeConfig(index + 2));
+		const startMs = fleet.nowMs();
+		const late: string[] = [];
+		let read = 0;
+		let checked = 0;
+		while (checked < stormVersions) {
+			if (read < stormVersions && fleet.nowMs() - startMs >= read * stormIntervalMs) {
+				for (const id of ['g-0', 'g-1']) {
+					fleet.read(id, {config: configs[read]!});
+				}
+
+				read++;
+			}
+
+			if (fleet.nowMs() - startMs >= (checked * stormIntervalMs) + applyMs) {
+				const count = behind(fleet, checked + 2);
+				if (count > 0) {
+					late.push(`version ${checked + 2}: ${count} behind`);
+				}
+
+				checked++;
+			}
+
+			fleet.run(1);
+		}
+
+		const seen = `${copiesPerGateway(fleet).toFixed(2)} copies for each, ${sentBytes(fleet)} bytes`;
+
+		expect(late, seen).to.deep.equal([]);
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -0,0 +1,63 @@
+import {type Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import {createPrefixRouteTable, type InstanceEntry} from '@egretwing/core';
+import {createFrameReader, frameBytes} from '@egretwing/node';
+import {decodeMessage, encodeMessage, type MeshMessage} from '../src/mesh-message.ts';
+import {createLargeConfig} from './support/large-config.ts';
+
+const sender = {hostId: 'g-1', address: '10.0.0.1', peerPort: 7000};
+const chunkBytes = 1448;
+
+const entries: readonly InstanceEntry[] = [
+	{
+		instanceId: 'i-1', revision: 4, record: {
+			service: 's', address: '10.0.0.1', port: 80, dataCentre: 'a', slots: 1, state: 'ready', warmupLeftMs: 0, bornAtMs: 1_800_000_000_000,
+		},
+	},
+	{
+		instanceId: 'i-2', revision: 5, record: null, isLapsed: true,
+	},
+];
+
+/** Sends `message` as a frame in packets. */
+const carry = (message: MeshMessage): MeshMessage => {
+	const frame = frameBytes(encodeMessage(sender, message));
+	const reader = createFrameReader();
+	const payloads: Buffer[] = [];
+	for (let offset = 0; offset < frame.length; offset += chunkBytes) {
+		payloads.push(...reader.push(frame.subarray(offset, offset + chunkBytes)).unwrap());
+	}
+
+	expect(payloads).to.have.length(1);
+	const {from, message: carried} = decodeMessage(payloads[0]!).unwrap();
+	expect(from).to.deep.equal(sender);
+	return carried;
+};
+
+describe('message of a gateway', () => {
+	const config = createLargeConfig(3);
+	const messages: ReadonlyArray<readonly [title: string, message: Extract<MeshMessage, {type: 'spread'}>['message']]> = [
+		['a configuration of 1,440 routes', {type: 'state', instancesAsOf: -1, config}],
+		['a configuration and instances', {
+			type: 'state', instancesAsOf: 5, config, entries,
+		}],
+		['instances alone', {type: 'state', instancesAsOf: 5, entries}],
+		['news', {
+			type: 'news', instancesAsOf: 5, entries, configVersion: 3,
+		}],
+	];
+	for (const [title, message] of messages) {
+		it(`carries ${title} without loss, and once more when it is passed on`, () => {
+			const once = carry({type: 'spread', message});
+			expect(once).to.deep.equal({type: 'spread', message});
+			expect(carry(once)).to.deep.equal(once);
+		});
+	}
+
+	it('leaves every route of 1,440 to be found', () => {
+		const carried = carry({type: 'spread', message: {type: 'state', instancesAsOf: -1, config}});
+		const routes = carried.type === 'spread' && carried.message.type === 'state' ? carried.message.config!.routes : [];
+		const table = createPrefixRouteTable(routes);
+		expect(config.routes.filter(({hostName, pathPrefix, name}) => table.match(hostName, `${pathPrefix}x/y`)?.name !== name)).to.deep.equal([]);
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/support/links.ts
@@ -0,0 +1,156 @@
+/** Gateways behind links of limited capacity, in virtual time: streams share a sender's link by turns, a receiver's link is a queue. */
+
+import {
+	createCatalogue, createRandom, createSpread, type Catalogue, type FleetConfig, type Spread, type SpreadMessage, type SpreadSend,
+} from '@egretwing/core';
+import {encodeMessage} from '../../src/mesh-message.ts';
+
+/** What a link of 10 Mbit/s carries in a millisecond. */
+const bytesPerMs = 1250;
+const latencyMs = 1;
+const tickIntervalMs = 100;
+const dataCentreCount = 3;
+
+type Letter = {
+	readonly from: string;
+	readonly to: string;
+	readonly message: SpreadMessage;
+	readonly sizeBytes: number;
+	readonly stream: string;
+	leftBytes: number;
+};
+
+/** A part of a message on its way, or its end. */
+type Piece = {readonly atMs: number; readonly sizeBytes: number; readonly ends: Letter | undefined};
+
+type Host = {
+	readonly id: string;
+	readonly catalogue: Catalogue;
+	readonly spread: Spread;
+	/** Capacity as a multiple of the small link's. */
+	readonly speed: number;
+	readonly tickOffsetMs: number;
+	readonly streams: Map<string, Letter[]>;
+	readonly arriving: Piece[];
+	/** Number of whole configurations that arrived. */
+	copies: number;
+	sentBytes: number;
+};
+
+const createSizeOf = () => {
+	const sizes = new WeakMap<FleetConfig, number>();
+	const sender = {hostId: 'g-100', address: '10.0.0.1', peerPort: 7000};
+	return (message: SpreadMessage): number => {
+		const config = message.type === 'state' && message.entries === undefined ? message.config : undefined;
+		const sizeBytes = (config && sizes.get(config)) ?? encodeMessage(sender, {type: 'spread', message}).length;
+		if (config !== undefined) {
+			sizes.set(config, sizeBytes);
+		}
+
+		return sizeBytes;
+	};
+};
+
+/** Creates `size` gateways, each twenty-first of them with a link ten times as fast. */
+export const createLinkedFleet = (size: number, seed: number) => {
+	const sizeOf = createSizeOf();
+	const ids = Array.from({length: size}, (_, index) => `g-${index}`);
+	let nowMs = 0;
+	const hosts = new Map<string, Host>(ids.map((id, index) => {
+		const catalogue = createCatalogue();
+		const spread = createSpread({
+			catalogue,
+			random: createRandom((seed * 1000) + index),
+			peerIds: () => ids.filter(other => other !== id),
+			nearPeerIds: () => ids.filter((other, place) => other !== id && place % dataCentreCount === index % dataCentreCount),
+			onChange: () => undefined,
+		});
+		return [id, {
+			id, catalogue, spread, speed: index % 21 === 20 ? 10 : 1, tickOffsetMs: index * 37 % tickIntervalMs, streams: new Map(), arriving: [], copies: 0, sentBytes: 0,
+		}];
+	}));
+
+	const post = (host: Host, sends: readonly SpreadSend[]): void => {
+		for (const {to, message, transport} of sends) {
+			const sizeBytes = sizeOf(message);
+			const stream = `${transport} ${to}`;
+			const waiting = host.streams.get(stream) ?? [];
+			waiting.push({
+				from: host.id, to, message, sizeBytes, stream, leftBytes: sizeBytes,
+			});
+			host.streams.set(stream, waiting);
+		}
+	};
+
+	/** The stream whose turn it is sends one packet. */
+	const sendPacket = (host: Host): void => {
+		const next = host.streams.entries().next().value;
+		if (next === undefined) {
+			return;
+		}
+
+		const [stream, waiting] = next;
+		const letter = waiting[0]!;
+		const sizeBytes = Math.min(bytesPerMs, letter.leftBytes);
+		letter.leftBytes -= sizeBytes;
+		host.sentBytes += sizeBytes;
+		hosts.get(letter.to)!.arriving.push({atMs: nowMs + latencyMs, sizeBytes, ends: letter.leftBytes === 0 ? letter : undefined});
+		host.streams.delete(stream);
+		if (letter.leftBytes === 0) {
+			waiting.shift();
+		}
+
+		if (waiting.length > 0) {
+			host.streams.set(stream, waiting);
+		}
+	};
+
+	const receive = (host: Host): void => {
+		for (let leftBytes = bytesPerMs * host.speed; leftBytes > 0 && (host.arriving[0]?.atMs ?? Number.POSITIVE_INFINITY) <= nowMs;) {
+			const {sizeBytes, ends} = host.arriving.shift()!;
+			leftBytes -= sizeBytes;
+			if (ends !== undefined) {
+				host.copies += Number(ends.message.type === 'state' && ends.message.config !== undefined);
+				post(host, host.spread.receive(ends.from, ends.message, nowMs));
+			}
+		}
+	};
+
+	const tick = (host: Host): void => {
+		post(host, host.spread.tick(nowMs));
+		for (const id of host.spread.takeSilentPeers()) {
+			host.streams.delete(`stream ${id}`);
+		}
+	};
+
+	return {
+		hosts,
+		nowMs: () => nowMs,
+		read(id: string, news: Parameters<Spread['takeRead']>[0]): void {
+			const host = hosts.get(id)!;
+			post(host, host.spread.takeRead(news, nowMs));
+		},
+		/** Runs for `durationMs`; stops sooner once `isDone`. */
+		run(durationMs: number, isDone: () => boolean = () => false): void {
+			for (const endMs = nowMs + durationMs; nowMs < endMs && !isDone(); nowMs++) {
+				for (const host of hosts.values()) {
+					receive(host);
+					if (nowMs % tickIntervalMs === host.tickOffsetMs) {
+						tick(host);
+					}
+
+					for (let packet = 0; packet < host.speed; packet++) {
+						sendPacket(host);
+					}
+				}
+			}
+		},
+		/** Forgets what was counted. */
+		resetCounts(): void {
+			for (const host of hosts.values()) {
+				host.copies = 0;
+				host.sentBytes = 0;
+			}
+		},
+	};
+};
--- a/packages/node/test/frames.test.ts
+++ b/packages/node/test/frames.test.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import {expect} from 'chai';
 import {
-	createFrameReader, createSealer, decodeValue, encodeValue, frameBytes,
+	createFrameReader, createSealer, decodeValue, encodeValue, frameBytes, maxFrameBytes,
 } from '../src/index.ts';
 
 describe('createFrameReader', () => {
@@ -20,6 +21,21 @@
 		});
 	}
 
+	it('takes less than a second of the processor for the largest frame in packets', () => {
+		const frame = frameBytes(Buffer.alloc(maxFrameBytes, 7));
+		const reader = createFrameReader();
+		const packetBytes = 1448;
+		const seen: Buffer[] = [];
+		const before = process.cpuUsage();
+		for (let offset = 0; offset < frame.length; offset += packetBytes) {
+			seen.push(...reader.push(frame.subarray(offset, offset + packetBytes)).unwrap());
+		}
+
+		const {user, system} = process.cpuUsage(before);
+		expect(seen.map(payload => payload.length)).to.deep.equal([maxFrameBytes]);
+		expect((user + system) / 1000).to.be.below(1000);
+	});
+
 	it('refuses a frame over the limit before it is whole', () => {
 		const reader = createFrameReader(16);
 		expect(reader.push(Buffer.from([0, 0, 1, 0])).unwrapErr()).to.equal('frame-too-large');
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createStoreClient} from '../../platform/store-client.ts';
 
@@ -52,6 +53,46 @@
 	key: `servers/${id}`, value: encode(value), revision, created: 1, lease: 0,
 });
 
+const largeConfig = {
+	version: '0000000c',
+	routes: {
+		columns: ['name', 'host', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms', 'priority', 'max_attempts', 'service'],
+		rows: Array.from({length: 1440}, (_, index) => [`route-${index}`, `host-${index}.example`, `/prefix-${index}/`, 'safe', 1500, 800, 2, 2, 's1']),
+	},
+	services: {columns: ['name', 'health_check_path', 'max_connections'], rows: [['s1', '/health', 390]]},
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+	},
+};
+
+/** A store that sends `body` at a steady pace; `isWhole` false leaves the answer open. */
+const startPacedStore = async (body: string, bytesPerMs: number, isWhole = true) => {
+	const paceMs = 20;
+	const server = http.createServer(async (_request, response) => {
+		response.writeHead(200, {'content-type': 'application/json'});
+		for (let offset = 0; offset < body.length; offset += bytesPerMs * paceMs) {
+			response.write(body.slice(offset, offset + (bytesPerMs * paceMs)));
+			await delay(paceMs);
+		}
+
+		if (isWhole) {
+			response.end();
+		}
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	const client = createStoreClient(address, (server.address() as AddressInfo).port, address);
+	return {
+		client,
+		close() {
+			client.close();
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
 describe('client of the store', () => {
 	it('reads all pages and watches from the first of them', async () => {
 		const {client, calls, close} = await startStore([
@@ -93,6 +134,25 @@
 		close();
 	});
 
+	const paces: ReadonlyArray<readonly [title: string, bytesPerMs: number]> = [['10', 1250], ['1.25', 156]];
+	for (const [title, bytesPerMs] of paces) {
+		it(`reads a large configuration over a link of ${title} Mbit/s`, async () => {
+			const {client, close} = await startPacedStore(JSON.stringify({
+				key: 'op/config', value: encode(largeConfig), revision: 4, created: 1, lease: 0, as_of: 5,
+			}), bytesPerMs);
+			const result = await client.readAll('config');
+			expect(result.unwrap().config?.routes).to.have.length(largeConfig.routes.rows.length);
+			close();
+		});
+	}
+
+	it('reports silent after an answer that stops midway', async () => {
+		const {client, close} = await startPacedStore('{"key":', 1250, false);
+		const result = await client.readAll('config');
+		expect(result.unwrapErr()).to.equal('silent');
+		close();
+	});
+
 	const failures: ReadonlyArray<readonly [answer: Answer, failure: string]> = [
 		[{statusCode: 410}, 'history-gone'],
 		[{statusCode: 503}, 'turned-away'],
