fix(gateway): a large configuration travels compressed, and is encoded once

Callers were refused with 404 on new routes by gateways in touch, for longer than a change may take to be in force.

Cause: a reader announces a version to eight peers, each of which pulls it. A configuration of 1,440 routes was 250 KB with its field names, so that eight copies took 1.6 s on a link of 10 Mbit/s; after 300 ms each asker turned to others, or asked once more, and the copies shared the links until none arrived. With a change each 333 ms none ever did. Each copy was also encoded anew.

Now the configuration travels as deflated bytes (45 KB), which are kept with it and passed on as they came.

Ruled out: a longer time-out or fewer pulls at a time, which would leave 250 KB for each of 126 gateways and change; not needed at 45 KB. The message differs from the one before: gateways of both kinds don't understand each other's configurations.

--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -2,13 +2,14 @@
 
 import type {Buffer} from 'node:buffer';
 import type {
-	EntryHost, MemberMessage, ReportRow, SpreadMessage,
+	EntryHost, FleetConfig, MemberMessage, ReportRow, SpreadMessage,
 } from '@egretwing/core';
 import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
 import type {Result} from 'ts-results-es';
 import {
 	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
 } from './member-rows.ts';
+import {packConfig, unpackConfig} from './packed-config.ts';
 
 /** What gateways tell each other. */
 export type MeshMessage
@@ -24,9 +25,15 @@
 /** Sender of a message. */
 export type MeshPeer = PeerEndpoint & {readonly hostId: string};
 
-/** Messages as they travel: hosts and members as rows. */
+type WithPackedConfig<Message> = Message extends {readonly config?: FleetConfig} ? Omit<Message, 'config'> & {readonly config?: Uint8Array} : Message;
+
+/** A message about the catalogue as it travels. */
+type SpreadWireMessage = WithPackedConfig<SpreadMessage>;
+
+/** Messages as they travel: hosts and members as rows, configurations packed. */
 type WireMessage
-	= | Exclude<MeshMessage, {type: 'member' | 'join' | 'hosts'}>
+	= | Exclude<MeshMessage, {type: 'member' | 'spread' | 'join' | 'hosts'}>
+		| {readonly type: 'spread'; readonly message: SpreadWireMessage}
 		| {readonly type: 'member'; readonly message: MemberRowsMessage}
 		| {readonly type: 'join'; readonly host: HostRow}
 		| {readonly type: 'hosts'; readonly hosts: readonly HostRow[]};
@@ -34,6 +41,24 @@
 /** Without field names, since it goes with every message. */
 type Envelope = readonly [hostId: string, address: string, peerPort: number, message: WireMessage];
 
+const packSpread = (message: SpreadMessage): SpreadWireMessage => {
+	if (message.type !== 'state') {
+		return message;
+	}
+
+	const {config, ...others} = message;
+	return {...others, ...(config !== undefined && {config: packConfig(config)})};
+};
+
+const unpackSpread = (message: SpreadWireMessage): SpreadMessage => {
+	if (message.type !== 'state') {
+		return message;
+	}
+
+	const {config, ...others} = message;
+	return {...others, ...(config !== undefined && {config: unpackConfig(config)})};
+};
+
 const toWire = (message: MeshMessage): WireMessage => {
 	switch (message.type) {
 		case 'member': {
@@ -48,7 +73,10 @@
 			return {type: 'hosts', hosts: message.hosts.map(host => toHostRow(host))};
 		}
 
-		case 'spread':
+		case 'spread': {
+			return {type: 'spread', message: packSpread(message.message)};
+		}
+
 		case 'load':
 		case 'store': {
 			return message;
@@ -70,7 +98,10 @@
 			return {type: 'hosts', hosts: message.hosts.map(row => fromHostRow(row))};
 		}
 
-		case 'spread':
+		case 'spread': {
+			return {type: 'spread', message: unpackSpread(message.message)};
+		}
+
 		case 'load':
 		case 'store': {
 			return message;
