fix(node): the frame reader joins what arrived once a frame is whole

Callers saw nothing of it by itself; it held the process up while a large configuration arrived. Cause: with each chunk of the stream all that had arrived was copied once more.

Now chunks are kept as they come and joined once the length that the frame begins with has arrived.

--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -47,10 +47,22 @@
 
 /** Creates a reader that refuses frames of more than `limitBytes`. */
 export const createFrameReader = (limitBytes = maxFrameBytes): FrameReader => {
-	let pending: Buffer = Buffer.alloc(0);
+	/** What arrived and makes no whole frame yet; joined only once it does, so that the cost does not grow with the square of the frame. */
+	let parts: Buffer[] = [];
+	let waitingBytes = 0;
+	/** Bytes without which nothing more can be read. */
+	let neededBytes = lengthBytes;
+
 	return {
 		push(bytes) {
-			pending = pending.length === 0 ? Buffer.from(bytes) : Buffer.concat([pending, bytes]);
+			parts.push(Buffer.from(bytes));
+			waitingBytes += bytes.length;
+			if (waitingBytes < neededBytes) {
+				return Ok([]);
+			}
+
+			let pending = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+			neededBytes = lengthBytes;
 			const payloads: Buffer[] = [];
 			while (pending.length >= lengthBytes) {
 				const length = pending.readUInt32BE(0);
@@ -59,6 +71,7 @@
 				}
 
 				if (pending.length < lengthBytes + length) {
+					neededBytes = lengthBytes + length;
 					break;
 				}
 
@@ -66,6 +79,8 @@
 				pending = pending.subarray(lengthBytes + length);
 			}
 
+			parts = [pending];
+			waitingBytes = pending.length;
 			return Ok(payloads);
 		},
 	};
