--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -146,6 +146,15 @@
 		});
 	}
 
+	it('reports silent after an answer that would take more than 2 s', async () => {
+		const {client, close} = await startPacedStore(' '.repeat(4000), 1);
+		const beganAtMs = performance.now();
+		const result = await client.readAll('config');
+		expect(result.unwrapErr()).to.equal('silent');
+		expect(performance.now() - beganAtMs).to.be.below(2000);
+		close();
+	});
+
 	it('reports silent after an answer that stops midway', async () => {
 		const {client, close} = await startPacedStore('{"key":', 1250, false);
 		const result = await client.readAll('config');
