feat(gateway): refusals by the parser are logged and counted, and a missing route says what was looked up

What callers saw: 400, 404 or 431 on proper requests of a large deployment; nothing at the gateways told the causes apart. A request that the parser refuses left neither line nor count, and a line of kind no-route named neither the host name and path nor the configuration it was looked up in.

refuseUnreadable now returns what it did. The gateway counts each connection that could not be read on (egretwing_unreadable_total by code, kind and whether a request was being served) and writes a line for those that the parser, not the system, gave up, within the bound of request lines. A no-route line carries host name and first path segment, cut to 64 characters, and source and age of the configuration.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -80,3 +80,6 @@
 
 /** Request log lines per second, at most. */
 export const requestLinesPerSecond = 400;
+
+/** Longest part of a host name or path in a log line, in characters. */
+export const loggedNameLength = 64;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
 import {createRequestLog} from './request-log.ts';
-import {createServe} from './serve.ts';
+import {createServe, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
 import {createStoreReader} from './store-reader.ts';
 import type {
@@ -86,6 +86,7 @@
 	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
 	let routes = createPrefixRouteTable([]);
+	let configOrigin: ConfigOrigin | undefined;
 	let seeds = settings.seedAddresses;
 	let nextUpkeepMs = 0;
 	let announcedUp = false;
@@ -133,6 +134,7 @@
 		onChange({source, config, entries}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
+				configOrigin = {source, sinceMs: nowMs()};
 				server.keepAliveTimeout = config.limits.idleTimeoutMs;
 				metrics.configVersion.set(config.version);
 				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
@@ -273,18 +275,20 @@
 		return window;
 	};
 
+	const log = createRequestLog(logger, nowMs);
 	const serve = createServe({
 		nowMs,
 		random,
 		catalogue,
 		routes: () => routes,
+		configOrigin: () => configOrigin,
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
 		retrySlackShare: () => slackShareOf(fleet.placedIds().includes(hostId), fleet.placedIds().length, fleet.hosts().size),
 		headerNames,
 		metrics,
-		log: createRequestLog(logger, nowMs),
+		log,
 		async whenWhole(signal) {
 			const opened = whole.wait(signal);
 			for (const reader of readers) {
@@ -308,7 +312,15 @@
 		}
 	});
 	server.on('clientError', (error, socket) => {
-		refuseUnreadable(error, socket as net.Socket);
+		const {
+			code, kind, isServing, isFromParser, readBytes,
+		} = refuseUnreadable(error, socket as net.Socket);
+		metrics.unreadable.inc({code, kind: kind ?? 'none', serving: String(isServing)});
+		if (isFromParser) {
+			log('unreadable', {
+				code, kind, isServing, readBytes,
+			});
+		}
 	});
 
 	const join = (): void => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,8 @@
 	readonly requests: Counter<'service' | 'result'>;
 	/** Refusals by kind of error and reason. */
 	readonly refusals: Counter<'kind' | 'reason'>;
+	/** Connections of callers that could not be read on, by code and kind of the refusal; `none` where nothing was answered. */
+	readonly unreadable: Counter<'code' | 'kind' | 'serving'>;
 	/** Repeated sends by reason. */
 	readonly retries: Counter<'reason'>;
 	/** Repeated sends that were not made, by reason. */
@@ -43,6 +45,9 @@
 		refusals: new Counter({
 			name: 'egretwing_refusals_total', help: 'Refusals by kind of error and reason', labelNames: ['kind', 'reason'], registers,
 		}),
+		unreadable: new Counter({
+			name: 'egretwing_unreadable_total', help: 'Callers that could not be read on, by code, refusal, whether a request was served', labelNames: ['code', 'kind', 'serving'], registers,
+		}),
 		retries: new Counter({
 			name: 'egretwing_retries_total', help: 'Repeated sends by reason', labelNames: ['reason'], registers,
 		}),
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -19,7 +19,7 @@
 import {forwardedHeaders, refuse} from '@egretwing/node';
 import {readBody} from './body.ts';
 import {
-	hedgeFactor, maxUnreachable, notReadyRetryMs, startWaitMs,
+	hedgeFactor, loggedNameLength, maxUnreachable, notReadyRetryMs, startWaitMs,
 } from './constants.ts';
 import type {Dispatchers, Placed} from './dispatchers.ts';
 import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
@@ -30,12 +30,19 @@
 	Upstream, UpstreamAnswer, UpstreamOutcome, UpstreamRequest,
 } from './upstream.ts';
 
+/** Where the configuration in force came from, and since when it has been in force here. */
+export type ConfigOrigin = {
+	readonly source: string;
+	readonly sinceMs: number;
+};
+
 /** What the stages need. */
 export type ServeParts = {
 	readonly nowMs: () => number;
 	readonly random: Random;
 	readonly catalogue: Catalogue;
 	readonly routes: () => PrefixRouteTable;
+	readonly configOrigin: () => ConfigOrigin | undefined;
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
 	readonly retryWindow: (service: string) => RetryWindow;
@@ -60,10 +67,20 @@
 	readonly signal: AbortSignal;
 };
 
+/** What a route is looked up by. */
+type Lookup = {
+	readonly hostName: string;
+	readonly path: string;
+};
+
 /** What a caller is given in the end. */
 type Final
 	= | {readonly type: 'answer'; readonly answer: UpstreamAnswer; readonly instanceId: string}
-		| {readonly type: 'refusal'; readonly refusal: Refusal; readonly reason: string; readonly retryAfterMs?: number}
+		| {
+			readonly type: 'refusal'; readonly refusal: Refusal; readonly reason: string; readonly retryAfterMs?: number;
+			/** Fields of the log line that tell causes apart. */
+			readonly logged?: Readonly<Record<string, unknown>>;
+		}
 		| {readonly type: 'caller-gone'};
 
 const kindOfReject: Readonly<Record<RejectReason, ErrorKind>> = {
@@ -117,7 +134,7 @@
 		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log,
 	} = parts;
 
-	const refuseWith = (kind: ErrorKind, reason: string, retryAfterMs?: number, ran?: Refusal['ran']): Final => ({
+	const refuseWith = (kind: ErrorKind, reason: string, retryAfterMs?: number, ran?: Refusal['ran']): Extract<Final, {type: 'refusal'}> => ({
 		type: 'refusal', refusal: createRefusal(kind, ran), reason, ...(retryAfterMs !== undefined && {retryAfterMs}),
 	});
 
@@ -362,12 +379,14 @@
 			}
 
 			case 'refusal': {
-				const {refusal, reason, retryAfterMs} = final;
+				const {
+					refusal, reason, retryAfterMs, logged,
+				} = final;
 				refuse(response, refusal, retryAfterMs);
 				metrics.requests.inc({service, result: refusal.kind});
 				metrics.refusals.inc({kind: refusal.kind, reason});
 				log('refused', {
-					requestId, service, kind: refusal.kind, ran: refusal.ran, reason, retryAfterMs, tookMs, configVersion: catalogue.digest().configVersion,
+					requestId, service, kind: refusal.kind, ran: refusal.ran, reason, retryAfterMs, tookMs, configVersion: catalogue.digest().configVersion, ...logged,
 				});
 				return;
 			}
@@ -380,10 +399,23 @@
 		}
 	};
 
-	const findRoute = (incoming: http.IncomingMessage): PrefixRoute | undefined => {
+	const toLookup = (incoming: http.IncomingMessage): Lookup => {
 		const [hostName = ''] = (incoming.headers.host ?? '').split(':');
 		const [path = ''] = (incoming.url ?? '').split('?', 1);
-		return parts.routes().match(hostName.toLowerCase(), path);
+		return {hostName: hostName.toLowerCase(), path};
+	};
+
+	const refuseUnrouted = ({hostName, path}: Lookup): Final => {
+		const origin = parts.configOrigin();
+		return {
+			...refuseWith('no-route', 'no route'),
+			logged: {
+				hostName: hostName.slice(0, loggedNameLength),
+				firstSegment: path.split('/', 2).join('/').slice(0, loggedNameLength),
+				configSource: origin?.source,
+				configAgeMs: origin === undefined ? undefined : Math.round(nowMs() - origin.sinceMs),
+			},
+		};
 	};
 
 	return async (incoming, response) => {
@@ -399,9 +431,10 @@
 			return;
 		}
 
-		const route = findRoute(incoming);
+		const lookup = toLookup(incoming);
+		const route = parts.routes().match(lookup.hostName, lookup.path);
 		if (route === undefined) {
-			conclude(response, unrouted, refuseWith('no-route', 'no route'));
+			conclude(response, unrouted, refuseUnrouted(lookup));
 			return;
 		}
 
--- /dev/null
+++ b/packages/gateway/test/denied.test.ts
@@ -0,0 +1,180 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
+} from '@egretwing/gateway';
+import {Ok} from 'ts-results-es';
+import {networkOf} from '../../../test/support/network.ts';
+import {createTestSettings} from './support/settings.ts';
+
+const address = `${networkOf(208)}.1`;
+/** Below the ports that the system hands out to connections and to the instances of these tests. */
+const firstPort = 21_600;
+
+/** Time in which an answer on loopback comes. */
+const answerMs = 300;
+
+const logLevel = 3;
+
+const config: FleetConfig = {
+	version: 1,
+	routes: [{
+		name: 'r', hostName: 'a.example', pathPrefix: '/r/', semantics: 'at-most-once', timeoutMs: 1000, latencyObjectiveMs: 800, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
+	}],
+	services: [{name: 's', healthPath: '/', connectionsPerInstance: 10}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+	},
+};
+
+const createStore = (port: number): StoreClient => ({
+	async readAll(topic) {
+		const entry: InstanceEntry = {
+			instanceId: 'i',
+			revision: 1,
+			record: {
+				service: 's', address, port, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+			},
+		};
+		return Ok({
+			...(topic === 'config' && {config}), entries: topic === 'config' ? [] : [entry], refused: [], asOf: 10,
+		});
+	},
+	async watch() {
+		await delay(200);
+		return Ok({entries: [], refused: [], asOf: 10});
+	},
+	close: () => undefined,
+});
+
+const startInstance = async () => {
+	const targets: string[] = [];
+	const server = http.createServer((incoming, response) => {
+		targets.push(String(incoming.url));
+		incoming.resume();
+		incoming.once('end', () => {
+			response.writeHead(200, {'egretwing-request-id': 'r1', 'egretwing-signature': 'signed', 'content-length': 2}).end('ok');
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	return {
+		port: (server.address() as AddressInfo).port,
+		targets,
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+const head = (line: string, ...headers: readonly string[]): string =>
+	[`${line} HTTP/1.1`, 'egretwing-request-id: r1', ...headers, '', ''].join('\r\n');
+
+describe('refusals by the gateway', () => {
+	const ports = {next: firstPort};
+	const lines: Array<Readonly<Record<string, unknown>>> = [];
+	let port = 0;
+	let gateway: Gateway;
+	let instance: Awaited<ReturnType<typeof startInstance>>;
+
+	before(async () => {
+		port = ports.next;
+		ports.next += 10;
+		instance = await startInstance();
+		const logger = createLogger('test', 'g', logLevel, line => {
+			lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
+		});
+		gateway = await startGateway(createTestSettings('g', address, port), {store: createStore(instance.port), headerNames: defaultHeaderNames, logger});
+		while (!gateway.isReady()) {
+			await delay(20);
+		}
+	});
+
+	after(async () => {
+		await gateway.shutdown();
+		instance.close();
+	});
+
+	/** Writes `parts` one after the other, then ends its direction if asked to; returns the status codes of the answers. */
+	const talk = async (parts: readonly string[], ends = false): Promise<readonly string[]> => {
+		const socket = net.connect({
+			host: address, port, allowHalfOpen: true,
+		});
+		const chunks: Buffer[] = [];
+		socket.on('data', chunk => {
+			chunks.push(chunk);
+		});
+		socket.on('error', () => undefined);
+		for (const part of parts) {
+			socket.write(part, 'latin1');
+			await delay(answerMs);
+		}
+
+		if (ends) {
+			socket.end();
+			await delay(answerMs);
+		}
+
+		socket.destroy();
+		return Buffer.concat(chunks).toString('latin1').match(/(?<=HTTP\/1\.1 )\d+/gv) ?? [];
+	};
+
+	const counted = async (): Promise<string> => {
+		const response = await fetch(`http://${address}:${port + 3}/metrics`);
+		return response.text();
+	};
+
+	const reported: ReadonlyArray<{
+		readonly title: string; readonly request: string; readonly statusCode: string; readonly line: Readonly<Record<string, unknown>>; readonly metric: string;
+	}> = [
+		{
+			title: 'of a request that the parser refuses',
+			request: 'GET /r/1 HTTP/1.1\r\nbad header\r\n\r\n',
+			statusCode: '400',
+			line: {
+				message: 'unreadable', code: 'HPE_INVALID_HEADER_TOKEN', kind: 'malformed-request', isServing: false,
+			},
+			metric: 'egretwing_unreadable_total{code="HPE_INVALID_HEADER_TOKEN",kind="malformed-request",serving="false"} 1',
+		},
+		{
+			title: 'of headers larger than the limit',
+			request: head('GET /r/1', 'host: a.example', `x-pad: ${'p'.repeat(17_000)}`),
+			statusCode: '431',
+			line: {
+				message: 'unreadable', code: 'HPE_HEADER_OVERFLOW', kind: 'headers-too-large', isServing: false,
+			},
+			metric: 'egretwing_unreadable_total{code="HPE_HEADER_OVERFLOW",kind="headers-too-large",serving="false"} 1',
+		},
+		{
+			title: 'of a path without a route',
+			request: head('GET /other/secret?q', 'host: B.example:80'),
+			statusCode: '404',
+			line: {
+				message: 'refused', kind: 'no-route', hostName: 'b.example', firstSegment: '/other', configVersion: 1, configSource: 'store',
+			},
+			metric: 'egretwing_refusals_total{kind="no-route",reason="no route"} 1',
+		},
+	];
+	for (const {title, request, statusCode, line, metric} of reported) {
+		it(`leave a log line with their cause and a count: ${title}`, async () => {
+			lines.length = 0;
+			expect(await talk([request])).to.deep.equal([statusCode]);
+			const written = lines.find(({message}) => message === line.message) ?? {};
+			expect(written).to.include(line);
+			expect(await counted()).to.include(metric);
+		});
+	}
+
+	it('say for how long the configuration has been in force that has no route', async () => {
+		lines.length = 0;
+		await talk([head('GET /other/1', 'host: a.example')]);
+		expect(lines.find(({message}) => message === 'refused')?.configAgeMs).to.be.above(0);
+	});
+});
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -27,5 +27,6 @@
 	boundUnreadBody, kindHeader, ranHeader, refuse,
 } from './refusal.ts';
 export {refuseUnreadable} from './refuse-unreadable.ts';
+export type {UnreadableEnd} from './refuse-unreadable.ts';
 export {createBoundedWriter} from './bounded-writer.ts';
 export type {BoundedWriter} from './bounded-writer.ts';
--- a/packages/node/src/refuse-unreadable.ts
+++ b/packages/node/src/refuse-unreadable.ts
@@ -14,21 +14,40 @@
 /** The answer that is being written on the socket, as Node.js keeps it there. */
 type ServingSocket = net.Socket & {readonly _httpMessage?: http.ServerResponse | null};
 
+/** What came of a connection that can't be read on. */
+export type UnreadableEnd = {
+	/** Code of the parser or of the system. */
+	readonly code: string;
+	/** Kind of the refusal; undefined when the connection was closed without an answer. */
+	readonly kind?: ErrorKind;
+	/** True when a request of the connection was being served. */
+	readonly isServing: boolean;
+	/** True when the parser, not the system, gave up the connection. */
+	readonly isFromParser: boolean;
+	readonly readBytes: number;
+};
+
+const parserCode = /^(?:HPE|ERR_HTTP)_/v;
+
 /** Refuses and closes; a connection on which a request is being served is only closed, as its request may have run. */
-export const refuseUnreadable = (error: Error & {readonly code?: string}, socket: ServingSocket): void => {
+export const refuseUnreadable = (error: Error & {readonly code?: string}, socket: ServingSocket): UnreadableEnd => {
 	const serving = socket._httpMessage;
+	const code = error.code ?? 'unknown';
+	const end: UnreadableEnd = {
+		code, isServing: Boolean(serving), isFromParser: parserCode.test(code), readBytes: socket.bytesRead,
+	};
 	if (serving?.writableEnded) {
 		socket.destroySoon();
-		return;
+		return end;
 	}
 
-	const canAnswer = socket.writable && !serving && error.code !== 'ECONNRESET';
+	const canAnswer = socket.writable && !serving && code !== 'ECONNRESET';
 	if (!canAnswer) {
 		socket.destroy();
-		return;
+		return end;
 	}
 
-	const kind = kindsByCode[error.code ?? ''] ?? 'malformed-request';
+	const kind = kindsByCode[code] ?? 'malformed-request';
 	const {statusCode, ran} = errorAnswers[kind];
 	const body = JSON.stringify(createProblem(kind));
 	socket.end([
@@ -41,4 +60,5 @@
 		'',
 		body,
 	].join('\r\n'));
+	return {...end, kind};
 };
