--- a/packages/gateway/test/support/fleet-model.ts
+++ b/packages/gateway/test/support/fleet-model.ts
@@ -155,6 +155,7 @@
 			nowMs: clock.nowMs,
 			logger: createLogger('test', `gateway-${index}`, 0),
 			isUnplaced: () => false,
+			onState: () => undefined,
 			tell(name, report) {
 				schedule.at(clock.nowMs() + reportDelayMs, () => {
 					for (const [peerIndex, peer] of gateways.entries()) {
