fix(gateway): a reader that resumes reads the configuration whole

Callers were refused as by an older configuration while readers changed: one that had read before watched on from where it had stopped, and a watch answers with every version written since. With 1,440 routes each is 190 KB in base64, so that a dozen take 1.8 s on a link of 10 Mbit/s (a sum, not a run), beyond what an answer may take; the reader failed, was passed over for 4 s and failed again with more versions to fetch.

Now the configuration, one value, is read whole when the last answer is 1,500 ms old, after a pause or a call that went unanswered, and watched from there: one call more for each such gap. Instances go on as before, since their last revision is known from peers.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -57,6 +57,9 @@
 /** Shortest time between the starts of two calls that watch, so that many changes cost few calls: a tenth of the shortest time in which a change has to be in force. */
 export const watchIntervalMs = 200;
 
+/** Time since the last answer after which the configuration is read whole before it is watched on: some versions may have been written in it. */
+export const resumedReadMs = 1500;
+
 /** Pause before a call that failed is made again. */
 export const storeRetryMs = 250;
 
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -8,7 +8,7 @@
 import type {InstanceEntry} from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {
-	lapsingOutageMs, storeRecoveryMs, storeRetryMs, watchIntervalMs, watchWaitMs,
+	lapsingOutageMs, resumedReadMs, storeRecoveryMs, storeRetryMs, watchIntervalMs, watchWaitMs,
 } from './constants.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {
@@ -100,7 +100,9 @@
 
 	const step = async (): Promise<void> => {
 		const from = Math.max(asOf, options.knownAsOf());
-		const isFull = mustReadAll || from === -1;
+		// A watch brings each version written since; the whole is never more than one of them.
+		const isResumed = topic === 'config' && nowMs() - lastSuccessMs >= resumedReadMs;
+		const isFull = mustReadAll || from === -1 || isResumed;
 		nextCallMs = nowMs() + (isFull ? 0 : watchIntervalMs);
 		const result = isFull ? await client.readAll(topic) : await client.watch(topic, from, watchWaitMs);
 		metrics.storeCalls.inc({topic, result: result.isErr() ? result.error : 'ok'});
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -2,7 +2,9 @@
 import {createManualClock, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {Err, Ok, type Result} from 'ts-results-es';
-import type {StoreClient, StoreFailure, StoreRead} from '@egretwing/gateway';
+import type {
+	StoreClient, StoreFailure, StoreRead, StoreTopic,
+} from '@egretwing/gateway';
 import {createGatewayMetrics} from '../src/metrics.ts';
 import {createStoreReader} from '../src/store-reader.ts';
 
@@ -10,20 +12,22 @@
 
 const removal = (revision: number): InstanceEntry => ({instanceId: 'i-1', revision, record: null});
 
-type Step = {readonly answer: Result<StoreRead, StoreFailure>; readonly tookMs?: number};
+type Step = {readonly answer: Result<StoreRead, StoreFailure>; readonly tookMs?: number; /** For how long the reader is not wanted afterwards. */ readonly pauseMs?: number};
 
 /** Plays the answers of a store to a reader; returns the calls and what the reader told. */
-const play = async (steps: readonly Step[], knownAsOf = -1) => {
+const play = async (steps: readonly Step[], knownAsOf = -1, topic: StoreTopic = 'instances') => {
 	const clock = createManualClock(1000);
 	const calls: string[] = [];
 	const callsAtMs: number[] = [];
 	const told: string[] = [];
 	const queue = [...steps];
+	let wantedFromMs = 0;
 	const take = async (call: string): Promise<Result<StoreRead, StoreFailure>> => {
 		calls.push(call);
 		callsAtMs.push(clock.nowMs());
 		const step = queue.shift()!;
 		clock.advanceMs(step.tookMs ?? 10);
+		wantedFromMs = clock.nowMs() + (step.pauseMs ?? 0);
 		return step.answer;
 	};
 
@@ -33,13 +37,13 @@
 		close: () => undefined,
 	};
 	const reader = createStoreReader({
-		topic: 'instances',
+		topic,
 		client,
 		nowMs: clock.nowMs,
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
 		knownAsOf: () => knownAsOf,
-		isWanted: () => queue.length > 0,
+		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
 		onRead(_topic, {entries, asOf}, isFull) {
 			told.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}`);
 		},
@@ -50,7 +54,7 @@
 			told.push(failure);
 		},
 	});
-	for (let round = 0; round < 20; round++) {
+	for (let round = 0; round < 80; round++) {
 		reader.tick();
 		await new Promise(resolve => {
 			setImmediate(resolve);
@@ -111,6 +115,39 @@
 		});
 	}
 
+	const resumed: ReadonlyArray<{readonly title: string; readonly topic: StoreTopic; readonly steps: readonly Step[]; readonly calls: readonly string[]}> = [
+		{
+			title: 'reads the configuration whole after a pause: a watch would bring each version since',
+			topic: 'config',
+			steps: [{answer: read(5), pauseMs: 5000}, {answer: read(90)}, {answer: read(91)}],
+			calls: ['all', 'all', 'watch 90'],
+		},
+		{
+			title: 'reads the configuration whole after a failure',
+			topic: 'config',
+			steps: [{answer: read(5)}, {answer: Err('silent'), tookMs: 1500}, {answer: read(90)}, {answer: read(91)}],
+			calls: ['all', 'watch 5', 'all', 'watch 90'],
+		},
+		{
+			title: 'goes on watching the configuration after a short pause',
+			topic: 'config',
+			steps: [{answer: read(5), pauseMs: 500}, {answer: read(6), tookMs: 1000}, {answer: read(7)}],
+			calls: ['all', 'watch 5', 'watch 6'],
+		},
+		{
+			title: 'goes on watching the instances after a pause',
+			topic: 'instances',
+			steps: [{answer: read(5), pauseMs: 5000}, {answer: read(90)}],
+			calls: ['all', 'watch 5'],
+		},
+	];
+	for (const {title, topic, steps, calls} of resumed) {
+		it(title, async () => {
+			const played = await play(steps, -1, topic);
+			expect(played.calls).to.deep.equal(calls);
+		});
+	}
+
 	it('watches at most five times a second while changes come one after the other', async () => {
 		const {callsAtMs} = await play(Array.from({length: 8}, (_, index) => ({answer: read(9 + index)})), 8);
 		expect(callsAtMs).to.have.length(8);
