fix(dispatch): spread work reaches instances idle longest, proven or not

While work was spread, equally idle instances were taken in the order of ids at every gateway, use by peers did not count, and instances that need a trial were left out. Now the own data centre goes first, then what no gateway has used for longest as far as reports tell, ties at random; instances not avoided take part with one request at a time before they have proved themselves.

--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -71,7 +71,10 @@
 	trust: InstanceTrust;
 	readonly startsMs: Set<Placement>;
 	readonly peers: Map<string, PeerUse>;
+	/** When this gateway sent it a request last. */
 	usedAtMs: number;
+	/** When a peer used it last, as far as reports tell. */
+	peerUsedAtMs: number;
 };
 
 const peerInFlight = (member: Member, nowMs: number): number => {
@@ -99,6 +102,11 @@
 	return oldestMs;
 };
 
+const lastUseMs = ({usedAtMs, peerUsedAtMs}: Member): number => Math.max(usedAtMs, peerUsedAtMs);
+
+/** True when the spread of work is to reach it next, whether or not it has proved itself. */
+const isSpreadTarget = (member: Member, {nowMs, isSpread}: ChoiceContext): boolean => isSpread && nowMs - lastUseMs(member) > spreadIdleMs;
+
 /** True when a failure of the next attempt can be mended by another. */
 const canRepeat = ({isIdempotent, attemptedIds}: DispatchRequest): boolean => isIdempotent && attemptedIds.length === 0;
 
@@ -110,7 +118,7 @@
 	const leaving = new Map<string, Member>();
 
 	const createMember = (facts: DispatchInstance): Member => ({
-		facts, trust: createInstanceTrust(), startsMs: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY,
+		facts, trust: createInstanceTrust(), startsMs: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY, peerUsedAtMs: Number.NEGATIVE_INFINITY,
 	});
 
 	/** Avoidance never takes more than a part of the slots: the least suspected instances stay in use. */
@@ -153,7 +161,7 @@
 
 	const costOf = (member: Member, request: DispatchRequest, context: ChoiceContext): number => {
 		const {
-			nowMs, serviceMs, isSpread, isUnplaced,
+			nowMs, serviceMs, isUnplaced,
 		} = context;
 		const {facts, trust} = member;
 		if (isUnplaced) {
@@ -165,8 +173,8 @@
 			return -1;
 		}
 
-		if (isSpread && nowMs - member.usedAtMs > spreadIdleMs && !trust.needsTrial()) {
-			return -0.5;
+		if (isSpreadTarget(member, context)) {
+			return facts.dataCentre === dataCentre ? -0.5 : -0.25;
 		}
 
 		const overdue = oldestAgeMs(member, nowMs) > overdueFactor * serviceMs ? overdueRisk : 0;
@@ -231,17 +239,22 @@
 			const avoidsRisk = isPatient && !context.isUnplaced && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
 			let best: Member | undefined;
 			let bestCost = Number.POSITIVE_INFINITY;
+			let bestTie = 0;
 			for (const member of usable) {
 				const isFull = inFlightAt(member, nowMs) >= slotsFor(member, nowMs);
-				const isTooRisky = avoidsRisk && isIntroduced(member, request, nowMs) && member.trust.risk(nowMs) >= patientRisk;
+				const isTooRisky = avoidsRisk && !isSpreadTarget(member, context) && isIntroduced(member, request, nowMs) && member.trust.risk(nowMs) >= patientRisk;
 				if (isFull || isTooRisky || request.attemptedIds.includes(member.facts.instanceId)) {
 					continue;
 				}
 
 				const cost = costOf(member, request, context);
-				if (cost < bestCost) {
+				const tie = random.next();
+				const isIdleLonger = best !== undefined && lastUseMs(member) < lastUseMs(best);
+				const isAsIdle = best !== undefined && lastUseMs(member) === lastUseMs(best);
+				if (cost < bestCost || (cost === bestCost && (isIdleLonger || (isAsIdle && tie < bestTie)))) {
 					best = member;
 					bestCost = cost;
+					bestTie = tie;
 				}
 			}
 
@@ -301,6 +314,8 @@
 				}
 
 				member.peers.set(peerId, {inFlight, heardAtMs: nowMs});
+				const usedAtMs = inFlight > 0 ? nowMs : nowMs - (goodAgeMs ?? Number.POSITIVE_INFINITY);
+				member.peerUsedAtMs = Math.max(member.peerUsedAtMs, usedAtMs);
 				member.trust.hear(goodAgeMs === undefined ? undefined : nowMs - goodAgeMs, avoidMs === undefined ? undefined : nowMs + avoidMs, nowMs);
 			}
 		},
