fix(dispatch): the spread seeks out no instance that is avoided or whose request hangs, and leaves others' data centres to them first

Found in review: avoided instances that stay in use for want of others counted as rested, so that spread work went to them before proven ones; so did one whose request had hung for a second. What may run once was lost there. A second data centre's gateways tried the same instances.

The test of avoided instances failed before; those of the trial that has not ended and of the overdue request passed before as well.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -100,6 +100,15 @@
 /** Time without a request after which an instance is preferred while work is spread. */
 export const spreadIdleMs = 1000;
 
+/** The same for an instance of another data centre, so that its own gateways come first: a trial may cost a request. */
+export const remoteSpreadIdleMs = 2 * spreadIdleMs;
+
+/** Cost of an instance that the spread is to reach next: below that of any other. */
+export const spreadCost = -0.5;
+
+/** The same in another data centre. */
+export const remoteSpreadCost = -0.25;
+
 /** How long a new instance is left to the idempotent requests before any request may be its first. */
 export const introductionDelayMs = 2500;
 
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -7,7 +7,7 @@
 
 import type {Random} from '../random.ts';
 import {
-	crowdingCost, idempotentRiskFactor, introductionDelayMs, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, patienceFactor, patientRisk, remoteCost, remoteCostPerMegabyte, reportLifetimeMs, spreadIdleMs, stalledFactor,
+	crowdingCost, idempotentRiskFactor, introductionDelayMs, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, patienceFactor, patientRisk, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
 } from './constants.ts';
 import {createInstanceTrust, type InstanceTrust} from './instance-trust.ts';
 import type {
@@ -104,8 +104,11 @@
 
 const lastUseMs = ({usedAtMs, peerUsedAtMs}: Member): number => Math.max(usedAtMs, peerUsedAtMs);
 
-/** True when the spread of work is to reach it next, whether or not it has proved itself. */
-const isSpreadTarget = (member: Member, {nowMs, isSpread}: ChoiceContext): boolean => isSpread && nowMs - lastUseMs(member) > spreadIdleMs;
+/** Negative when `left` has rested longer. */
+const compareLastUse = (left: Member, right: Member | undefined): number =>
+	right === undefined || lastUseMs(left) === lastUseMs(right) ? 0 : lastUseMs(left) - lastUseMs(right);
+
+const isOverdue = (member: Member, {nowMs, serviceMs}: ChoiceContext): boolean => oldestAgeMs(member, nowMs) > overdueFactor * serviceMs;
 
 /** True when a failure of the next attempt can be mended by another. */
 const canRepeat = ({isIdempotent, attemptedIds}: DispatchRequest): boolean => isIdempotent && attemptedIds.length === 0;
@@ -159,9 +162,18 @@
 		|| facts.dataCentre !== dataCentre
 		|| !(request.isIdempotent || nowMs - facts.knownSinceMs >= introductionDelayMs);
 
+	/** True when the spread of work is to reach it next, whether or not it has proved itself. */
+	const isSpreadTarget = (member: Member, context: ChoiceContext): boolean => {
+		const idleMs = member.facts.dataCentre === dataCentre ? spreadIdleMs : remoteSpreadIdleMs;
+		return context.isSpread
+			&& context.nowMs - lastUseMs(member) > idleMs
+			&& !member.trust.isAvoided(context.nowMs)
+			&& !isOverdue(member, context);
+	};
+
 	const costOf = (member: Member, request: DispatchRequest, context: ChoiceContext): number => {
 		const {
-			nowMs, serviceMs, isUnplaced,
+			nowMs, isUnplaced,
 		} = context;
 		const {facts, trust} = member;
 		if (isUnplaced) {
@@ -174,10 +186,10 @@
 		}
 
 		if (isSpreadTarget(member, context)) {
-			return facts.dataCentre === dataCentre ? -0.5 : -0.25;
+			return facts.dataCentre === dataCentre ? spreadCost : remoteSpreadCost;
 		}
 
-		const overdue = oldestAgeMs(member, nowMs) > overdueFactor * serviceMs ? overdueRisk : 0;
+		const overdue = isOverdue(member, context) ? overdueRisk : 0;
 		const risk = (trust.risk(nowMs) + overdue) * (canRepeat(request) ? idempotentRiskFactor : 1);
 		const distance = facts.dataCentre === dataCentre ? 0 : remoteCost + (remoteCostPerMegabyte * request.bodyBytes / bytesPerMegabyte);
 		const crowding = crowdingCost * (inFlightAt(member, nowMs) + 1) / facts.slots;
@@ -239,7 +251,7 @@
 			const avoidsRisk = isPatient && !context.isUnplaced && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
 			let best: Member | undefined;
 			let bestCost = Number.POSITIVE_INFINITY;
-			let bestTie = 0;
+			let equals = 0;
 			for (const member of usable) {
 				const isFull = inFlightAt(member, nowMs) >= slotsFor(member, nowMs);
 				const isTooRisky = avoidsRisk && !isSpreadTarget(member, context) && isIntroduced(member, request, nowMs) && member.trust.risk(nowMs) >= patientRisk;
@@ -248,13 +260,16 @@
 				}
 
 				const cost = costOf(member, request, context);
-				const tie = random.next();
-				const isIdleLonger = best !== undefined && lastUseMs(member) < lastUseMs(best);
-				const isAsIdle = best !== undefined && lastUseMs(member) === lastUseMs(best);
-				if (cost < bestCost || (cost === bestCost && (isIdleLonger || (isAsIdle && tie < bestTie)))) {
+				const order = cost === bestCost ? compareLastUse(member, best) : cost - bestCost;
+				if (order > 0) {
+					continue;
+				}
+
+				equals = order === 0 ? equals + 1 : 1;
+				// Ties are drawn evenly, so that gateways do not all take the first id.
+				if (equals === 1 || random.next() * equals < 1) {
 					best = member;
 					bestCost = cost;
-					bestTie = tie;
 				}
 			}
 
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'chai';
+import {createInstances} from './load-model.ts';
 import {
 	createDispatcher, createRandom, createRetryWindow, fromReportRows, slackShareOf, toReportRows, type AttemptResult, type DispatchDecision, type DispatchRequest, type Dispatcher,
 } from '@egretwing/core';
-import {createInstances} from './load-model.ts';
 
 const request = (changes: Partial<DispatchRequest> = {}): DispatchRequest => ({
 	requestId: 'r', rank: 1, isIdempotent: false, isReturning: false, bodyBytes: 0, objectiveAtMs: 10_800, finalAtMs: 11_200, attemptedIds: [], ...changes,
@@ -256,6 +256,36 @@
 		});
 	}
 
+	it('does not seek out an instance that is avoided and in use only for want of others', () => {
+		const dispatcher = createSpreading(10);
+		hearGood(dispatcher, 4, 8000);
+		dispatcher.hear('peer', {instances: rangeOf(6).map(index => ({instanceId: idOf(index + 4), inFlight: 0, avoidMs: 5000}))}, 7000);
+		expect(rangeOf(4).map(() => sentTo(dispatcher.submit(request(), 10_000)))).to.have.members(rangeOf(4).map(index => idOf(index)));
+	});
+
+	it('does not send a second request to an instance whose trial has not ended', () => {
+		const dispatcher = createSpreading(3);
+		hearGood(dispatcher, 2, 9950);
+		const sent = rangeOf(3).map(() => sentTo(dispatcher.submit(request(), 10_000)));
+		expect(sent.filter(id => id === 'i-2')).to.have.length(1);
+	});
+
+	it('does not seek out an instance whose request is overdue', () => {
+		const dispatcher = createSpreading(2);
+		hearGood(dispatcher, 2, 8000);
+		const [first, second] = rangeOf(2).map(() => dispatcher.submit(request({finalAtMs: 20_000}), 10_000));
+		if (first?.type !== 'send' || second?.type !== 'send') {
+			throw new Error('expected two placements');
+		}
+
+		dispatcher.finish(second.placement, 'good', 11_000);
+		for (let index = 0; index < 20; index++) {
+			dispatcher.noteServed(false, 11_500);
+		}
+
+		expect(sentTo(dispatcher.submit(request({objectiveAtMs: 13_000, finalAtMs: 14_000}), 11_500))).to.equal(second.placement.instanceId);
+	});
+
 	it('leaves the share of slots in use that the floor asks for when most instances look bad', () => {
 		const dispatcher = createSpreading(10);
 		dispatcher.hear('peer', {instances: rangeOf(10).map(index => ({instanceId: idOf(index), inFlight: 0, avoidMs: 5000}))}, 7900);
