fix(node): a caller that ended midway, or has its answer, is not told 400

What callers saw: 400 after a request that they had ended in the middle of its line or headers, and a 400 after the 413 or 404 when they left, or sent the next request, while the body of the refused one was still due.

Cause: refuseUnreadable answered every error of the parser that met no response under way. The end of the stream inside a message is such an error, and after an early refusal the response is finished while the body is not.

Now the connection is closed without a further answer in both states; a refused request is remembered by its socket until its body is complete, so that a bad request after a whole body still gets its 400 (test).

--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -177,4 +177,37 @@
 		await talk([head('GET /other/1', 'host: a.example')]);
 		expect(lines.find(({message}) => message === 'refused')?.configAgeMs).to.be.above(0);
 	});
+
+	const cutShort: ReadonlyArray<{
+		readonly title: string; readonly parts: readonly string[]; readonly ends: boolean; readonly statusCodes: readonly string[];
+	}> = [
+		{
+			title: 'who ended in the middle of the request line', parts: ['GET /r/'], ends: true, statusCodes: [],
+		},
+		{
+			title: 'who ended in the middle of the headers', parts: ['GET /r/1 HTTP/1.1\r\nhost: a.example\r\n'], ends: true, statusCodes: [],
+		},
+		{
+			title: 'who ended in the middle of a later request', parts: [head('GET /r/1', 'host: a.example'), 'GET /r/2 HTTP/1.1\r\nhost: a'], ends: true, statusCodes: ['200'],
+		},
+		{
+			title: 'who was refused and ended in the middle of the body', parts: [`${head('POST /r/1', 'host: a.example', 'content-length: 2000')}x`], ends: true, statusCodes: ['413'],
+		},
+		{
+			title: 'who was refused and left out the rest of the chunks',
+			parts: [`${head('POST /other/1', 'host: a.example', 'transfer-encoding: chunked')}1\r\nx\r\n`, head('GET /r/1', 'host: a.example')],
+			ends: false,
+			statusCodes: ['404'],
+		},
+	];
+	for (const {title, parts, ends, statusCodes} of cutShort) {
+		it(`don't reach a caller ${title}`, async () => {
+			expect(await talk(parts, ends)).to.deep.equal(statusCodes);
+		});
+	}
+
+	it('reach a caller whose next request can not be read once the body of the refused one is in', async () => {
+		const refused = `${head('POST /other/1', 'host: a.example', 'content-length: 2')}`;
+		expect(await talk([refused, 'xx', 'bad\r\n\r\n'])).to.deep.equal(['404', '400']);
+	});
 });
--- a/packages/node/src/refusal.ts
+++ b/packages/node/src/refusal.ts
@@ -2,6 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import type net from 'node:net';
 import {createProblem, errorAnswers, type Refusal} from '@egretwing/core';
 
 /** Answer header: kind of the refusal. */
@@ -15,6 +16,12 @@
 
 const msPerSecond = 1000;
 
+/** The last request of a connection that was answered before its body was in. */
+const answeredEarly = new WeakMap<net.Socket, http.IncomingMessage>();
+
+/** True when the next bytes on the connection belong to a body whose request has its answer. */
+export const awaitsRestOfBody = (socket: net.Socket): boolean => answeredEarly.get(socket)?.complete === false;
+
 /** Closes the caller's connection when the rest of a refused body does not arrive in time. */
 export const boundUnreadBody = (response: http.ServerResponse): void => {
 	const incoming = response.req;
@@ -22,6 +29,7 @@
 		return;
 	}
 
+	answeredEarly.set(incoming.socket, incoming);
 	incoming.resume();
 	const timer = setTimeout(() => {
 		incoming.destroy();
--- a/packages/node/src/refuse-unreadable.ts
+++ b/packages/node/src/refuse-unreadable.ts
@@ -4,7 +4,7 @@
 import type http from 'node:http';
 import type net from 'node:net';
 import {createProblem, errorAnswers, type ErrorKind} from '@egretwing/core';
-import {kindHeader, ranHeader} from './refusal.ts';
+import {awaitsRestOfBody, kindHeader, ranHeader} from './refusal.ts';
 
 const kindsByCode: Readonly<Record<string, ErrorKind>> = {
 	HPE_HEADER_OVERFLOW: 'headers-too-large',
@@ -27,6 +27,9 @@
 	readonly readBytes: number;
 };
 
+/** The caller ended its direction in the middle of a request. */
+const endedMidwayCode = 'HPE_INVALID_EOF_STATE';
+
 const parserCode = /^(?:HPE|ERR_HTTP)_/v;
 
 /** Refuses and closes; a connection on which a request is being served is only closed, as its request may have run. */
@@ -36,12 +39,13 @@
 	const end: UnreadableEnd = {
 		code, isServing: Boolean(serving), isFromParser: parserCode.test(code), readBytes: socket.bytesRead,
 	};
-	if (serving?.writableEnded) {
+	const isOwedAnswer = code !== endedMidwayCode && !awaitsRestOfBody(socket);
+	if (serving ? serving.writableEnded : !isOwedAnswer) {
 		socket.destroySoon();
 		return end;
 	}
 
-	const canAnswer = socket.writable && !serving && code !== 'ECONNRESET';
+	const canAnswer = socket.writable && !end.isServing && code !== 'ECONNRESET';
 	if (!canAnswer) {
 		socket.destroy();
 		return end;
