fix(gateway): a 3xx or 4xx of an instance without its signature is not passed on

What callers saw: an unsigned 304, 400, 404, 408, 413 or 429 that came from an instance. It reads as the gateway's own word: the caller does not come back after 400, 404 or 413, and 408 and 429 promise that the request has not run, which the instance, without saying so in its header, has not stated.

Cause: findFault asked for the signature of successes only.

Test failed before: upstream.test.ts, 6 cases, "expected 'answered 404 ' to equal 'broken'" and alike.

Any answer below 500 needs the signature now. Without it the attempt counts as broken: an idempotent request goes elsewhere within the allowance, any other ends with 502, which promises nothing. Signed answers pass as before (test), and so does an unsigned 5xx.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -83,8 +83,7 @@
 };
 
 const misdirectedStatusCode = 421;
-const firstSuccessStatusCode = 200;
-const lastSuccessStatusCode = 299;
+const firstServerErrorStatusCode = 500;
 const msPerSecond = 1000;
 
 const keepAliveHintMs = (header: string | string[] | undefined): number => {
@@ -152,10 +151,10 @@
 		return `answer to another request: ${String(echoedId)}`;
 	}
 
+	// Unsigned, it would count as the gateway's own word: a success, or a refusal that tells the caller not to come back.
 	const statusCode = answer.statusCode ?? 0;
-	const isSuccess = statusCode >= firstSuccessStatusCode && statusCode <= lastSuccessStatusCode;
-	if (isSuccess && answer.headers[names.signature] === undefined) {
-		return 'success without the signature of the instance';
+	if (statusCode < firstServerErrorStatusCode && answer.headers[names.signature] === undefined) {
+		return `answer ${statusCode} without the signature of the instance`;
 	}
 
 	return undefined;
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -91,6 +91,12 @@
 			title: 'marks an answer without a length', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'end', outcome: 'answered 200 part unbounded',
 		},
 		{title: 'passes an error answer of the instance', answer: 'HTTP/1.1 500 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 500 '},
+		...[304, 400, 404, 408, 413, 429].map(statusCode => ({
+			title: `refuses an answer ${statusCode} without signature`, answer: `HTTP/1.1 ${statusCode} No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n`, outcome: 'broken',
+		})),
+		{
+			title: 'passes an answer 404 that the instance has signed', answer: 'HTTP/1.1 404 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 404 ',
+		},
 		{title: 'tells a request that did not run', answer: 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 503'},
 		{title: 'tells that another instance has the address', answer: 'HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 421'},
 	];
