fix(gateway): a whole URL as target, or a host name with the dot of the root, finds its route

What callers saw: 404 for a route that is there, when the request line held a whole URL or the host name ended with a dot.

Cause: the route was looked up with the target and host header as written.

Test failed before: denied.test.ts, "expected [ [ '404' ], [] ] to deeply equal [ [ '200' ], [ '/r/1?q=/x' ] ]" and the same for '/r/2'. Host names in capitals and with a port, empty path segments, and headers close to the limit passed before as well; the last needs an instance that accepts larger headers than callers may send, since the gateway adds its own.

A whole URL is divided into host and path; both are used for the lookup and for what the instance is sent.

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -67,6 +67,13 @@
 	readonly signal: AbortSignal;
 };
 
+/** Whom and what a request names. */
+type RequestTarget = {
+	readonly host: string;
+	/** Path with its query. */
+	readonly target: string;
+};
+
 /** What a route is looked up by. */
 type Lookup = {
 	readonly hostName: string;
@@ -126,6 +133,16 @@
 /** True unless the attempt is known not to have run the request. */
 const mayHaveRunAfter = (outcome: UpstreamOutcome): boolean => outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
 
+const wholeUrl = /^https?:\/\/(?<host>[^\/?]+)(?<target>.*)$/iv;
+
+/** A whole URL as the target of a request goes before its host header. */
+const toTarget = ({url = '/', headers}: http.IncomingMessage): RequestTarget => {
+	const {host, target = ''} = wholeUrl.exec(url)?.groups ?? {};
+	return host === undefined
+		? {host: headers.host ?? '', target: url}
+		: {host, target: target.startsWith('/') ? target : `/${target}`};
+};
+
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
@@ -399,10 +416,10 @@
 		}
 	};
 
-	const toLookup = (incoming: http.IncomingMessage): Lookup => {
-		const [hostName = ''] = (incoming.headers.host ?? '').split(':');
-		const [path = ''] = (incoming.url ?? '').split('?', 1);
-		return {hostName: hostName.toLowerCase(), path};
+	const toLookup = ({host, target}: RequestTarget): Lookup => {
+		const [hostName = ''] = host.split(':');
+		const [path = ''] = target.split('?', 1);
+		return {hostName: hostName.toLowerCase().replace(/\.$/v, ''), path};
 	};
 
 	const refuseUnrouted = ({hostName, path}: Lookup): Final => {
@@ -431,7 +448,8 @@
 			return;
 		}
 
-		const lookup = toLookup(incoming);
+		const requestTarget = toTarget(incoming);
+		const lookup = toLookup(requestTarget);
 		const route = parts.routes().match(lookup.hostName, lookup.path);
 		if (route === undefined) {
 			conclude(response, unrouted, refuseUnrouted(lookup));
@@ -463,8 +481,8 @@
 			upstreamRequest: {
 				requestId: requestId === '' ? undefined : requestId,
 				method: incoming.method ?? 'GET',
-				target: incoming.url ?? '/',
-				headers: forwardedHeaders(incoming.headers, ownHeaders(headerNames)),
+				target: requestTarget.target,
+				headers: {...forwardedHeaders(incoming.headers, ownHeaders(headerNames)), host: requestTarget.host},
 				body: read.body,
 				isIdempotent: route.semantics === 'idempotent',
 			},
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -21,6 +21,9 @@
 
 const logLevel = 3;
 
+/** More than callers may send, as gateways add headers of their own. */
+const instanceHeaderBytes = 32_768;
+
 const config: FleetConfig = {
 	version: 1,
 	routes: [{
@@ -54,7 +57,7 @@
 
 const startInstance = async () => {
 	const targets: string[] = [];
-	const server = http.createServer((incoming, response) => {
+	const server = http.createServer({maxHeaderSize: instanceHeaderBytes}, (incoming, response) => {
 		targets.push(String(incoming.url));
 		incoming.resume();
 		incoming.once('end', () => {
@@ -210,4 +213,22 @@
 		const refused = `${head('POST /other/1', 'host: a.example', 'content-length: 2')}`;
 		expect(await talk([refused, 'xx', 'bad\r\n\r\n'])).to.deep.equal(['404', '400']);
 	});
+
+	const serveOne = async (request: string): Promise<readonly [statusCodes: readonly string[], targets: readonly string[]]> => {
+		instance.targets.length = 0;
+		return [await talk([request]), instance.targets];
+	};
+
+	const proper: ReadonlyArray<readonly [title: string, request: string, target: string]> = [
+		['whose target is a whole URL', head('GET http://A.example:80/r/1?q=/x', 'host: a.example'), '/r/1?q=/x'],
+		['whose host name ends with the dot of the root', head('GET /r/2', 'host: a.example.'), '/r/2'],
+		['with a host name in capitals and a port', head('GET /r/4', 'host: A.Example:80'), '/r/4'],
+		['with headers as large as allowed', head('GET /r/5', 'host: a.example', `x-pad: ${'p'.repeat(16_300)}`), '/r/5'],
+		['with empty segments', head('GET /r//6', 'host: a.example'), '/r//6'],
+	];
+	for (const [title, request, target] of proper) {
+		it(`spare a request ${title}`, async () => {
+			expect(await serveOne(request)).to.deep.equal([['200'], [target]]);
+		});
+	}
 });
