fix(gateway): an expectation that the gateway does not know is no reason for 417

What callers saw: 417, written by the HTTP library, without a log line or count.

Cause: the library answers each `Expect` other than 100-continue by itself unless somebody listens for it.

Test failed before: denied.test.ts, "expected [ [ '417' ], [] ] to deeply equal [ [ '200' ], [ '/r/3' ] ]".

Such a request is served like any other; the header concerns the connection to the gateway alone and is not passed on. The callers of the incident are not known to send it. 6 cases pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -299,7 +299,7 @@
 		},
 	});
 
-	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, async (incoming, response) => {
+	const handle = async (incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		if (isDraining) {
 			response.setHeader('connection', 'close');
 		}
@@ -310,7 +310,11 @@
 			logger.error('request failed', {error: error instanceof Error ? error.stack : String(error)});
 			response.destroy();
 		}
-	});
+	};
+
+	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, handle);
+	// What a caller expects concerns its connection to the gateway alone; unknown wishes are no reason for 417.
+	server.on('checkExpectation', handle);
 	server.on('clientError', (error, socket) => {
 		const {
 			code, kind, isServing, isFromParser, readBytes,
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -222,6 +222,7 @@
 	const proper: ReadonlyArray<readonly [title: string, request: string, target: string]> = [
 		['whose target is a whole URL', head('GET http://A.example:80/r/1?q=/x', 'host: a.example'), '/r/1?q=/x'],
 		['whose host name ends with the dot of the root', head('GET /r/2', 'host: a.example.'), '/r/2'],
+		['that expects something unknown', `${head('POST /r/3', 'host: a.example', 'expect: x', 'content-length: 1')}x`, '/r/3'],
 		['with a host name in capitals and a port', head('GET /r/4', 'host: A.Example:80'), '/r/4'],
 		['with headers as large as allowed', head('GET /r/5', 'host: a.example', `x-pad: ${'p'.repeat(16_300)}`), '/r/5'],
 		['with empty segments', head('GET /r//6', 'host: a.example'), '/r//6'],
