fix(gateway): a process that has just started asks callers to come back before it says that a route is missing

What callers saw: 404 for a route that the newest configuration has, from a gateway that had just started and been sent an older configuration by a peer that is cut off from the store. Callers don't come back after 404.

Cause: any configuration makes a process whole, and nothing tells one that a peer sent at the start from one read from the store.

Test failed before: denied.test.ts, "expected 404 to equal 503", with a peer whose store is lost.

A lookup without a route is now answered with 503 and a time to come back, until this process has read the configuration from the store itself or its first one has been in force for the 3 s in which a change has to be everywhere. No further store calls. After that it is 404 as before (test); a peer group that stays cut off is not helped. A route that all configurations have can't be missing in an old one, so that this does not explain 404 from machines out of touch.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,7 @@
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
 } from '@egretwing/node';
 import {
-	drainAcceptShare, drainEndShare, joinIntervalMs, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
+	configDoubtMs, drainAcceptShare, drainEndShare, joinIntervalMs, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
 } from './constants.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
@@ -87,6 +87,8 @@
 	const retryWindows = new Map<string, RetryWindow>();
 	let routes = createPrefixRouteTable([]);
 	let configOrigin: ConfigOrigin | undefined;
+	/** Until then the first configuration, if a peer sent it, may be an old one. */
+	let doubtUntilMs: number | undefined;
 	let seeds = settings.seedAddresses;
 	let nextUpkeepMs = 0;
 	let announcedUp = false;
@@ -135,6 +137,7 @@
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
 				configOrigin = {source, sinceMs: nowMs()};
+				doubtUntilMs ??= nowMs() + configDoubtMs;
 				server.keepAliveTimeout = config.limits.idleTimeoutMs;
 				metrics.configVersion.set(config.version);
 				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
@@ -238,6 +241,10 @@
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
+		if (config !== undefined) {
+			doubtUntilMs = 0;
+		}
+
 		sendSpread(spread.takeRead({
 			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: statements, instancesAsOf: asOf}),
 		}, nowMs()));
@@ -282,6 +289,7 @@
 		catalogue,
 		routes: () => routes,
 		configOrigin: () => configOrigin,
+		isConfigDoubtful: () => nowMs() < (doubtUntilMs ?? 0),
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -43,6 +43,8 @@
 	readonly catalogue: Catalogue;
 	readonly routes: () => PrefixRouteTable;
 	readonly configOrigin: () => ConfigOrigin | undefined;
+	/** True while newer configurations may be in force everywhere else, so that a route may be missing here alone. */
+	readonly isConfigDoubtful: () => boolean;
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
 	readonly retryWindow: (service: string) => RetryWindow;
@@ -425,7 +427,7 @@
 	const refuseUnrouted = ({hostName, path}: Lookup): Final => {
 		const origin = parts.configOrigin();
 		return {
-			...refuseWith('no-route', 'no route'),
+			...(parts.isConfigDoubtful() ? refuseWith('not-ready', 'no route yet', notReadyRetryMs) : refuseWith('no-route', 'no route')),
 			logged: {
 				hostName: hostName.slice(0, loggedNameLength),
 				firstSegment: path.split('/', 2).join('/').slice(0, loggedNameLength),
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -8,8 +8,9 @@
 import {
 	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
 } from '@egretwing/gateway';
-import {Ok} from 'ts-results-es';
+import {Err, Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {configDoubtMs} from '../src/constants.ts';
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(208)}.1`;
@@ -233,3 +234,47 @@
 		});
 	}
 });
+
+describe('gateway that has just started beside one with an old configuration', () => {
+	const port = firstPort + 100;
+	const addresses = [`${networkOf(208)}.2`, `${networkOf(208)}.3`] as const;
+	const running: Gateway[] = [];
+
+	const start = async (host: string, seedAddresses: readonly string[], store: StoreClient): Promise<Gateway> => {
+		const gateway = await startGateway(createTestSettings(`g-${host}`, host, port, {seedAddresses: [...seedAddresses]}), {
+			store, headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0),
+		});
+		running.push(gateway);
+		while (!gateway.isReady()) {
+			await delay(20);
+		}
+
+		return gateway;
+	};
+
+	const get = async (host: string, path: string): Promise<number> => new Promise((resolve, reject) => {
+		http.get({
+			host, port, path, agent: false, headers: {host: 'a.example', 'egretwing-request-id': 'r1'},
+		}, response => {
+			response.resume();
+			resolve(response.statusCode!);
+		}).once('error', reject);
+	});
+
+	after(async () => {
+		await Promise.all(running.map(async gateway => gateway.shutdown()));
+	});
+
+	it('asks a caller to come back, until its own configuration has been in force long enough, for a route that only the newer one has', async () => {
+		const cutOff: StoreClient = {...createStore(1), watch: async () => Err('unreachable')};
+		await start(addresses[0], [], cutOff);
+		await start(addresses[1], [addresses[0]], {
+			...createStore(1),
+			readAll: async () => Err('unreachable'),
+			watch: async () => Err('unreachable'),
+		});
+		expect(await get(addresses[1], '/new/1')).to.equal(503);
+		await delay(configDoubtMs);
+		expect(await get(addresses[1], '/new/1')).to.equal(404);
+	});
+});
