fix(gateway): packed configurations travel in a field of their own

Found in review: a gateway of the previous version took the packed bytes for a configuration, and one of this version ended the stream of a peer that sent a plain one, so that callers would be failed while a fleet is replaced step by step. The bytes have a field that older gateways don't know, and a plain configuration is taken as before. Test: a message of the previous version carries its configuration.

--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -2,7 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type {
-	EntryHost, FleetConfig, MemberMessage, ReportRow, SpreadMessage,
+	EntryHost, MemberMessage, ReportRow, SpreadMessage,
 } from '@egretwing/core';
 import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
 import type {Result} from 'ts-results-es';
@@ -25,10 +25,13 @@
 /** Sender of a message. */
 export type MeshPeer = PeerEndpoint & {readonly hostId: string};
 
-type WithPackedConfig<Message> = Message extends {readonly config?: FleetConfig} ? Omit<Message, 'config'> & {readonly config?: Uint8Array} : Message;
+type State = Extract<SpreadMessage, {type: 'state'}>;
+
+/** A state as it travels: with its configuration packed, or plain as gateways of the previous version send it. */
+type WireState = State & {readonly packedConfig?: Uint8Array};
 
 /** A message about the catalogue as it travels. */
-type SpreadWireMessage = WithPackedConfig<SpreadMessage>;
+type SpreadWireMessage = Exclude<SpreadMessage, State> | WireState;
 
 /** Messages as they travel: hosts and members as rows, configurations packed. */
 type WireMessage
@@ -47,7 +50,7 @@
 	}
 
 	const {config, ...others} = message;
-	return {...others, ...(config !== undefined && {config: packConfig(config)})};
+	return {...others, ...(config !== undefined && {packedConfig: packConfig(config)})};
 };
 
 const unpackSpread = (message: SpreadWireMessage): SpreadMessage => {
@@ -55,8 +58,8 @@
 		return message;
 	}
 
-	const {config, ...others} = message;
-	return {...others, ...(config !== undefined && {config: unpackConfig(config)})};
+	const {packedConfig, ...others} = message;
+	return {...others, ...(packedConfig !== undefined && {config: unpackConfig(packedConfig)})};
 };
 
 const toWire = (message: MeshMessage): WireMessage => {
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -1,7 +1,9 @@
 import {type Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import {createPrefixRouteTable, type InstanceEntry} from '@egretwing/core';
-import {createFrameReader, frameBytes} from '@egretwing/node';
+import {
+	createFrameReader, decodeValue, encodeValue, frameBytes,
+} from '@egretwing/node';
 import {decodeMessage, encodeMessage, type MeshMessage} from '../src/mesh-message.ts';
 import {createLargeConfig} from './support/large-config.ts';
 
@@ -54,6 +56,18 @@
 		});
 	}
 
+	it('of the previous version carries its configuration, which was not packed', () => {
+		const message = {type: 'state', instancesAsOf: -1, config};
+		const bytes = encodeValue([sender.hostId, sender.address, sender.peerPort, {type: 'spread', message}]);
+		expect(decodeMessage(bytes).unwrap().message).to.deep.equal({type: 'spread', message});
+	});
+
+	it('holds no packed configuration where the previous version expects a plain one', () => {
+		const bytes = encodeMessage(sender, {type: 'spread', message: {type: 'state', instancesAsOf: -1, config}});
+		const {message} = (decodeValue(bytes).unwrap() as [string, string, number, {readonly message: object}])[3];
+		expect(message).to.include.keys('packedConfig').and.not.include.keys('config');
+	});
+
 	it('leaves every route of 1,440 to be found', () => {
 		const carried = carry({type: 'spread', message: {type: 'state', instancesAsOf: -1, config}});
 		const routes = carried.type === 'spread' && carried.message.type === 'state' ? carried.message.config!.routes : [];
