--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -157,8 +157,19 @@
 
 	it('reports silent after an answer that stops midway', async () => {
 		const {client, close} = await startPacedStore('{"key":', 1250, false);
+		const beganAtMs = performance.now();
 		const result = await client.readAll('config');
 		expect(result.unwrapErr()).to.equal('silent');
+		expect(performance.now() - beganAtMs).to.be.below(1000);
+		close();
+	});
+
+	it('gives up a watch whose answer trickles sooner than a read, so that another reader takes over', async () => {
+		const {client, close} = await startPacedStore(' '.repeat(4000), 1);
+		const beganAtMs = performance.now();
+		const result = await client.watch('instances', 1, 10);
+		expect(result.unwrapErr()).to.equal('silent');
+		expect(performance.now() - beganAtMs).to.be.below(1000);
 		close();
 	});
 
