--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -79,7 +79,7 @@
 				pending = pending.subarray(lengthBytes + length);
 			}
 
-			parts = [pending];
+			parts = pending.length === 0 ? [] : [pending];
 			waitingBytes = pending.length;
 			return Ok(payloads);
 		},
