--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -256,6 +256,13 @@
 		});
 	}
 
+	it('sends a request to an instance that broke one more than two seconds ago, which the floor counts as sound', () => {
+		const dispatcher = createSpreading(6);
+		dispatcher.hear('other', {instances: [{instanceId: 'i-5', inFlight: 0, avoidMs: 5000}]}, 7900);
+		hearGood(dispatcher, 5, 9950);
+		expect(countUsed(dispatcher, 20)).to.equal(6);
+	});
+
 	it('does not seek out an instance that is avoided and in use only for want of others', () => {
 		const dispatcher = createSpreading(10);
 		hearGood(dispatcher, 4, 8000);
