--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -182,7 +182,7 @@
 	});
 });
 
-/** Share of the sound instances that get requests while many aren't served (`floor_share`). */
+/** Share of the sound instances that get requests while many aren't served. */
 const floorShare = 0.7;
 
 /** A dispatcher that spreads its work at 10 s, since half of its last answers were no use to callers. */
--- a/packages/gateway/test/floor-replay.test.ts
+++ b/packages/gateway/test/floor-replay.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {replayFleet, type FleetLoad} from './support/fleet-model.ts';
 
-/** Share of the sound instances that have to get requests in any two seconds (`floor_share`). */
+/** Share of the sound instances that have to get requests in any two seconds. */
 const floorShare = 0.7;
 
 /** Running time of a replay on a busy machine, at most. */
