fix(gateway): an avoided instance is told to peers whatever else is in flight

Cause: a report named 24 instances, the busiest first. A gateway of a large service has requests at more than that, so that an instance with nothing in flight, as one that has just broken its request, was never named. A receiver also took each cut report for a whole one and forgot the requests in flight at all others.

Fix: a report is news. Avoided instances go first, then what changed, then what would lapse; what is not named holds as told before. 48 rows fit a datagram. A repeated avoidance is no new one.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -81,6 +81,9 @@
 /** Weight of a new answer in the mean service time. */
 export const serviceTimeWeight = 0.05;
 
+/** Difference in time below which what a peer repeats is no news: datagrams are delayed by less. */
+export const heardJitterMs = 100;
+
 /** Time after which a peer's report no longer counts: several report intervals. */
 export const reportLifetimeMs = 1500;
 
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -6,6 +6,8 @@
 export type {RetryLimits, RetryWindow} from './retry-window.ts';
 export {fromReportRows, toReportRows} from './report-rows.ts';
 export type {ReportRow} from './report-rows.ts';
+export {createReportNews} from './report-news.ts';
+export type {ReportNews} from './report-news.ts';
 export type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, InstanceReport, LateDecision, Placement, RejectReason,
 } from './types.ts';
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -315,20 +315,18 @@
 			}),
 		}),
 		hear(peerId, report, nowMs) {
-			const told = new Set(report.instances.map(({instanceId}) => instanceId));
-			for (const [id, member] of members) {
-				if (!told.has(id)) {
-					member.peers.delete(peerId);
-				}
-			}
-
 			for (const {instanceId, inFlight, goodAgeMs, avoidMs} of report.instances) {
 				const member = members.get(instanceId);
 				if (member === undefined) {
 					continue;
 				}
 
-				member.peers.set(peerId, {inFlight, heardAtMs: nowMs});
+				if (inFlight > 0) {
+					member.peers.set(peerId, {inFlight, heardAtMs: nowMs});
+				} else {
+					member.peers.delete(peerId);
+				}
+
 				const usedAtMs = inFlight > 0 ? nowMs : nowMs - (goodAgeMs ?? Number.POSITIVE_INFINITY);
 				member.peerUsedAtMs = Math.max(member.peerUsedAtMs, usedAtMs);
 				member.trust.hear(goodAgeMs === undefined ? undefined : nowMs - goodAgeMs, avoidMs === undefined ? undefined : nowMs + avoidMs, nowMs);
--- a/packages/core/src/dispatch/instance-trust.ts
+++ b/packages/core/src/dispatch/instance-trust.ts
@@ -6,7 +6,7 @@
  */
 
 import {
-	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
+	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, heardJitterMs, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
 } from './constants.ts';
 import type {AttemptResult} from './types.ts';
 
@@ -134,7 +134,7 @@
 				goodAtMs = peerGoodAtMs;
 			}
 
-			if (peerAvoidUntilMs !== undefined && peerAvoidUntilMs > avoidUntilMs) {
+			if (peerAvoidUntilMs !== undefined && peerAvoidUntilMs > avoidUntilMs + heardJitterMs) {
 				avoidUntilMs = peerAvoidUntilMs;
 				avoidedAtMs = Math.max(avoidedAtMs, nowMs);
 			}
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -78,7 +78,7 @@
 	/** The caller left. */
 		| 'abandoned';
 
-/** What one gateway tells the others of a service. */
+/** What one gateway tells the others of some instances of a service; of those it does not name, what it told before holds until it lapses. */
 export type DispatchReport = {
 	readonly instances: readonly InstanceReport[];
 };
--- /dev/null
+++ b/packages/core/test/dispatch/report-news.test.ts
@@ -0,0 +1,79 @@
+import {expect} from 'chai';
+import {createReportNews, type InstanceReport} from '@egretwing/core';
+
+const repeatMs = 500;
+
+const limit = 3;
+
+const busy = (count: number): readonly InstanceReport[] => Array.from({length: count}, (_, index) => ({instanceId: `busy-${index}`, inFlight: 1}));
+
+const avoided: InstanceReport = {instanceId: 'avoided', inFlight: 0, avoidMs: 5000};
+
+type Step = {readonly atMs: number; readonly instances: readonly InstanceReport[]};
+
+const idsTold = (steps: readonly Step[]): ReadonlyArray<readonly string[]> => {
+	const news = createReportNews();
+	return steps.map(({atMs, instances}) => news.take({instances}, limit, repeatMs, atMs).map(({instanceId}) => instanceId));
+};
+
+describe('news for peers', () => {
+	const cases: ReadonlyArray<readonly [title: string, steps: readonly Step[], told: ReadonlyArray<readonly string[]>]> = [
+		[
+			'name an instance that broke a request before busy ones',
+			[{atMs: 0, instances: [...busy(5), avoided]}],
+			[['avoided', 'busy-0', 'busy-1']],
+		],
+		[
+			'go on with what had no place',
+			[{atMs: 0, instances: busy(5)}, {atMs: 100, instances: busy(5)}],
+			[['busy-0', 'busy-1', 'busy-2'], ['busy-3', 'busy-4']],
+		],
+		['are none while nothing changes', [{atMs: 0, instances: busy(2)}, {atMs: 400, instances: busy(2)}], [['busy-0', 'busy-1'], []]],
+		[
+			'repeat requests in flight before they lapse',
+			[{atMs: 0, instances: busy(2)}, {atMs: 500, instances: busy(2)}],
+			[['busy-0', 'busy-1'], ['busy-0', 'busy-1']],
+		],
+		[
+			'repeat an avoidance that lasts',
+			[{atMs: 0, instances: [avoided]}, {atMs: 500, instances: [{...avoided, avoidMs: 4500}]}],
+			[['avoided'], ['avoided']],
+		],
+		[
+			'put what changed before what is repeated',
+			[{atMs: 0, instances: busy(3)}, {atMs: 500, instances: [...busy(3), {instanceId: 'new', inFlight: 1}]}],
+			[['busy-0', 'busy-1', 'busy-2'], ['new', 'busy-0', 'busy-1']],
+		],
+		[
+			'name an instance at which the last request ended without an answer, once',
+			[{atMs: 0, instances: busy(1)}, {atMs: 100, instances: []}, {atMs: 700, instances: []}],
+			[['busy-0'], ['busy-0'], []],
+		],
+		[
+			'tell an avoidance that was extended at once',
+			[{atMs: 0, instances: [avoided]}, {atMs: 100, instances: [{...avoided, avoidMs: 6000}]}],
+			[['avoided'], ['avoided']],
+		],
+		[
+			'repeat a later good answer, though nothing is in flight',
+			[{atMs: 0, instances: [{instanceId: 'good', inFlight: 0, goodAgeMs: 0}]}, {atMs: 600, instances: [{instanceId: 'good', inFlight: 0, goodAgeMs: 50}]}],
+			[['good'], ['good']],
+		],
+		[
+			'do not repeat a good answer that peers know',
+			[{atMs: 0, instances: [{instanceId: 'good', inFlight: 0, goodAgeMs: 0}]}, {atMs: 600, instances: [{instanceId: 'good', inFlight: 0, goodAgeMs: 600}]}],
+			[['good'], []],
+		],
+	];
+	for (const [title, steps, told] of cases) {
+		it(title, () => {
+			expect(idsTold(steps)).to.deep.equal(told);
+		});
+	}
+
+	it('tell that nothing is in flight any more', () => {
+		const news = createReportNews();
+		news.take({instances: busy(1)}, limit, repeatMs, 0);
+		expect(news.take({instances: []}, limit, repeatMs, 100)).to.deep.equal([{instanceId: 'busy-0', inFlight: 0}]);
+	});
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -9,7 +9,7 @@
 /** Time between two reports to peers while something changes: far below one service time. */
 export const reportIntervalMs = 100;
 
-/** Time between two reports while requests are in flight and nothing changes; a third of the time after which a report lapses. */
+/** Time after which what peers know of an instance is told again; a third of the time after which it lapses. */
 export const idleReportIntervalMs = 500;
 
 /** Time after the last request for which a gateway goes on reporting. */
@@ -18,8 +18,8 @@
 /** Time between two log lines about what is believed of a service that takes requests. */
 export const stateLogIntervalMs = 1000;
 
-/** Reports in one datagram, at most, so that it fits one packet. */
-export const reportsPerDatagram = 24;
+/** Instances that one report names, at most, so that it fits one packet. */
+export const reportsPerDatagram = 48;
 
 /** Time in which a connection to an instance has to open: many round trips between data centres. */
 export const connectTimeoutMs = 350;
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -2,6 +2,7 @@
 
 import {
 	createDispatcher,
+	createReportNews,
 	type AttemptResult,
 	type Catalogue,
 	type DispatchDecision,
@@ -12,6 +13,7 @@
 	type DispatcherState,
 	type LiveInstance,
 	type Random,
+	type ReportNews,
 } from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {
@@ -61,7 +63,7 @@
 	catalogueVersion: number;
 	lastRequestMs: number;
 	lastReportMs: number;
-	lastReport: string;
+	readonly news: ReportNews;
 	lastStateLogMs: number;
 	/** True when the next report is not to wait for its interval, since an instance is avoided from now on. */
 	isReportDue: boolean;
@@ -98,7 +100,7 @@
 				catalogueVersion: -1,
 				lastRequestMs: Number.NEGATIVE_INFINITY,
 				lastReportMs: Number.NEGATIVE_INFINITY,
-				lastReport: '',
+				news: createReportNews(),
 				lastStateLogMs: Number.NEGATIVE_INFINITY,
 				isReportDue: false,
 			};
@@ -143,22 +145,14 @@
 			return;
 		}
 
-		const {instances} = service.dispatcher.report(timeMs);
-		const isIdle = instances.every(({inFlight}) => inFlight === 0);
-		const fingerprint = instances
-			.filter(({inFlight, avoidMs}) => inFlight > 0 || avoidMs !== undefined)
-			.map(({instanceId, inFlight, avoidMs}) => `${instanceId} ${inFlight} ${avoidMs === undefined}`)
-			.join(',');
-		if (fingerprint === service.lastReport && (isIdle || sinceMs < idleReportIntervalMs)) {
+		service.isReportDue = false;
+		const instances = service.news.take(service.dispatcher.report(timeMs), reportsPerDatagram, idleReportIntervalMs, timeMs);
+		if (instances.length === 0) {
 			return;
 		}
 
-		service.lastReport = fingerprint;
 		service.lastReportMs = timeMs;
-		service.isReportDue = false;
-		// The busiest go first; what does not fit one datagram is known to be idle or avoided soon enough.
-		const told = instances.toSorted((left, right) => right.inFlight - left.inFlight).slice(0, reportsPerDatagram);
-		tell(service.name, {instances: told});
+		tell(service.name, {instances});
 	};
 
 	return {
--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -93,6 +93,25 @@
 			expect(peer.dispatchers.explain('s').inFlight).to.equal(instances);
 		});
 	}
+
+	it('name an instance that broke a request at once, with requests in flight at 59 others', async () => {
+		const {
+			clock, dispatchers, reports,
+		} = createSubject(60);
+		const placed = [];
+		for (let index = 0; index < 60; index++) {
+			placed.push(await place(dispatchers, clock.nowMs()));
+		}
+
+		const last = placed.at(-1);
+		if (last?.type !== 'send') {
+			throw new Error('expected an instance for each request');
+		}
+
+		dispatchers.finish('s', last.placement, 'broken');
+		const told = reports.flatMap(({instances}) => instances).find(({instanceId}) => instanceId === last.placement.instanceId);
+		expect(told?.avoidMs).to.be.above(0);
+	});
 });
 
 describe('state of a service', () => {
