fix(dispatch): the spread comes back to an instance 3.5 s after it failed by itself

Cause: one broken request keeps an instance from work for 5 s. An instance that failed by itself counts as sound 2 s after, and has to be reached within the 2 s that follow: within 4 s.

Silence is left out, since it may be due to the way to it.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -112,6 +112,9 @@
 /** The same in another data centre. */
 export const remoteSpreadCost = -0.25;
 
+/** Time after its last failure from which the spread reaches an instance that is still avoided: it may be sound 2 s after, and has to be reached within the 2 s that follow, less half a second to get there. */
+export const spreadAvoidMs = 3500;
+
 /** How long a new instance is left to the idempotent requests before any request may be its first. */
 export const introductionDelayMs = 2500;
 
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -124,10 +124,14 @@
 		facts, trust: createInstanceTrust(), startsMs: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY, peerUsedAtMs: Number.NEGATIVE_INFINITY,
 	});
 
+	/** True when the instance gets no work for what is known of it: the spread comes back to those that may have recovered. */
+	const isLeftOut = ({trust}: Member, {nowMs, isSpread}: ChoiceContext): boolean => trust.isAvoided(nowMs) && !(isSpread && trust.mayHaveRecovered(nowMs));
+
 	/** Avoidance never takes more than a part of the slots: the least suspected instances stay in use. */
-	const usableMembers = ({nowMs, isSpread}: ChoiceContext): readonly Member[] => {
+	const usableMembers = (context: ChoiceContext): readonly Member[] => {
+		const {isSpread} = context;
 		const all = [...members.values()];
-		const usable = all.filter(({trust}) => !trust.isAvoided(nowMs));
+		const usable = all.filter(member => !isLeftOut(member, context));
 		const wantedSlots = (isSpread ? minSpreadUsedShare : minUsedShare) * all.reduce((sum, {facts}) => sum + facts.slots, 0);
 		let slots = usable.reduce((sum, {facts}) => sum + facts.slots, 0);
 		if (slots >= wantedSlots) {
@@ -135,7 +139,7 @@
 		}
 
 		const avoided = all
-			.filter(({trust}) => trust.isAvoided(nowMs))
+			.filter(member => isLeftOut(member, context))
 			.toSorted((left, right) => left.trust.avoidUntilMs() - right.trust.avoidUntilMs());
 		for (const member of avoided) {
 			if (slots >= wantedSlots) {
@@ -167,7 +171,7 @@
 		const idleMs = member.facts.dataCentre === dataCentre ? spreadIdleMs : remoteSpreadIdleMs;
 		return context.isSpread
 			&& context.nowMs - lastUseMs(member) > idleMs
-			&& !member.trust.isAvoided(context.nowMs)
+			&& !isLeftOut(member, context)
 			&& !isOverdue(member, context);
 	};
 
--- a/packages/core/src/dispatch/instance-trust.ts
+++ b/packages/core/src/dispatch/instance-trust.ts
@@ -6,7 +6,7 @@
  */
 
 import {
-	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, heardJitterMs, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
+	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, heardJitterMs, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, spreadAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
 } from './constants.ts';
 import type {AttemptResult} from './types.ts';
 
@@ -19,6 +19,8 @@
 	/** A peer had a good answer, or avoids the instance. */
 	readonly hear: (goodAtMs: number | undefined, avoidUntilMs: number | undefined, nowMs: number) => void;
 	readonly isAvoided: (nowMs: number) => boolean;
+	/** True when it is avoided for failures of its own, the last of which it may have recovered from. */
+	readonly mayHaveRecovered: (nowMs: number) => boolean;
 	/** True when it was avoided, or is new, and no good answer has come since. */
 	readonly needsTrial: () => boolean;
 	/** Chance that the next request fails, from 0 to 1. */
@@ -37,6 +39,8 @@
 	let avoidUntilMs = Number.NEGATIVE_INFINITY;
 	let toldAvoidUntilMs = Number.NEGATIVE_INFINITY;
 	let avoidedAtMs = Number.NEGATIVE_INFINITY;
+	/** End of the avoidance for silence, which may be due to the way to the instance. */
+	let silentUntilMs = Number.NEGATIVE_INFINITY;
 	let goodAtMs: number | undefined;
 	let ownGoodAtMs: number | undefined;
 	let failuresInRow = 0;
@@ -72,7 +76,10 @@
 		return Math.max(minBrokenAvoidMs, brokenAvoidMs * (avoidFactor ** Math.max(0, failuresInRow - 1)));
 	};
 
-	const avoidSilent = (startedAtMs: number, nowMs: number): boolean => avoid(noteFailure(startedAtMs, nowMs), nowMs);
+	const avoidSilent = (durationMs: number, nowMs: number): boolean => {
+		silentUntilMs = Math.max(silentUntilMs, nowMs + durationMs);
+		return avoid(durationMs, nowMs);
+	};
 
 	const avoidBroken = (startedAtMs: number, nowMs: number): boolean => avoidAndTell(noteFailure(startedAtMs, nowMs), nowMs);
 
@@ -106,7 +113,7 @@
 				}
 
 				case 'no-answer': {
-					return avoidSilent(startedAtMs, nowMs);
+					return avoidSilent(noteFailure(startedAtMs, nowMs), nowMs);
 				}
 
 				case 'shed': {
@@ -116,7 +123,7 @@
 
 				case 'unreachable': {
 					failuresInRow++;
-					return avoid(Math.min(maxAvoidMs, unreachableAvoidMs * (2 ** (failuresInRow - 1))), nowMs);
+					return avoidSilent(Math.min(maxAvoidMs, unreachableAvoidMs * (2 ** (failuresInRow - 1))), nowMs);
 				}
 
 				case 'replaced': {
@@ -128,7 +135,7 @@
 				}
 			}
 		},
-		observeStall: nowMs => nowMs >= avoidUntilMs && avoidSilent(nowMs, nowMs),
+		observeStall: nowMs => nowMs >= avoidUntilMs && avoidSilent(noteFailure(nowMs, nowMs), nowMs),
 		hear(peerGoodAtMs, peerAvoidUntilMs, nowMs) {
 			if (peerGoodAtMs !== undefined && peerGoodAtMs > (goodAtMs ?? Number.NEGATIVE_INFINITY) && peerGoodAtMs > avoidedAtMs) {
 				goodAtMs = peerGoodAtMs;
@@ -140,6 +147,7 @@
 			}
 		},
 		isAvoided: nowMs => nowMs < avoidUntilMs,
+		mayHaveRecovered: nowMs => nowMs < avoidUntilMs && nowMs >= silentUntilMs && nowMs - avoidedAtMs >= spreadAvoidMs,
 		needsTrial: () => goodAtMs === undefined || goodAtMs < avoidedAtMs,
 		risk(nowMs) {
 			const proofAgeMs = goodAtMs === undefined || goodAtMs < avoidedAtMs ? Number.POSITIVE_INFINITY : nowMs - goodAtMs;
