fix(dispatch): ejection leaves seven in ten slots available while work is spread

What callers would see: when most instances look bad at once, half of the capacity of a service was kept from them, whatever the floor asks for.

Cause: avoidance left half of the slots in use, a figure of its own rather than that of the floor.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -36,8 +36,8 @@
 /** Share of a service's slots that avoidance leaves in use; the least suspected instances are used beyond it. A service runs at a third of its slots on a calm day. */
 export const minUsedShare = 0.5;
 
-/** The same while work is spread: then more depends on finding instances that are sound again. */
-export const minSpreadUsedShare = 0.5;
+/** The same while work is spread: the share of a service's capacity that ejection leaves available. */
+export const minSpreadUsedShare = 0.7;
 
 /** Time over which a good answer loses its value as evidence that the instance still works. */
 export const proofLifetimeMs = 8000;
