feat(gateway): the state of a service tells what its peers were not told

Cut reports left no trace in logs: that an avoided instance was never named could only be found by comparing the lines of two gateways. `service state` now carries `untold`, the instances of which peers were told less than changed.

--- a/packages/core/src/dispatch/report-news.ts
+++ b/packages/core/src/dispatch/report-news.ts
@@ -13,6 +13,8 @@
 export type ReportNews = {
 	/** Rows to tell now, `limit` at most; they count as told. Rows that peers know already are repeated after `repeatMs`. */
 	readonly take: (report: DispatchReport, limit: number, repeatMs: number, nowMs: number) => readonly InstanceReport[];
+	/** Rows that had no place when rows were taken last. */
+	readonly untold: () => number;
 };
 
 type Told = {
@@ -56,6 +58,7 @@
 /** Creates the news of a gateway that has told nothing. */
 export const createReportNews = (): ReportNews => {
 	const toldById = new Map<string, Told>();
+	let untold = 0;
 
 	/** Instances of which a request was told that has ended without a trace. */
 	const findEnded = (named: ReadonlySet<string>): readonly InstanceReport[] => {
@@ -87,6 +90,7 @@
 				.toSorted((left, right) => left.urgency - right.urgency || (left.toldAtMs < right.toldAtMs ? -1 : Number(left.toldAtMs > right.toldAtMs)))
 				.slice(0, limit)
 				.map(({instance}) => instance);
+			untold = rows.length - chosen.length;
 			for (const instance of chosen) {
 				toldById.set(instance.instanceId, {
 					inFlight: instance.inFlight, goodAtMs: goodAtMsOf(instance, nowMs), avoidUntilMs: avoidUntilMsOf(instance, nowMs), atMs: nowMs,
@@ -95,5 +99,6 @@
 
 			return chosen;
 		},
+		untold: () => untold,
 	};
 };
--- a/packages/core/test/dispatch/report-news.test.ts
+++ b/packages/core/test/dispatch/report-news.test.ts
@@ -71,6 +71,15 @@
 		});
 	}
 
+	it('count what had no place', () => {
+		const news = createReportNews();
+		const untold = [0, 100, 200].map(atMs => {
+			news.take({instances: busy(5)}, limit, repeatMs, atMs);
+			return news.untold();
+		});
+		expect(untold).to.deep.equal([2, 0, 0]);
+	});
+
 	it('tell that nothing is in flight any more', () => {
 		const news = createReportNews();
 		news.take({instances: busy(1)}, limit, repeatMs, 0);
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -133,7 +133,9 @@
 
 		service.lastStateLogMs = timeMs;
 		const state = service.dispatcher.state(timeMs);
-		logger.info('service state', {service: service.name, instancesAsOf: catalogue.digest().instancesAsOf, ...state});
+		logger.info('service state', {
+			service: service.name, instancesAsOf: catalogue.digest().instancesAsOf, untold: service.news.untold(), ...state,
+		});
 		onState(service.name, state);
 	};
 
