fix(gateway): an answer that did not run the request is not read without end

What instances saw: after a rejection (503 with the not-executed header, or 421) whose body has no end, the gateway went on reading for as long as bytes came: the connection stayed open, and all of the 64 MiB that the test offers was read.

Cause: the rest of such an answer was drained without any limit, after the attempt had given up its timer.

Fix: it is read up to 64 KiB and for 250 ms, so that the connection of a usual rejection is still kept; past that the connection is closed.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,6 +45,12 @@
 /** Answers up to this size are held back until they are whole, so that a spoilt one can be replaced. */
 export const heldAnswerBytes = 1_048_576;
 
+/** Largest answer without use that is read to its end, so that its connection can be kept: far more than a rejection needs. */
+export const maxDrainBytes = 65_536;
+
+/** Longest time for which such an answer is read: half of the time for which an instance may work on what nobody waits for. */
+export const maxDrainMs = 250;
+
 /** How long callers keep the addresses they were told: short, so that they leave a lost gateway soon. */
 export const locateKeepMs = 2000;
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,7 +11,7 @@
 import {createIdleLimit} from '@egretwing/core';
 import {answerIsBounded} from '@egretwing/node';
 import {
-	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxIdleConnectionMs,
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs,
 } from './constants.ts';
 import type {HeaderNames} from './types.ts';
 
@@ -144,6 +144,23 @@
 const isWhole = (answer: http.IncomingMessage, socket: net.Socket, method: string): boolean =>
 	answer.complete && (socket.errored === null || answerIsBounded(method, answer.statusCode ?? 0, answer.headers));
 
+/** Reads an answer that nobody needs, so that its connection can be kept; closes the connection when that takes too much. */
+const drain = (answer: http.IncomingMessage): void => {
+	let sizeBytes = 0;
+	const timer = setTimeout(() => {
+		answer.destroy();
+	}, maxDrainMs);
+	answer.on('data', (chunk: Buffer) => {
+		sizeBytes += chunk.length;
+		if (sizeBytes > maxDrainBytes) {
+			answer.destroy();
+		}
+	});
+	answer.once('close', () => {
+		clearTimeout(timer);
+	});
+};
+
 /** Why an answer can't be that of the request; undefined when it can. */
 const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames): string | undefined => {
 	const echoedId = answer.headers[names.requestId];
@@ -295,7 +312,7 @@
 
 			const isMisdirected = answer.statusCode === misdirectedStatusCode;
 			if (isMisdirected || answer.headers[headerNames.notExecuted] !== undefined) {
-				answer.resume();
+				drain(answer);
 				settle({type: 'not-executed', statusCode: answer.statusCode!});
 				return;
 			}
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -153,6 +153,7 @@
 
 	const reuses: ReadonlyArray<readonly [title: string, first: string, connections: number]> = [
 		['keeps a connection after a whole answer', whole('r1'), 1],
+		['keeps a connection after a request that did not run', 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\ncontent-length: 4\r\n\r\nfull', 1],
 		['closes a connection on which more came than the answer', `${whole('r1')}${whole('r1')}`, 2],
 		['closes a connection that the instance is about to close', whole('r1', 'ok', 'keep-alive: timeout=1\r\n'), 2],
 	];
