fix(gateway): a whole answer is passed although bytes that are no answer follow it

What callers saw: 502 in place of the whole, signed answer of the instance, where the packet that ends the answer also brings bytes that the parser refuses.

Cause: the parser reports the excess bytes as an error of the request before the end of its answer is read, and the attempt then counted as broken. Such bytes belong to no request.

Fix: an error or the close of the connection fails an attempt only as long as the answer isn't complete. The connection is closed as before; an answer cut by an abort still fails by its own error.

Evidence: four of the new cases of endless-answers.test.ts (excess bytes at once after an answer with a length, to HEAD, 204 and in chunks) got 502 before, and pass now.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -210,7 +210,7 @@
 		let idleMs: number | undefined;
 		let isSent = false;
 		let isAborted = false;
-		let hasAnswered = false;
+		let received: http.IncomingMessage | undefined;
 		let isEnded = false;
 		let settle: (outcome: UpstreamOutcome) => void;
 		const outcome = new Promise<UpstreamOutcome>(resolve => {
@@ -239,7 +239,7 @@
 		}, connectTimeoutMs);
 
 		const noteIdleLoss = (): boolean => {
-			if (idleMs === undefined || hasAnswered) {
+			if (idleMs === undefined || received !== undefined) {
 				return false;
 			}
 
@@ -304,7 +304,7 @@
 		};
 
 		const takeAnswer = (answer: http.IncomingMessage): void => {
-			hasAnswered = true;
+			received = answer;
 			// An instance that answers before it has read the body would take the rest of it for a request.
 			if (!outgoing.writableFinished) {
 				outgoing.shouldKeepAlive = false;
@@ -342,12 +342,20 @@
 			onConnect();
 			socket.once('connect', onReady);
 		});
+
+		/** An error of the connection after a whole answer does not concern the answer. */
+		const failUnlessReceived = (detail: string): void => {
+			if (received?.complete !== true) {
+				fail(detail);
+			}
+		};
+
 		outgoing.once('response', takeAnswer);
 		outgoing.on('error', error => {
-			fail(error.message);
+			failUnlessReceived(error.message);
 		});
 		outgoing.once('close', () => {
-			fail('connection closed');
+			failUnlessReceived('connection closed');
 		});
 		outgoing.end(request.body ?? undefined);
 		return {
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -74,8 +74,8 @@
 	{title: 'a body of an instance that is not meant', answer: {start: 'HTTP/1.1 421 No\r\ntransfer-encoding: chunked\r\n\r\n', piece: chunk}, expected: '503 whole'},
 ];
 
-/** Bytes after a whole answer, while the connection is idle. */
-const excess: readonly Case[] = ([{when: 'later', afterMs: 50}] as const).flatMap(({when, ...pause}): readonly Case[] => [
+/** Bytes after a whole answer, in the same packet and while the connection is idle. */
+const excess: readonly Case[] = ([{when: 'at once'}, {when: 'later', afterMs: 50}] as const).flatMap(({when, ...pause}): readonly Case[] => [
 	{title: `bytes after a whole answer, ${when}`, answer: {start: `HTTP/1.1 200 OK\r\n${signed}content-length: 2\r\n\r\nok`, piece: kilobyte, ...pause}, expected: '200 whole'},
 	{title: `answers after a whole answer, ${when}`, answer: {start: `HTTP/1.1 200 OK\r\n${signed}content-length: 0\r\n\r\n`, piece: wholeAnswer('other'), ...pause}, expected: '200 whole'},
 	{
