fix(gateway): informational answers without end are cut off

Cause: each 1xx answer starts the parser's limit of header bytes anew, and nothing counted them.

Evidence: the case "informational answers" of endless-answers.test.ts got 504 at the limit before, and 502 at once now.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,7 +11,7 @@
 import {createIdleLimit} from '@egretwing/core';
 import {answerIsBounded} from '@egretwing/node';
 import {
-	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs,
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxInformational,
 } from './constants.ts';
 import type {HeaderNames} from './types.ts';
 
@@ -350,6 +350,13 @@
 			}
 		};
 
+		let informational = 0;
+		outgoing.on('information', () => {
+			informational++;
+			if (informational > maxInformational) {
+				outgoing.destroy(new Error('too many informational answers'));
+			}
+		});
 		outgoing.once('response', takeAnswer);
 		outgoing.on('error', error => {
 			failUnlessReceived(error.message);
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -62,6 +62,7 @@
 	{title: 'the bytes of a header', answer: {start: 'HTTP/1.1 200 OK\r\nx-long: ', piece: kilobyte}, expected: '502 whole'},
 	{title: 'header lines', answer: {start: 'HTTP/1.1 200 OK\r\n', piece: 'x: y\r\n'}, expected: '502 whole'},
 	{title: 'header lines, slowly', answer: {start: 'HTTP/1.1 200 OK\r\n', piece: 'x: y\r\n', pauseMs: 20}, expected: '504 whole'},
+	{title: 'informational answers', answer: {start: '', piece: 'HTTP/1.1 103 Early Hints\r\n\r\n'}, expected: '502 whole'},
 	{title: 'informational answers, slowly', answer: {start: '', piece: 'HTTP/1.1 100 Continue\r\n\r\n', pauseMs: 50}, expected: '504 whole'},
 	{title: 'extensions of a chunk', answer: {start: `${chunkedHead}4;`, piece: kilobyte}, expected: '502 whole'},
 	{title: 'trailers', answer: {start: `${chunkedHead}0\r\n`, piece: 'x: y\r\n'}, expected: '502 whole'},
