fix(gateway): the limit of a request and the leaving of its caller end the rest of a long answer

What callers saw: no end of an answer whose body goes on without end, though their time was over. What instances saw: nobody closed their connection when such a caller had left, or had stopped reading.

Cause: once an answer has grown over what is held back (1 MiB) the outcome of the attempt is known, and its timer and its listener for the caller's leaving were dropped, though the rest of the answer was still to come.

Fix: both stay until the connection to the instance is closed or free again. Giving up an attempt destroys the answer itself: destroyed by its request alone, an answer that has come whole would have ended without what was not read yet. An answer that is cut off, or whose time is over, before its caller gets any of it, while another instance is asked, becomes "outcome unknown".

A long answer that takes longer than the limit of its request is broken off now; before, it went on.

Evidence: eight new cases of endless-answers.test.ts (in chunks and with a length; callers that read on, leave and stop reading; bytes that trickle) failed before: no end within 2 s, or the connection still open 0.8 s after the caller had left. The new test of upstream.test.ts saw "end" in place of "error" without the destroyed answer.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,6 +54,9 @@
 /** Longest time for which such an answer is read: half of the time for which an instance may work on what nobody waits for. */
 export const maxDrainMs = 250;
 
+/** How much earlier than asked a timer may fire: timers count whole milliseconds of the event loop's clock, which lags behind. */
+export const timerSlackMs = 2;
+
 /** How long callers keep the addresses they were told: short, so that they leave a lost gateway soon. */
 export const locateKeepMs = 2000;
 
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -19,7 +19,7 @@
 import {forwardedHeaders, refuse} from '@egretwing/node';
 import {readBody} from './body.ts';
 import {
-	hedgeFactor, loggedNameLength, maxUnreachable, notReadyRetryMs, startWaitMs,
+	hedgeFactor, loggedNameLength, maxUnreachable, notReadyRetryMs, startWaitMs, timerSlackMs,
 } from './constants.ts';
 import type {Dispatchers, Placed} from './dispatchers.ts';
 import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
@@ -164,19 +164,15 @@
 		}
 
 		const leftMs = context.finalAtMs - nowMs();
-		const {outcome, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
+		const {outcome, released, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
 		context.signal.addEventListener('abort', abort, {once: true});
-		const release = (): void => {
+		// Limit and caller end the rest of an answer, too, which is passed on after the outcome is known.
+		void released.then(() => {
 			clearTimeout(timer);
 			context.signal.removeEventListener('abort', abort);
-		};
-
-		return {
-			placement,
-			ended: outcome.finally(release),
-			abort,
-		};
+		});
+		return {placement, ended: outcome, abort};
 	};
 
 	/** Whether a failed attempt is followed by another, and why not. */
@@ -353,6 +349,13 @@
 		}
 	};
 
+	/** A long answer may be cut off, or its time be over, while other instances are asked; its caller got nothing of it yet. */
+	const refuseCutOff = (final: Final, finalAtMs: number): Final => {
+		const rest = final.type === 'answer' ? final.answer.rest : undefined;
+		const isCutOff = rest !== undefined && (rest.destroyed || nowMs() + timerSlackMs >= finalAtMs);
+		return isCutOff ? refuseWith('outcome-unknown', 'answer cut off') : final;
+	};
+
 	const writeAnswer = (response: http.ServerResponse, answer: UpstreamAnswer): void => {
 		const {statusCode, headers, body, isBounded, rest, isRestWhole} = answer;
 		const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
@@ -490,7 +493,7 @@
 			},
 			signal: gone.signal,
 		};
-		const final = await attemptUntilFinal(context);
+		const final = refuseCutOff(await attemptUntilFinal(context), context.finalAtMs);
 		if (final.type !== 'caller-gone') {
 			dispatchers.noteServed(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
 		}
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -62,7 +62,9 @@
 /** An attempt under way. */
 export type UpstreamAttempt = {
 	readonly outcome: Promise<UpstreamOutcome>;
-	/** Closes the connection, so that the instance stops. */
+	/** Resolves once the connection is closed or free again: after the outcome where the answer has a `rest`. */
+	readonly released: Promise<void>;
+	/** Closes the connection, so that the instance stops; a `rest` that is not read yet fails. */
 	readonly abort: () => void;
 };
 
@@ -361,14 +363,20 @@
 		outgoing.on('error', error => {
 			failUnlessReceived(error.message);
 		});
-		outgoing.once('close', () => {
-			failUnlessReceived('connection closed');
+		const released = new Promise<void>(resolve => {
+			outgoing.once('close', () => {
+				failUnlessReceived('connection closed');
+				resolve();
+			});
 		});
 		outgoing.end(request.body ?? undefined);
 		return {
 			outcome,
+			released,
 			abort() {
 				isAborted = true;
+				// Destroyed by its request alone, an answer that has come whole would end without what is not read yet.
+				received?.destroy(new Error('attempt given up'));
 				outgoing.destroy();
 			},
 		};
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -10,8 +10,9 @@
 } from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {heldAnswerBytes} from '../src/constants.ts';
 import {
-	startEndlessInstance, wholeAnswer, type EndlessAnswer, type EndlessInstance,
+	startEndlessInstance, wholeAnswer, type EndlessAnswer, type EndlessInstance, type EndlessOptions,
 } from './support/endless-instance.ts';
 import {createTestSettings} from './support/settings.ts';
 
@@ -22,6 +23,10 @@
 const timeoutMs = 500;
 /** Time after its limit, or after its end, in which a request and its connections are ended. */
 const endSlackMs = 400;
+/** Limit of requests that are sent to another instance meanwhile. */
+const longTimeoutMs = 1000;
+/** Time after which a caller gives up in any case. */
+const patienceMs = 2 * longTimeoutMs;
 /** What buffers of a connection and of the gateway may take of an answer that nobody reads; far below what is offered. */
 const maxUnreadBytes = 25_165_824;
 
@@ -29,9 +34,17 @@
 const unboundedHead = `HTTP/1.1 200 OK\r\n${signed}connection: close\r\n\r\n`;
 const chunkedHead = `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`;
 const longHead = `HTTP/1.1 200 OK\r\n${signed}content-length: 1000000000\r\n\r\n`;
+const errorHead = `HTTP/1.1 500 No\r\n${signed}content-length: 1000000000\r\n\r\n`;
 const notExecutedHead = 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\n';
 const kilobyte = 'x'.repeat(1024);
 const chunk = `400\r\n${kilobyte}\r\n`;
+const longKinds: ReadonlyArray<{readonly kind: string; readonly start: string; readonly piece: string}> = [
+	{kind: 'in chunks', start: chunkedHead, piece: chunk},
+	{kind: 'with a length', start: longHead, piece: kilobyte},
+];
+
+/** Revision of the store; above those of its entries. */
+const asOf = 100_000;
 
 /** What the caller does once its answer has begun. */
 type Reading = 'reads' | 'leaves' | 'stops';
@@ -86,50 +99,75 @@
 	{title: `chunks after the last chunk, ${when}`, answer: {start: `${chunkedHead}0\r\n\r\n`, piece: chunk, ...pause}, expected: '200 whole'},
 ]);
 
-const cases: readonly Case[] = [...unusable, ...excess];
+/** Answers that are passed on as they come, once they are longer than what is held back. */
+const passedOn: readonly Case[] = longKinds.flatMap(({kind, start, piece}): readonly Case[] => [
+	{
+		title: `a body ${kind} to a caller that reads on`, answer: {start, piece}, expected: '200 cut', isPassedOn: true,
+	},
+	{
+		title: `a body ${kind} to a caller that leaves`, answer: {start, piece}, reading: 'leaves', expected: '200 cut',
+	},
+	{
+		title: `a body ${kind} to a caller that stops reading`, answer: {start, piece}, reading: 'stops', expected: '200 cut',
+	},
+	{
+		title: `a body ${kind}, slowly once it is long`, answer: {start: start + piece.repeat((heldAnswerBytes / kilobyte.length) + 1), piece, pauseMs: 20}, expected: '200 cut', isPassedOn: true,
+	},
+]);
+
+const cases: readonly Case[] = [...unusable, ...excess, ...passedOn];
+
+/** Services with two instances; the first request to either of them gets an error without end. */
+const retried: ReadonlyArray<{readonly title: string; readonly later: EndlessOptions['later']; readonly expected: string}> = [
+	{title: 'tells a caller that the outcome is unknown when an error without end is cut off while another instance is asked', later: 'silence', expected: '502 whole'},
+];
+
+type TestService = {
+	readonly semantics: 'idempotent' | 'at-most-once';
+	readonly timeoutMs: number;
+	readonly instances: readonly EndlessInstance[];
+};
 
-const pathOf = (index: number): string => `/case-${index}/`;
+const pathOf = (index: number): string => `/${index}/`;
 
-const createConfig = (count: number): FleetConfig => ({
+const createConfig = (services: readonly TestService[]): FleetConfig => ({
 	version: 1,
-	routes: Array.from({length: count}, (_, index) => ({
-		name: `case-${index}`,
+	routes: services.map(({semantics, timeoutMs: limitMs}, index) => ({
+		name: `r-${index}`,
 		hostName: 'a.example',
 		pathPrefix: pathOf(index),
-		semantics: 'at-most-once',
-		timeoutMs,
-		latencyObjectiveMs: timeoutMs,
+		semantics,
+		timeoutMs: limitMs,
+		latencyObjectiveMs: limitMs,
 		maxAttempts: 2,
 		rank: 1,
 		services: [{service: `s-${index}`, weight: 1}],
 	})),
-	services: Array.from({length: count}, (_, index) => ({name: `s-${index}`, healthPath: '/', connectionsPerInstance: 10})),
+	services: services.map((_, index) => ({name: `s-${index}`, healthPath: '/', connectionsPerInstance: 10})),
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
 	},
 });
 
-/** Each case has a service of its own with one instance. */
-const createStore = (instances: readonly EndlessInstance[]): StoreClient => ({
+const createEntries = (services: readonly TestService[]): readonly InstanceEntry[] => services.flatMap(({instances}, index) => instances.map(({port}): InstanceEntry => ({
+	instanceId: `i-${port}`,
+	revision: port,
+	record: {
+		service: `s-${index}`, address, port, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+	},
+})));
+
+const createStore = (services: readonly TestService[]): StoreClient => ({
 	async readAll(topic) {
-		return Ok({
-			...(topic === 'config' && {config: createConfig(instances.length)}),
-			entries: topic === 'config'
-				? []
-				: instances.map(({port}, index): InstanceEntry => ({
-					instanceId: `i-${index}`,
-					revision: index + 1,
-					record: {
-						service: `s-${index}`, address, port, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
-					},
-				})),
-			refused: [],
-			asOf: 1000,
-		});
+		return Ok(topic === 'config'
+			? {
+				config: createConfig(services), entries: [], refused: [], asOf,
+			}
+			: {entries: createEntries(services), refused: [], asOf});
 	},
 	async watch() {
 		await delay(200);
-		return Ok({entries: [], refused: [], asOf: 1000});
+		return Ok({entries: [], refused: [], asOf});
 	},
 	close: () => undefined,
 });
@@ -137,13 +175,13 @@
 /** Sends a request on a connection of its own. */
 const call = async (path: string, id: string, method: 'GET' | 'HEAD', reading: Reading): Promise<Received> => new Promise((resolve, reject) => {
 	const outgoing = http.request({
-		host: address, port: entryPort, path, agent: false, method, headers: {host: 'a.example', 'egretwing-request-id': id, 'egretwing-deadline-ms': '5000'},
+		host: address, port: entryPort, path, agent: false, method, signal: AbortSignal.timeout(patienceMs), headers: {host: 'a.example', 'egretwing-request-id': id, 'egretwing-deadline-ms': '5000'},
 	}, response => {
 		const {socket} = response;
 		const chunks: Buffer[] = [];
 		const end = (): void => {
-			// The library takes a reset for the end of an answer without a length.
-			const isWhole = response.complete && socket.errored === null;
+			// The library takes a reset, and the leaving of the caller, for the end of an answer without a length.
+			const isWhole = response.complete && socket.errored === null && reading !== 'leaves';
 			resolve({
 				statusCode: response.statusCode!, text: Buffer.concat(chunks).toString(), isWhole, endedAtMs: performance.now(),
 			});
@@ -155,7 +193,7 @@
 				socket.destroy();
 			}
 
-			if (reading === 'stops') {
+			if (reading === 'stops' && chunks.length === 1) {
 				response.pause();
 				setTimeout(() => {
 					response.resume();
@@ -171,11 +209,19 @@
 
 describe('an instance that sends without end', () => {
 	let gateway: Gateway;
-	let instances: readonly EndlessInstance[] = [];
+	let services: readonly TestService[] = [];
 
 	before(async () => {
-		instances = await Promise.all(cases.map(async ({answer}) => startEndlessInstance(address, answer)));
-		gateway = await startGateway(createTestSettings('g', address, entryPort), {store: createStore(instances), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
+		const single = await Promise.all(cases.map(async ({answer}): Promise<TestService> => ({
+			semantics: 'at-most-once', timeoutMs, instances: [await startEndlessInstance(address, answer)],
+		})));
+		const double = await Promise.all(retried.map(async ({later}): Promise<TestService> => {
+			const ids: string[] = [];
+			const start = async () => startEndlessInstance(address, {start: errorHead, piece: kilobyte}, {later, ids});
+			return {semantics: 'idempotent', timeoutMs: longTimeoutMs, instances: await Promise.all([start(), start()])};
+		}));
+		services = [...single, ...double];
+		gateway = await startGateway(createTestSettings('g', address, entryPort), {store: createStore(services), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
 		while (!gateway.isReady()) {
 			await delay(20);
 		}
@@ -183,22 +229,28 @@
 
 	after(async () => {
 		await gateway.shutdown();
-		for (const instance of instances) {
-			instance.close();
+		for (const {instances} of services) {
+			for (const instance of instances) {
+				instance.close();
+			}
 		}
 	});
 
-	const check = async (index: number, {method = 'GET', reading = 'reads', expected, isPassedOn = false}: Case): Promise<void> => {
-		const {closedAtMs, takenBytes} = instances[index]!;
+	/** Sends a request whose instance answers without end, and checks that both ends are closed in time. */
+	const check = async (index: number, {method = 'GET', reading = 'reads', expected}: Pick<Case, 'method' | 'reading' | 'expected'>): Promise<void> => {
+		const {instances, timeoutMs: limitMs} = services[index]!;
 		const sentAtMs = performance.now();
 		const received = await call(pathOf(index), 'first', method, reading);
-		const endedAtMs = reading === 'stops' ? sentAtMs + timeoutMs : received.endedAtMs;
-		const instanceClosedAtMs = await Promise.race([closedAtMs, delay(2 * endSlackMs, Number.POSITIVE_INFINITY)]);
+		const endedAtMs = reading === 'stops' ? sentAtMs + limitMs : received.endedAtMs;
+		const instanceClosedAtMs = await Promise.race([...instances.map(async ({closedAtMs}) => closedAtMs), delay(2 * endSlackMs, Number.POSITIVE_INFINITY)]);
 		expect(`${received.statusCode} ${received.isWhole ? 'whole' : 'cut'}`).to.equal(expected);
-		expect(endedAtMs - sentAtMs, 'time until the end of the answer').to.be.below(timeoutMs + endSlackMs);
+		expect(endedAtMs - sentAtMs, 'time until the end of the answer').to.be.below(limitMs + endSlackMs);
 		expect(instanceClosedAtMs - endedAtMs, 'time until the connection was closed').to.be.below(endSlackMs);
+	};
+
+	const checkNext = async (index: number, isPassedOn: boolean): Promise<void> => {
 		if (!isPassedOn) {
-			expect(takenBytes(), 'bytes taken').to.be.below(maxUnreadBytes);
+			expect(services[index]!.instances[0]!.takenBytes(), 'bytes taken').to.be.below(maxUnreadBytes);
 		}
 
 		const next = await call(pathOf(index), 'next', 'GET', 'reads');
@@ -206,6 +258,13 @@
 	};
 
 	for (const [index, testCase] of cases.entries()) {
-		it(`is cut off when it sends ${testCase.title}`, async () => check(index, testCase));
+		it(`is cut off when it sends ${testCase.title}`, async () => {
+			await check(index, testCase);
+			await checkNext(index, testCase.isPassedOn ?? false);
+		});
+	}
+
+	for (const [index, {title, expected}] of retried.entries()) {
+		it(title, async () => check(cases.length + index, {expected}));
 	}
 });
--- a/packages/gateway/test/support/endless-instance.ts
+++ b/packages/gateway/test/support/endless-instance.ts
@@ -37,9 +37,16 @@
 export const wholeAnswer = (id: string): string =>
 	`HTTP/1.1 200 OK\r\negretwing-request-id: ${id}\r\negretwing-signature: s\r\ncontent-length: ${id.length}\r\n\r\n${id}`;
 
-/** Starts an instance that gives the first request `answer`, and each later one a whole answer of its own. */
-export const startEndlessInstance = async (address: string, answer: EndlessAnswer): Promise<EndlessInstance> => {
-	const ids: string[] = [];
+/** How an instance goes on. */
+export type EndlessOptions = {
+	/** What requests after the first one get. */
+	readonly later?: 'whole answers' | 'silence';
+	/** Ids of the requests so far; shared by instances of which only one gives an answer without end. */
+	readonly ids?: string[];
+};
+
+/** Starts an instance that gives the first request `answer`. */
+export const startEndlessInstance = async (address: string, answer: EndlessAnswer, {later = 'whole answers', ids = []}: EndlessOptions = {}): Promise<EndlessInstance> => {
 	const sockets = new Set<net.Socket>();
 	let takenBytes = 0;
 	let noteClosed: (atMs: number) => void;
@@ -95,7 +102,7 @@
 			ids.push(id);
 			if (ids.length === 1) {
 				sendEndless(socket, id);
-			} else {
+			} else if (later === 'whole answers') {
 				socket.write(wholeAnswer(id));
 			}
 		});
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {defaultHeaderNames} from '@egretwing/gateway';
+import {heldAnswerBytes} from '../src/constants.ts';
 import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
 
 const address = '127.0.0.1';
@@ -213,4 +214,46 @@
 		upstream.close();
 		instance.close();
 	});
+
+	it('does not end the rest of a given up answer as if it had been read, although all of it has come', async () => {
+		const lateBytes = 5000;
+		const body = 'x'.repeat(heldAnswerBytes + 1);
+		const answer = whole('r1', body).replace(String(body.length), String(body.length + lateBytes));
+		const sockets: net.Socket[] = [];
+		const server = net.createServer(socket => {
+			sockets.push(socket);
+			socket.on('error', () => undefined);
+			socket.once('data', async () => {
+				socket.write(answer);
+				await delay(50);
+				socket.write('x'.repeat(lateBytes));
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, address, resolve);
+		});
+		const upstream = create();
+		const attempt = upstream.send({instanceId: 'i', address, port: (server.address() as net.AddressInfo).port}, request(), 1000);
+		const outcome = await attempt.outcome;
+		const rest = outcome.type === 'answered' ? outcome.answer.rest : undefined;
+		const events: string[] = [];
+		for (const event of ['data', 'end', 'error']) {
+			rest?.once(event, () => {
+				events.push(event);
+			});
+		}
+
+		rest?.pause();
+		await delay(100);
+		expect(rest?.complete).to.equal(true);
+		attempt.abort();
+		await attempt.released;
+		await delay(20);
+		expect(events).to.deep.equal(['error']);
+		upstream.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
 });
