fix(gateway): a reset that comes with the last bytes does not complete an answer without a length

What callers saw: a success with a part of the body, where the instance had reset the connection of an answer without a length right after some of its bytes.

Cause: libuv reports the end of the stream when a reset is polled together with the data before it, so that the socket has no error. The gateway took any end without an error for an orderly one.

Fix: a reset socket has no peer any more, which is looked at as soon as the socket ends.

Evidence: "refuses an answer without a length that a reset ends" got "answered 200 part unbounded" before, and passes now.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -13,6 +13,7 @@
 import {
 	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxInformational,
 } from './constants.ts';
+import {watchReset} from './reset.ts';
 import type {HeaderNames} from './types.ts';
 
 /** Where an attempt goes. */
@@ -142,9 +143,15 @@
 	}
 }
 
-/** Node takes a reset for the end of an answer that has no length; only an orderly end completes it. */
-const isWhole = (answer: http.IncomingMessage, socket: net.Socket, method: string): boolean =>
-	answer.complete && (socket.errored === null || answerIsBounded(method, answer.statusCode ?? 0, answer.headers));
+/** Tells, once an answer has ended, whether it is whole: a reset does not complete an answer that has no length. */
+const watchWhole = (answer: http.IncomingMessage, method: string): (() => boolean) => {
+	if (answerIsBounded(method, answer.statusCode ?? 0, answer.headers)) {
+		return () => answer.complete;
+	}
+
+	const isReset = watchReset(answer.socket);
+	return () => answer.complete && !isReset();
+};
 
 /** Reads an answer that nobody needs, so that its connection can be kept; closes the connection when that takes too much. */
 const drain = (answer: http.IncomingMessage): void => {
@@ -278,6 +285,7 @@
 
 		const collect = (answer: http.IncomingMessage): void => {
 			const {socket} = answer;
+			const isWhole = watchWhole(answer, request.method);
 			const chunks: Buffer[] = [];
 			let sizeBytes = 0;
 			const onData = (chunk: Buffer): void => {
@@ -286,13 +294,13 @@
 				if (sizeBytes > heldAnswerBytes) {
 					answer.pause();
 					answer.off('data', onData);
-					settle({type: 'answered', answer: {...toAnswer(answer, chunks), rest: answer, isRestWhole: () => isWhole(answer, socket, request.method)}});
+					settle({type: 'answered', answer: {...toAnswer(answer, chunks), rest: answer, isRestWhole: isWhole}});
 				}
 			};
 
 			answer.on('data', onData);
 			answer.once('end', () => {
-				if (!isWhole(answer, socket, request.method)) {
+				if (!isWhole()) {
 					fail('answer cut short');
 					return;
 				}
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -12,7 +12,7 @@
 const longBodyBytes = 16_000_000;
 
 /** Starts an instance that answers each request with the next of `answers`; '' resets the connection. */
-const startInstance = async (answers: readonly string[], end: 'keep' | 'end' = 'keep') => {
+const startInstance = async (answers: readonly string[], end: 'keep' | 'end' | 'reset' = 'keep') => {
 	const seen: string[] = [];
 	const queue = [...answers];
 	let connections = 0;
@@ -34,6 +34,8 @@
 			socket.write(answer);
 			if (end === 'end') {
 				socket.end();
+			} else if (end === 'reset') {
+				socket.resetAndDestroy();
 			}
 		});
 	});
@@ -79,7 +81,7 @@
 		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined,
 	});
 
-	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end'; readonly outcome: string}> = [
+	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end' | 'reset'; readonly outcome: string}> = [
 		{title: 'passes a whole answer', answer: whole('r1'), outcome: 'answered 200 ok'},
 		{title: 'refuses an answer to another request', answer: whole('r0'), outcome: 'broken'},
 		{title: 'refuses a success without signature', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\ncontent-length: 2\r\n\r\nok', outcome: 'broken'},
@@ -91,6 +93,12 @@
 		{
 			title: 'marks an answer without a length', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'end', outcome: 'answered 200 part unbounded',
 		},
+		{
+			title: 'refuses an answer without a length that a reset ends', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'reset', outcome: 'broken',
+		},
+		{
+			title: 'passes a whole answer that a reset follows', answer: whole('r1'), end: 'reset', outcome: 'answered 200 ok',
+		},
 		{title: 'passes an error answer of the instance', answer: 'HTTP/1.1 500 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 500 '},
 		...[304, 400, 404, 408, 413, 429].map(statusCode => ({
 			title: `refuses an answer ${statusCode} without signature`, answer: `HTTP/1.1 ${statusCode} No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n`, outcome: 'broken',
