fix(gateway): the header limit of the configuration holds

Callers whose headers were larger than 16 KB got 431 although the configuration allows more; with over 2,000 short headers, those after them were dropped, and without the host header the library answered 400.

Cause: the HTTP server of a gateway kept the defaults of Node.js (16 KB, 2,000 headers) and nothing looked at the limit of the configuration, neither above nor below 16 KB.

The server reads heads up to a bound of its own, 128 KB, and drops no header. The limit of the configuration is compared with the bytes that the parser counts once the head is in, so that a change holds on open connections; a lowered one spares heads that were on their way, for as long as a head may take. A configuration above the bound is warned of.

Evidence, denied.test.ts on the sources before: 431 in place of 200 for 64 KB allowed and for a limit raised while the head arrives, 400 for 2,500 short headers, 200 in place of 431 above a limit of 4 KB; all pass now. The case of a refusal above the limit stood for the parser's line; now it checks the gateway's own line and count, and a second case of the same form checks the parser's beyond the bound.

A process may hold 128 KB of an unfinished head for a connection, 16 KB before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -21,6 +21,12 @@
 /** Instances that one report names, at most, so that it fits one packet. */
 export const reportsPerDatagram = 48;
 
+/**
+ * Largest head of a request or an answer that is read at all, in bytes: eight times the usual limit of HTTP servers. The
+ * parser holds what it has read of a head, so that this bounds the memory that one connection takes before its request is known.
+ */
+export const maxReadHeadBytes = 131_072;
+
 /** Time in which a connection to an instance has to open: many round trips between data centres. */
 export const connectTimeoutMs = 350;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,10 +26,11 @@
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
 } from '@egretwing/node';
 import {
-	configDoubtMs, drainAcceptShare, drainEndShare, joinIntervalMs, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
+	configDoubtMs, drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
 } from './constants.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
+import {createHeadLimit} from './head.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
 import {createRequestLog} from './request-log.ts';
@@ -85,6 +86,7 @@
 	const knownHosts = new Map<string, EntryHost>();
 	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
+	const headLimit = createHeadLimit();
 	let routes = createPrefixRouteTable([]);
 	let configOrigin: ConfigOrigin | undefined;
 	/** Until then the first configuration, if a peer sent it, may be an old one. */
@@ -138,9 +140,13 @@
 				routes = createPrefixRouteTable(config.routes);
 				configOrigin = {source, sinceMs: nowMs()};
 				doubtUntilMs ??= nowMs() + configDoubtMs;
+				headLimit.take(config.limits, nowMs());
 				server.keepAliveTimeout = config.limits.idleTimeoutMs;
 				metrics.configVersion.set(config.version);
 				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
+				if (config.limits.maxHeaderBytes >= maxReadHeadBytes) {
+					logger.warn('header limit of the configuration is larger than what is read', {maxHeaderBytes: config.limits.maxHeaderBytes, maxReadHeadBytes});
+				}
 			}
 
 			for (const {instanceId, revision, record, isLapsed} of entries) {
@@ -290,6 +296,7 @@
 		routes: () => routes,
 		configOrigin: () => configOrigin,
 		isConfigDoubtful: () => nowMs() < (doubtUntilMs ?? 0),
+		maxHeadBytes: () => headLimit.bytes(nowMs()),
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
@@ -320,7 +327,12 @@
 		}
 	};
 
-	const server = http.createServer({requestTimeout: 0, headersTimeout: 0, keepAlive: true}, handle);
+	// The limit of the configuration is enforced per request, so that a change holds on open connections as well.
+	const server = http.createServer({
+		requestTimeout: 0, headersTimeout: 0, keepAlive: true, maxHeaderSize: maxReadHeadBytes,
+	}, handle);
+	// Beyond the default count, Node.js drops headers without a word; their size is bounded.
+	server.maxHeadersCount = 0;
 	// What a caller expects concerns its connection to the gateway alone; unknown wishes are no reason for 417.
 	server.on('checkExpectation', handle);
 	server.on('clientError', (error, socket) => {
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -23,6 +23,7 @@
 } from './constants.ts';
 import type {Dispatchers, Placed} from './dispatchers.ts';
 import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
+import {headBytesOf} from './head.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
 import type {HeaderNames} from './types.ts';
@@ -45,6 +46,8 @@
 	readonly configOrigin: () => ConfigOrigin | undefined;
 	/** True while newer configurations may be in force everywhere else, so that a route may be missing here alone. */
 	readonly isConfigDoubtful: () => boolean;
+	/** Largest head that a request may have now. */
+	readonly maxHeadBytes: () => number;
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
 	readonly retryWindow: (service: string) => RetryWindow;
@@ -453,6 +456,11 @@
 			return;
 		}
 
+		if (headBytesOf(incoming) > parts.maxHeadBytes()) {
+			conclude(response, unrouted, refuseWith('headers-too-large', 'headers'));
+			return;
+		}
+
 		const requestTarget = toTarget(incoming);
 		const lookup = toLookup(requestTarget);
 		const route = parts.routes().match(lookup.hostName, lookup.path);
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -3,14 +3,14 @@
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import type {CallerLimits, FleetConfig, InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {
 	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
 } from '@egretwing/gateway';
 import {Err, Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
-import {configDoubtMs} from '../src/constants.ts';
+import {configDoubtMs, maxReadHeadBytes} from '../src/constants.ts';
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(208)}.1`;
@@ -23,7 +23,7 @@
 const logLevel = 3;
 
 /** More than callers may send, as gateways add headers of their own. */
-const instanceHeaderBytes = 32_768;
+const instanceHeaderBytes = 262_144;
 
 const config: FleetConfig = {
 	version: 1,
@@ -36,7 +36,7 @@
 	},
 };
 
-const createStore = (port: number): StoreClient => ({
+const createStore = (port: number, published: () => FleetConfig = () => config): StoreClient => ({
 	async readAll(topic) {
 		const entry: InstanceEntry = {
 			instanceId: 'i',
@@ -46,12 +46,14 @@
 			},
 		};
 		return Ok({
-			...(topic === 'config' && {config}), entries: topic === 'config' ? [] : [entry], refused: [], asOf: 10,
+			...(topic === 'config' && {config: published()}), entries: topic === 'config' ? [] : [entry], refused: [], asOf: 10,
 		});
 	},
-	async watch() {
+	async watch(topic) {
 		await delay(200);
-		return Ok({entries: [], refused: [], asOf: 10});
+		return Ok({
+			...(topic === 'config' && {config: published()}), entries: [], refused: [], asOf: 10,
+		});
 	},
 	close: () => undefined,
 });
@@ -65,6 +67,7 @@
 			response.writeHead(200, {'egretwing-request-id': 'r1', 'egretwing-signature': 'signed', 'content-length': 2}).end('ok');
 		});
 	});
+	server.maxHeadersCount = 0;
 	await new Promise<void>(resolve => {
 		server.listen(0, address, resolve);
 	});
@@ -81,6 +84,35 @@
 const head = (line: string, ...headers: readonly string[]): string =>
 	[`${line} HTTP/1.1`, 'egretwing-request-id: r1', ...headers, '', ''].join('\r\n');
 
+/** Writes `parts` one after the other, or calls them, then ends its direction if asked to; returns the status codes of the answers. */
+const talkTo = async (port: number, parts: ReadonlyArray<string | (() => Promise<void>)>, ends = false): Promise<readonly string[]> => {
+	const socket = net.connect({
+		host: address, port, allowHalfOpen: true,
+	});
+	const chunks: Buffer[] = [];
+	socket.on('data', chunk => {
+		chunks.push(chunk);
+	});
+	socket.on('error', () => undefined);
+	for (const part of parts) {
+		if (typeof part === 'function') {
+			await part();
+			continue;
+		}
+
+		socket.write(part, 'latin1');
+		await delay(answerMs);
+	}
+
+	if (ends) {
+		socket.end();
+		await delay(answerMs);
+	}
+
+	socket.destroy();
+	return Buffer.concat(chunks).toString('latin1').match(/(?<=HTTP\/1\.1 )\d+/gv) ?? [];
+};
+
 describe('refusals by the gateway', () => {
 	const ports = {next: firstPort};
 	const lines: Array<Readonly<Record<string, unknown>>> = [];
@@ -106,29 +138,7 @@
 		instance.close();
 	});
 
-	/** Writes `parts` one after the other, then ends its direction if asked to; returns the status codes of the answers. */
-	const talk = async (parts: readonly string[], ends = false): Promise<readonly string[]> => {
-		const socket = net.connect({
-			host: address, port, allowHalfOpen: true,
-		});
-		const chunks: Buffer[] = [];
-		socket.on('data', chunk => {
-			chunks.push(chunk);
-		});
-		socket.on('error', () => undefined);
-		for (const part of parts) {
-			socket.write(part, 'latin1');
-			await delay(answerMs);
-		}
-
-		if (ends) {
-			socket.end();
-			await delay(answerMs);
-		}
-
-		socket.destroy();
-		return Buffer.concat(chunks).toString('latin1').match(/(?<=HTTP\/1\.1 )\d+/gv) ?? [];
-	};
+	const talk = async (parts: readonly string[], ends = false): Promise<readonly string[]> => talkTo(port, parts, ends);
 
 	const counted = async (): Promise<string> => {
 		const response = await fetch(`http://${address}:${port + 3}/metrics`);
@@ -151,6 +161,13 @@
 			title: 'of headers larger than the limit',
 			request: head('GET /r/1', 'host: a.example', `x-pad: ${'p'.repeat(17_000)}`),
 			statusCode: '431',
+			line: {message: 'refused', kind: 'headers-too-large', reason: 'headers'},
+			metric: 'egretwing_refusals_total{kind="headers-too-large",reason="headers"} 1',
+		},
+		{
+			title: 'of headers larger than what is read',
+			request: head('GET /r/1', 'host: a.example', `x-pad: ${'p'.repeat(maxReadHeadBytes)}`),
+			statusCode: '431',
 			line: {
 				message: 'unreadable', code: 'HPE_HEADER_OVERFLOW', kind: 'headers-too-large', isServing: false,
 			},
@@ -235,6 +252,121 @@
 	}
 });
 
+describe('limits of the configuration in force', () => {
+	const port = firstPort + 50;
+	let published = config;
+	let gateway: Gateway;
+	let instance: Awaited<ReturnType<typeof startInstance>>;
+
+	before(async () => {
+		instance = await startInstance();
+		gateway = await startGateway(createTestSettings('g', address, port), {
+			store: createStore(instance.port, () => published), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0),
+		});
+		while (!gateway.isReady()) {
+			await delay(20);
+		}
+	});
+
+	after(async () => {
+		await gateway.shutdown();
+		instance.close();
+	});
+
+	const versionInForce = async (): Promise<number> => {
+		const response = await fetch(`http://${address}:${port + 3}/v1/status`);
+		const {digest} = await response.json() as {readonly digest: {readonly configVersion: number}};
+		return digest.configVersion;
+	};
+
+	const publish = async (changes: Partial<CallerLimits>): Promise<void> => {
+		published = {...config, version: published.version + 1, limits: {...config.limits, ...changes}};
+		while (await versionInForce() < published.version) {
+			await delay(20);
+		}
+	};
+
+	/** A request whose head has the size, from the request line to the empty line. */
+	const headOf = (sizeBytes: number): string => {
+		const withPad = (length: number): string => head('GET /r/1', 'host: a.example', `x-pad: ${'p'.repeat(length)}`);
+		return withPad(sizeBytes - withPad(0).length);
+	};
+
+	const chunkedHead = head('POST /r/1', 'host: a.example', 'transfer-encoding: chunked');
+	const chunk = (sizeBytes: number): string => `${sizeBytes.toString(16)}\r\n${'b'.repeat(sizeBytes)}\r\n`;
+	const lastChunk = '0\r\n\r\n';
+	const sized = (sizeBytes: number): string => `${head('POST /r/1', 'host: a.example', `content-length: ${sizeBytes}`)}${'b'.repeat(sizeBytes)}`;
+	const manyHeaders = Array.from({length: 2500}, (_, index) => `x${index}:1`);
+
+	/** Until then a limit that was lowered spares heads that were on their way. */
+	const afterHeadTime = async (): Promise<void> => delay(config.limits.headerTimeoutMs);
+
+	const cases: ReadonlyArray<{
+		readonly title: string; readonly limits: Partial<CallerLimits>; readonly parts: ReadonlyArray<string | (() => Promise<void>)>; readonly statusCode: string;
+	}> = [
+		{
+			title: 'allow headers as large as a limit above 16 KB', limits: {maxHeaderBytes: 65_536}, parts: [headOf(65_536)], statusCode: '200',
+		},
+		{
+			title: 'allow headers right at a limit of 16 KB', limits: {maxHeaderBytes: 16_384}, parts: [headOf(16_384)], statusCode: '200',
+		},
+		{
+			title: 'refuse headers above a limit below 16 KB', limits: {maxHeaderBytes: 4096}, parts: [afterHeadTime, headOf(4300)], statusCode: '431',
+		},
+		{
+			title: 'allow thousands of short headers',
+			limits: {maxHeaderBytes: 65_536},
+			parts: [['GET /r/1 HTTP/1.1', ...manyHeaders, 'egretwing-request-id: r1', 'host: a.example', '', ''].join('\r\n')],
+			statusCode: '200',
+		},
+		{
+			title: 'allow headers that a limit raised while they arrive allows',
+			limits: {maxHeaderBytes: 16_384},
+			parts: [headOf(40_000).slice(0, 10_000), async () => publish({maxHeaderBytes: 65_536}), headOf(40_000).slice(10_000)],
+			statusCode: '200',
+		},
+		{
+			title: 'allow headers that were on their way when the limit was lowered',
+			limits: {maxHeaderBytes: 16_384},
+			parts: [headOf(10_000).slice(0, 4000), async () => publish({maxHeaderBytes: 5000}), headOf(10_000).slice(4000)],
+			statusCode: '200',
+		},
+		{
+			title: 'allow headers that take nearly as long as they may',
+			limits: {headerTimeoutMs: 1000},
+			parts: [headOf(200).slice(0, 50), headOf(200).slice(50, 80), headOf(200).slice(80)],
+			statusCode: '200',
+		},
+		{
+			title: 'allow a body as long as the limit', limits: {maxBodyBytes: 1000}, parts: [sized(1000)], statusCode: '200',
+		},
+		{
+			title: 'refuse a body above the limit', limits: {maxBodyBytes: 1000}, parts: [sized(1001)], statusCode: '413',
+		},
+		{
+			title: 'allow a body in chunks as long as the limit', limits: {maxBodyBytes: 1000}, parts: [chunkedHead, chunk(400), `${chunk(600)}${lastChunk}`], statusCode: '200',
+		},
+		{
+			title: 'allow a body that a limit lowered while it arrives no longer allows',
+			limits: {maxBodyBytes: 1000},
+			parts: [chunkedHead, chunk(100), async () => publish({maxBodyBytes: 500}), `${chunk(900)}${lastChunk}`],
+			statusCode: '200',
+		},
+	];
+	for (const {title, limits, parts, statusCode} of cases) {
+		it(title, async () => {
+			await publish(limits);
+			expect(await talkTo(port, parts)).to.deep.equal([statusCode]);
+		});
+	}
+
+	it('allow the reuse of a connection that has been idle for four fifths of the limit', async () => {
+		await publish({idleTimeoutMs: 1000});
+		const request = headOf(200);
+		expect(await talkTo(port, [request, async () => delay(800 - answerMs), request])).to.deep.equal(['200', '200']);
+	});
+});
+
 describe('gateway that has just started beside one with an old configuration', () => {
 	const port = firstPort + 100;
 	const addresses = [`${networkOf(208)}.2`, `${networkOf(208)}.3`] as const;
