fix(gateway): answers with large or many headers are passed on

Callers got 502 for a good answer whose headers were larger than 16 KB, or whose signature came after 2,000 other headers.

Cause: the defaults of the HTTP client of Node.js, which refuses such a head and drops headers beyond a count.

Evidence: both cases of upstream.test.ts ended as `broken` on the sources before, and are passed now.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,7 +11,7 @@
 import {createIdleLimit} from '@egretwing/core';
 import {answerIsBounded} from '@egretwing/node';
 import {
-	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxInformational,
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxInformational, maxReadHeadBytes,
 } from './constants.ts';
 import {watchReset} from './reset.ts';
 import type {HeaderNames} from './types.ts';
@@ -233,6 +233,7 @@
 			method: request.method,
 			path: request.target,
 			setHost: false,
+			maxHeaderSize: maxReadHeadBytes,
 			headers: {
 				...request.headers,
 				[headerNames.deadlineMs]: String(Math.max(1, Math.floor(leftMs))),
@@ -241,6 +242,8 @@
 				connection: 'keep-alive',
 			},
 		});
+		// Beyond the default count, Node.js drops headers without a word; their size is bounded.
+		outgoing.maxHeadersCount = 0;
 		const connectTimer = setTimeout(() => {
 			if (!isSent) {
 				outgoing.destroy(new Error('connect timeout'));
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -85,6 +85,10 @@
 		{title: 'passes a whole answer', answer: whole('r1'), outcome: 'answered 200 ok'},
 		{title: 'refuses an answer to another request', answer: whole('r0'), outcome: 'broken'},
 		{title: 'refuses a success without signature', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\ncontent-length: 2\r\n\r\nok', outcome: 'broken'},
+		{title: 'passes an answer with large headers', answer: whole('r1', 'ok', `x-pad: ${'p'.repeat(60_000)}\r\n`), outcome: 'answered 200 ok'},
+		{
+			title: 'passes an answer with thousands of headers', answer: whole('r1').replace('\r\n', `\r\n${'x:1\r\n'.repeat(2500)}`), outcome: 'answered 200 ok',
+		},
 		{
 			title: 'refuses an answer that is cut short', answer: whole('r1').replace('content-length: 2', 'content-length: 9'), end: 'end', outcome: 'broken',
 		},
