fix(gateway): a body in chunks keeps its connection whatever its limit becomes

A caller whose body in chunks grew past `maxBodyBytes` lost its connection without an answer, also when a change of the configuration had raised the limit meanwhile; the log said `request failed` with a TypeError.

Cause: leaving the loop over the body destroys the request with its socket, so that the 413 could not be written. The limit was taken once, at the head.

Evidence: both new cases of denied.test.ts got no answer on the sources before, and get 413 and 200 now.

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -475,7 +475,8 @@
 				gone.abort();
 			}
 		});
-		const read = await readBody(incoming, config.limits.maxBodyBytes);
+		// A configuration that changes while the body arrives takes nothing away from it.
+		const read = await readBody(incoming, () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0));
 		if (read.type !== 'whole') {
 			conclude(response, unrouted, read.type === 'too-large' ? refuseWith('request-too-large', 'body') : {type: 'caller-gone'});
 			return;
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -346,6 +346,15 @@
 		{
 			title: 'allow a body in chunks as long as the limit', limits: {maxBodyBytes: 1000}, parts: [chunkedHead, chunk(400), `${chunk(600)}${lastChunk}`], statusCode: '200',
 		},
+		{
+			title: 'refuse a body in chunks above the limit', limits: {maxBodyBytes: 1000}, parts: [chunkedHead, chunk(400), `${chunk(601)}${lastChunk}`], statusCode: '413',
+		},
+		{
+			title: 'allow a body that a limit raised while it arrives allows',
+			limits: {maxBodyBytes: 500},
+			parts: [chunkedHead, chunk(400), async () => publish({maxBodyBytes: 1000}), `${chunk(600)}${lastChunk}`],
+			statusCode: '200',
+		},
 		{
 			title: 'allow a body that a limit lowered while it arrives no longer allows',
 			limits: {maxBodyBytes: 1000},
