fix(gateway): an unsigned 503 of an instance promises a caller nothing

A caller got 503 where an instance had answered 503 without its signature and without saying that it had not run the request. To callers that status means that the request has not run and never will; it had, so that what may run once was sent again.

Cause: unsigned answers below 500 were refused as not the instance's word, those from 500 on were all passed on. 503 is the only one of these that promises anything; 408, 421 and 429 were not passed on unsigned before either.

It now ends the attempt as broken: repeated where the request may be, 502 otherwise. Answers that an instance has signed are passed on unchanged, 503 included, and unsigned 500, 502 and 504 as well, as they promise nothing. Evidence: upstream.test.ts got `answered 503` and gateway.test.ts 503 in place of 502 on the sources before.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -86,6 +86,7 @@
 };
 
 const misdirectedStatusCode = 421;
+const unavailableStatusCode = 503;
 const firstServerErrorStatusCode = 500;
 const msPerSecond = 1000;
 
@@ -177,9 +178,10 @@
 		return `answer to another request: ${String(echoedId)}`;
 	}
 
-	// Unsigned, it would count as the gateway's own word: a success, or a refusal that tells the caller not to come back.
+	// Unsigned, it would count as the gateway's own word: a success, a refusal that tells the caller not to come back, or a promise that nothing ran.
 	const statusCode = answer.statusCode ?? 0;
-	if (statusCode < firstServerErrorStatusCode && answer.headers[names.signature] === undefined) {
+	const isMisleading = statusCode < firstServerErrorStatusCode || statusCode === unavailableStatusCode;
+	if (isMisleading && answer.headers[names.signature] === undefined) {
 		return `answer ${statusCode} without the signature of the instance`;
 	}
 
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -118,6 +118,11 @@
 	response.writeHead(503, {'egretwing-not-executed': '1', 'content-length': 0}).end();
 };
 
+const unsigned = (statusCode: number): Handler => (_request, response) => {
+	response.removeHeader('egretwing-signature');
+	response.writeHead(statusCode, {'content-length': 0}).end();
+};
+
 const silent: Handler = () => undefined;
 
 describe('gateway', () => {
@@ -164,6 +169,9 @@
 		{
 			title: 'passes the error answer of an instance to an at-most-once request', handlers: [answerWith(500, 'no')], path: '/at-most-once/1', body: 'x', statusCode: 500, arrivals: 1,
 		},
+		{
+			title: 'promises nothing where an instance answers 503 and does not say that the request did not run', handlers: [unsigned(503), unsigned(503)], path: '/at-most-once/1', body: 'x', statusCode: 502, arrivals: 1,
+		},
 		{
 			title: 'gives the final answer at the time limit of the route', handlers: [silent], path: '/at-most-once/1', body: 'x', statusCode: 504, arrivals: 1,
 		},
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -104,12 +104,16 @@
 			title: 'passes a whole answer that a reset follows', answer: whole('r1'), end: 'reset', outcome: 'answered 200 ok',
 		},
 		{title: 'passes an error answer of the instance', answer: 'HTTP/1.1 500 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 500 '},
-		...[304, 400, 404, 408, 413, 429].map(statusCode => ({
+		...[304, 400, 404, 408, 413, 429, 503].map(statusCode => ({
 			title: `refuses an answer ${statusCode} without signature`, answer: `HTTP/1.1 ${statusCode} No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n`, outcome: 'broken',
 		})),
 		{
 			title: 'passes an answer 404 that the instance has signed', answer: 'HTTP/1.1 404 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 404 ',
 		},
+		{
+			title: 'passes an answer 503 that the instance has signed', answer: 'HTTP/1.1 503 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 503 ',
+		},
+		{title: 'passes an error answer without signature that promises nothing', answer: 'HTTP/1.1 502 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 502 '},
 		{title: 'tells a request that did not run', answer: 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 503'},
 		{title: 'tells that another instance has the address', answer: 'HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 421'},
 	];
