fix(gateway): a refusal counts only for the request that it names

A request that may run once could run on two instances, and its caller be told 503 for one that had run.

Cause: an answer with `not-executed`, or 421, was believed before its request id was compared. An instance may send an answer of an earlier request where the next one is due; as a refusal it made the gateway send the present request, which was running, to another instance.

The id is compared first. A refusal without an id is still believed, as one may come from an instance that did not read the request. Evidence: on the sources before, upstream.test.ts got `not-executed` and gateway.test.ts 503 after two arrivals of an at-most-once request; now `broken`, and 502 after one arrival.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -171,13 +171,24 @@
 	});
 };
 
+/** True when an answer says that the instance did not run the request. */
+const isNotExecuted = (answer: http.IncomingMessage, names: HeaderNames): boolean =>
+	answer.statusCode === misdirectedStatusCode || answer.headers[names.notExecuted] !== undefined;
+
 /** Why an answer can't be that of the request; undefined when it can. */
 const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames): string | undefined => {
+	const isRefused = isNotExecuted(answer, names);
 	const echoedId = answer.headers[names.requestId];
-	if (request.requestId !== undefined && echoedId !== request.requestId) {
+	// A refusal may come from what has no idea of the request; one that names another request came late and says nothing of this one.
+	const mayBeOwn = echoedId === request.requestId || (isRefused && echoedId === undefined);
+	if (request.requestId !== undefined && !mayBeOwn) {
 		return `answer to another request: ${String(echoedId)}`;
 	}
 
+	if (isRefused) {
+		return undefined;
+	}
+
 	// Unsigned, it would count as the gateway's own word: a success, a refusal that tells the caller not to come back, or a promise that nothing ran.
 	const statusCode = answer.statusCode ?? 0;
 	const isMisleading = statusCode < firstServerErrorStatusCode || statusCode === unavailableStatusCode;
@@ -325,13 +336,6 @@
 				outgoing.shouldKeepAlive = false;
 			}
 
-			const isMisdirected = answer.statusCode === misdirectedStatusCode;
-			if (isMisdirected || answer.headers[headerNames.notExecuted] !== undefined) {
-				drain(answer);
-				settle({type: 'not-executed', statusCode: answer.statusCode!});
-				return;
-			}
-
 			const fault = findFault(answer, request, headerNames);
 			if (fault !== undefined) {
 				answer.destroy();
@@ -339,6 +343,12 @@
 				return;
 			}
 
+			if (isNotExecuted(answer, headerNames)) {
+				drain(answer);
+				settle({type: 'not-executed', statusCode: answer.statusCode!});
+				return;
+			}
+
 			collect(answer);
 		};
 
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -123,6 +123,10 @@
 	response.writeHead(statusCode, {'content-length': 0}).end();
 };
 
+const refuseAnother: Handler = (_request, response) => {
+	response.writeHead(503, {'egretwing-request-id': 'r0', 'egretwing-not-executed': '1', 'content-length': 0}).end();
+};
+
 const silent: Handler = () => undefined;
 
 describe('gateway', () => {
@@ -170,7 +174,20 @@
 			title: 'passes the error answer of an instance to an at-most-once request', handlers: [answerWith(500, 'no')], path: '/at-most-once/1', body: 'x', statusCode: 500, arrivals: 1,
 		},
 		{
-			title: 'promises nothing where an instance answers 503 and does not say that the request did not run', handlers: [unsigned(503), unsigned(503)], path: '/at-most-once/1', body: 'x', statusCode: 502, arrivals: 1,
+			title: 'promises nothing where an instance answers 503 and does not say that the request did not run',
+			handlers: [unsigned(503), unsigned(503)],
+			path: '/at-most-once/1',
+			body: 'x',
+			statusCode: 502,
+			arrivals: 1,
+		},
+		{
+			title: 'promises nothing where an instance refuses another request than the one it was sent',
+			handlers: [refuseAnother, refuseAnother],
+			path: '/at-most-once/1',
+			body: 'x',
+			statusCode: 502,
+			arrivals: 1,
 		},
 		{
 			title: 'gives the final answer at the time limit of the route', handlers: [silent], path: '/at-most-once/1', body: 'x', statusCode: 504, arrivals: 1,
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -108,12 +108,31 @@
 			title: `refuses an answer ${statusCode} without signature`, answer: `HTTP/1.1 ${statusCode} No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n`, outcome: 'broken',
 		})),
 		{
-			title: 'passes an answer 404 that the instance has signed', answer: 'HTTP/1.1 404 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 404 ',
+			title: 'passes an answer 404 that the instance has signed',
+			answer: 'HTTP/1.1 404 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n',
+			outcome: 'answered 404 ',
 		},
 		{
-			title: 'passes an answer 503 that the instance has signed', answer: 'HTTP/1.1 503 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 503 ',
+			title: 'passes an answer 503 that the instance has signed',
+			answer: 'HTTP/1.1 503 No\r\negretwing-request-id: r1\r\negretwing-signature: s\r\ncontent-length: 0\r\n\r\n',
+			outcome: 'answered 503 ',
 		},
 		{title: 'passes an error answer without signature that promises nothing', answer: 'HTTP/1.1 502 No\r\negretwing-request-id: r1\r\ncontent-length: 0\r\n\r\n', outcome: 'answered 502 '},
+		{
+			title: 'does not believe that a request did not run by the answer to another',
+			answer: 'HTTP/1.1 503 Full\r\negretwing-request-id: r0\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n',
+			outcome: 'broken',
+		},
+		{
+			title: 'does not believe that another instance has the address by the answer to another request',
+			answer: 'HTTP/1.1 421 No\r\negretwing-request-id: r0\r\ncontent-length: 0\r\n\r\n',
+			outcome: 'broken',
+		},
+		{
+			title: 'tells a request that did not run, by its id',
+			answer: 'HTTP/1.1 503 Full\r\negretwing-request-id: r1\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n',
+			outcome: 'not-executed 503',
+		},
 		{title: 'tells a request that did not run', answer: 'HTTP/1.1 503 Full\r\negretwing-not-executed: 1\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 503'},
 		{title: 'tells that another instance has the address', answer: 'HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n', outcome: 'not-executed 421'},
 	];
