fix(gateway): no final refusal while a peer holds a newer configuration

While a change of the configuration was on its way to a gateway, callers there got 404 for a route that had just been added, and 413 or 431 beyond a limit that had just been raised; none of these is tried again.

Cause: a gateway doubted only the first configuration after its start. Later it answered from an old one although its peers had told it that they hold a newer version, which arrives with the next answer to a pull.

News and comparisons of peers carry the version that they hold. While one heard within the last 3 s, the time in which a change has to be in force, is newer than the own, what the own does not allow is answered 503 with a time to come back. The table of routes itself is replaced whole, in the turn in which the version changes; no request sees it empty.

Evidence: a gateway that a peer has told of a newer version answered 404, 431 and 413 on the sources before; 503 now, and 404, 431 and 413 again once the newer version is in force and allows no more.

--- /dev/null
+++ b/packages/gateway/src/config-doubt.ts
@@ -0,0 +1,62 @@
+/** Whether the configuration in force here may be older than that of others, so that what it does not allow is no reason for a final refusal. */
+
+import type {SpreadMessage} from '@egretwing/core';
+import {configDoubtMs} from './constants.ts';
+
+/** What speaks for and against the configuration in force here. */
+export type ConfigDoubt = {
+	/** A configuration came into force; the first one, if a peer sent it, may be an old one. */
+	readonly noteInForce: (nowMs: number) => void;
+	/** The configuration was read from the store. */
+	readonly noteRead: () => void;
+	/** Takes a message of a peer, which may say that it holds a newer version. */
+	readonly noteMessage: (message: SpreadMessage, nowMs: number) => void;
+	readonly isDoubtful: (ownVersion: number, nowMs: number) => boolean;
+};
+
+type Heard = {readonly version: number; readonly atMs: number};
+
+const versionIn = (message: SpreadMessage): number => {
+	switch (message.type) {
+		case 'news': {
+			return message.configVersion;
+		}
+
+		case 'compare': {
+			return message.digest.configVersion;
+		}
+
+		case 'state': {
+			return message.config?.version ?? 0;
+		}
+
+		case 'pull': {
+			// Names what the sender lacks.
+			return 0;
+		}
+	}
+};
+
+/** Creates the doubt of a gateway that has just started. */
+export const createConfigDoubt = (): ConfigDoubt => {
+	let firstUntilMs: number | undefined;
+	let newest: Heard = {version: 0, atMs: Number.NEGATIVE_INFINITY};
+
+	const holds = ({atMs}: Heard, nowMs: number): boolean => nowMs - atMs < configDoubtMs;
+
+	return {
+		noteInForce(nowMs) {
+			firstUntilMs ??= nowMs + configDoubtMs;
+		},
+		noteRead() {
+			firstUntilMs = 0;
+		},
+		noteMessage(message, nowMs) {
+			const version = versionIn(message);
+			if (version >= newest.version || !holds(newest, nowMs)) {
+				newest = {version, atMs: nowMs};
+			}
+		},
+		isDoubtful: (ownVersion, nowMs) => nowMs < (firstUntilMs ?? 0) || (newest.version > ownVersion && holds(newest, nowMs)),
+	};
+};
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -105,5 +105,5 @@
 /** Longest part of a host name or path in a log line, in characters. */
 export const loggedNameLength = 64;
 
-/** How long a configuration heard from a peer at the start may be an old one: the time in which a change has to be in force everywhere. */
+/** How long a configuration heard from a peer at the start may be an old one, and how long a peer's word counts that it holds a newer one: the time in which a change has to be in force everywhere. */
 export const configDoubtMs = 3000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,8 +25,9 @@
 import {
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
 } from '@egretwing/node';
+import {createConfigDoubt} from './config-doubt.ts';
 import {
-	configDoubtMs, drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
+	drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, rejoinIntervalMs, tickIntervalMs, upkeepIntervalMs,
 } from './constants.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
@@ -86,11 +87,10 @@
 	const knownHosts = new Map<string, EntryHost>();
 	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
+	const configDoubt = createConfigDoubt();
 	const headLimit = createHeadLimit();
 	let routes = createPrefixRouteTable([]);
 	let configOrigin: ConfigOrigin | undefined;
-	/** Until then the first configuration, if a peer sent it, may be an old one. */
-	let doubtUntilMs: number | undefined;
 	let seeds = settings.seedAddresses;
 	let nextUpkeepMs = 0;
 	let announcedUp = false;
@@ -139,7 +139,7 @@
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
 				configOrigin = {source, sinceMs: nowMs()};
-				doubtUntilMs ??= nowMs() + configDoubtMs;
+				configDoubt.noteInForce(nowMs());
 				headLimit.take(config.limits, nowMs());
 				server.keepAliveTimeout = config.limits.idleTimeoutMs;
 				metrics.configVersion.set(config.version);
@@ -194,6 +194,7 @@
 			}
 
 			case 'spread': {
+				configDoubt.noteMessage(message.message, nowMs());
 				sendSpread(spread.receive(from.hostId, message.message, nowMs()));
 				announce();
 				return;
@@ -248,7 +249,7 @@
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
 		if (config !== undefined) {
-			doubtUntilMs = 0;
+			configDoubt.noteRead();
 		}
 
 		sendSpread(spread.takeRead({
@@ -295,7 +296,7 @@
 		catalogue,
 		routes: () => routes,
 		configOrigin: () => configOrigin,
-		isConfigDoubtful: () => nowMs() < (doubtUntilMs ?? 0),
+		isConfigDoubtful: () => configDoubt.isDoubtful(catalogue.digest().configVersion, nowMs()),
 		maxHeadBytes: () => headLimit.bytes(nowMs()),
 		dispatchers,
 		upstream,
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -44,7 +44,7 @@
 	readonly catalogue: Catalogue;
 	readonly routes: () => PrefixRouteTable;
 	readonly configOrigin: () => ConfigOrigin | undefined;
-	/** True while newer configurations may be in force everywhere else, so that a route may be missing here alone. */
+	/** True while newer configurations may be in force elsewhere, so that a route may be missing, or a limit be low, here alone. */
 	readonly isConfigDoubtful: () => boolean;
 	/** Largest head that a request may have now. */
 	readonly maxHeadBytes: () => number;
@@ -430,10 +430,14 @@
 		return {hostName: hostName.toLowerCase().replace(/\.$/v, ''), path};
 	};
 
+	/** Refuses what the configuration in force here does not allow; while a newer one may allow it, the caller is asked to come back. */
+	const refuseDisallowed = (kind: ErrorKind, reason: string): Extract<Final, {type: 'refusal'}> =>
+		parts.isConfigDoubtful() ? refuseWith('not-ready', `${reason}, configuration doubtful`, notReadyRetryMs) : refuseWith(kind, reason);
+
 	const refuseUnrouted = ({hostName, path}: Lookup): Final => {
 		const origin = parts.configOrigin();
 		return {
-			...(parts.isConfigDoubtful() ? refuseWith('not-ready', 'no route yet', notReadyRetryMs) : refuseWith('no-route', 'no route')),
+			...refuseDisallowed('no-route', 'no route'),
 			logged: {
 				hostName: hostName.slice(0, loggedNameLength),
 				firstSegment: path.split('/', 2).join('/').slice(0, loggedNameLength),
@@ -457,7 +461,7 @@
 		}
 
 		if (headBytesOf(incoming) > parts.maxHeadBytes()) {
-			conclude(response, unrouted, refuseWith('headers-too-large', 'headers'));
+			conclude(response, unrouted, refuseDisallowed('headers-too-large', 'headers'));
 			return;
 		}
 
@@ -478,7 +482,7 @@
 		// A configuration that changes while the body arrives takes nothing away from it.
 		const read = await readBody(incoming, () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0));
 		if (read.type !== 'whole') {
-			conclude(response, unrouted, read.type === 'too-large' ? refuseWith('request-too-large', 'body') : {type: 'caller-gone'});
+			conclude(response, unrouted, read.type === 'too-large' ? refuseDisallowed('request-too-large', 'body') : {type: 'caller-gone'});
 			return;
 		}
 
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import dgram from 'node:dgram';
 import http from 'node:http';
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -11,6 +12,7 @@
 import {Err, Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
 import {configDoubtMs, maxReadHeadBytes} from '../src/constants.ts';
+import {encodeMessage} from '../src/mesh-message.ts';
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(208)}.1`;
@@ -286,6 +288,20 @@
 		}
 	};
 
+	/** Sends what a peer that holds a newer configuration sends to compare. */
+	const tellNewerVersion = async (): Promise<void> => {
+		const socket = dgram.createSocket('udp4');
+		const bytes = encodeMessage({hostId: 'peer', address, peerPort: port}, {
+			type: 'spread', message: {type: 'compare', digest: {configVersion: published.version + 1, instances: 0, instancesAsOf: 0}},
+		});
+		await new Promise<void>(resolve => {
+			socket.send(bytes, port + 2, address, () => {
+				socket.close(resolve);
+			});
+		});
+		await delay(50);
+	};
+
 	/** A request whose head has the size, from the request line to the empty line. */
 	const headOf = (sizeBytes: number): string => {
 		const withPad = (length: number): string => head('GET /r/1', 'host: a.example', `x-pad: ${'p'.repeat(length)}`);
@@ -369,6 +385,23 @@
 		});
 	}
 
+	const disallowed: ReadonlyArray<readonly [title: string, request: string, statusCode: string]> = [
+		['a path without a route', head('GET /new/1', 'host: a.example'), '404'],
+		['headers above the limit', headOf(20_000), '431'],
+		['a body above the limit', sized(1001), '413'],
+	];
+	for (const [title, request, statusCode] of disallowed) {
+		it(`are no reason to refuse ${title} for good while a peer holds a newer configuration`, async () => {
+			await publish({});
+			await afterHeadTime();
+			const before = await talkTo(port, [request]);
+			await tellNewerVersion();
+			const meanwhile = await talkTo(port, [request]);
+			await publish({});
+			expect([before, meanwhile, await talkTo(port, [request])]).to.deep.equal([[statusCode], ['503'], [statusCode]]);
+		});
+	}
+
 	it('allow the reuse of a connection that has been idle for four fifths of the limit', async () => {
 		await publish({idleTimeoutMs: 1000});
 		const request = headOf(200);
