test(gateway): requests of unusual but legal form are answered by their instance

Not covered, since the parser of Node.js refuses them with 400: methods that it doesn't know, bare line feeds, folded headers, and control bytes or bytes above ASCII in the target. Only the first of these is legal.

--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -62,10 +62,16 @@
 
 const startInstance = async () => {
 	const targets: string[] = [];
+	const runs: string[] = [];
 	const server = http.createServer({maxHeaderSize: instanceHeaderBytes}, (incoming, response) => {
 		targets.push(String(incoming.url));
-		incoming.resume();
+		let body = '';
+		incoming.setEncoding('latin1');
+		incoming.on('data', (chunk: string) => {
+			body += chunk;
+		});
 		incoming.once('end', () => {
+			runs.push(`${incoming.method} ${incoming.url} ${body}`.trimEnd());
 			response.writeHead(200, {'egretwing-request-id': 'r1', 'egretwing-signature': 'signed', 'content-length': 2}).end('ok');
 		});
 	});
@@ -76,6 +82,7 @@
 	return {
 		port: (server.address() as AddressInfo).port,
 		targets,
+		runs,
 		close() {
 			server.close();
 			server.closeAllConnections();
@@ -252,6 +259,84 @@
 			expect(await serveOne(request)).to.deep.equal([['200'], [target]]);
 		});
 	}
+
+	const get = (target: string, ...headers: readonly string[]): string => head(`GET ${target}`, 'host: a.example', ...headers);
+	const post = (...headers: readonly string[]): string => head('POST /r/1', 'host: a.example', ...headers);
+	const posted = 'POST /r/1 x';
+
+	const unusual: ReadonlyArray<{
+		readonly title: string; readonly requests: string; readonly runs: readonly string[]; readonly statusCodes?: readonly string[];
+	}> = [
+		{title: 'an encoded slash', requests: get('/r/%2F1'), runs: ['GET /r/%2F1']},
+		{title: 'dots as segments', requests: get('/r/../1/./'), runs: ['GET /r/../1/./']},
+		{title: 'the path of the prefix alone and an empty query', requests: get('/r/?'), runs: ['GET /r/?']},
+		{title: 'question marks and slashes in the query', requests: get('/r/1?/x?y=/../'), runs: ['GET /r/1?/x?y=/../']},
+		{title: 'marks in the path', requests: get('/r/!$&\'()*+,;=:@-._~'), runs: ['GET /r/!$&\'()*+,;=:@-._~']},
+		{title: 'a whole URL beside an empty host', requests: head('GET http://a.example/r/1', 'host:'), runs: ['GET /r/1']},
+		{title: 'a whole URL of another host than the header', requests: head('GET HTTPS://A.EXAMPLE.:443/r/1', 'host: b.example'), runs: ['GET /r/1']},
+		{title: 'the dot of the root and a port', requests: head('GET /r/1', 'host: a.example.:8080'), runs: ['GET /r/1']},
+		{title: 'an empty port', requests: head('GET /r/1', 'host: a.example:'), runs: ['GET /r/1']},
+		{title: 'spaces round the host', requests: head('GET /r/1', 'host:   a.example \t '), runs: ['GET /r/1']},
+		{title: 'the version 1.0', requests: get('/r/1').replace('HTTP/1.1', 'HTTP/1.0'), runs: ['GET /r/1']},
+		{title: 'empty lines before it', requests: `\r\n\r\n${get('/r/1')}`, runs: ['GET /r/1']},
+		{title: 'an empty header and one with bytes above ASCII', requests: get('/r/1', 'x-empty:', 'x-name: caf\u00E9\u0080'), runs: ['GET /r/1']},
+		{title: 'marks in the name of a header', requests: get('/r/1', 'x!#$%&\'*+-.^_`|~: 1'), runs: ['GET /r/1']},
+		{title: 'headers named like properties of objects', requests: get('/r/1', '__proto__: 1', 'constructor: 2'), runs: ['GET /r/1']},
+		{
+			title: 'repeated headers',
+			requests: get('/r/1', 'accept: a', 'accept: b', 'cookie: a=1', 'cookie: b=2', 'set-cookie: 1', 'set-cookie: 2', 'user-agent: a', 'user-agent: b'),
+			runs: ['GET /r/1'],
+		},
+		{title: 'the wish for an upgrade', requests: get('/r/1', 'connection: upgrade', 'upgrade: websocket'), runs: ['GET /r/1']},
+		{title: 'headers named by its connection', requests: get('/r/1', 'connection: keep-alive, x-hop, ,', 'x-hop: 1', 'te: trailers'), runs: ['GET /r/1']},
+		{
+			title: 'the wish to be told to go on', requests: `${post('expect: 100-continue', 'content-length: 1')}x`, runs: [posted], statusCodes: ['100', '200'],
+		},
+		{title: 'trailers', requests: `${post('transfer-encoding: chunked', 'trailer: x-sum')}1\r\nx\r\n0\r\nx-sum: 1\r\n\r\n`, runs: [posted]},
+		{title: 'extensions of chunks', requests: `${post('transfer-encoding: chunked')}1;a=b;c="d e"\r\nx\r\n0;z\r\n\r\n`, runs: [posted]},
+		{title: 'chunk sizes in capitals and with zeros', requests: `${post('transfer-encoding: CHUNKED')}00A\r\n0123456789\r\n000\r\n\r\n`, runs: ['POST /r/1 0123456789']},
+		{title: 'a body of no bytes', requests: post('content-length: 0'), runs: ['POST /r/1']},
+		{title: 'no body where one is usual', requests: post(), runs: ['POST /r/1']},
+		{title: 'a body where none is usual', requests: `${get('/r/1', 'content-length: 1')}x`, runs: ['GET /r/1 x']},
+		...['HEAD', 'OPTIONS', 'PUT', 'DELETE', 'PATCH', 'PROPFIND', 'QUERY'].map(method => ({
+			title: `the method ${method}`, requests: head(`${method} /r/1`, 'host: a.example'), runs: [`${method} /r/1`],
+		})),
+		{
+			title: 'others behind it on the connection',
+			requests: `${get('/r/1')}${post('content-length: 1')}x${post('transfer-encoding: chunked')}1\r\nx\r\n0\r\n\r\n${get('/r/2')}`,
+			runs: ['GET /r/1', 'GET /r/2', posted, posted],
+			statusCodes: ['200', '200', '200', '200'],
+		},
+		{
+			title: 'a refused one with a body before it on the connection',
+			requests: `${head('POST /other/1', 'host: a.example', 'content-length: 1')}x${get('/r/1')}`,
+			runs: ['GET /r/1'],
+			statusCodes: ['404', '200'],
+		},
+		{
+			title: 'one before it whose body is too large',
+			requests: `${post('content-length: 1001')}${'x'.repeat(1001)}${get('/r/1')}`,
+			runs: ['GET /r/1'],
+			statusCodes: ['413', '200'],
+		},
+		{
+			title: 'one before it whose chunks are too large',
+			requests: `${post('transfer-encoding: chunked')}3e9\r\n${'x'.repeat(1001)}\r\n0\r\n\r\n${get('/r/1')}`,
+			runs: ['GET /r/1'],
+			statusCodes: ['413', '200'],
+		},
+	];
+	/** Status codes of the answers, and what ran, sorted, as requests of one connection may run at the same time. */
+	const runAll = async (requests: string): Promise<readonly [statusCodes: readonly string[], runs: readonly string[]]> => {
+		instance.runs.length = 0;
+		return [await talk([requests]), instance.runs.toSorted()];
+	};
+
+	for (const {title, requests, runs, statusCodes = ['200']} of unusual) {
+		it(`spare a request with ${title}`, async () => {
+			expect(await runAll(requests)).to.deep.equal([statusCodes, runs]);
+		});
+	}
 });
 
 describe('limits of the configuration in force', () => {
