fix(gateway): a slow head on a kept connection has the time that it is allowed

Where the configuration allows less idle time than time for a head, a caller whose next request paused within its head lost the connection without an answer, though it kept both limits.

Cause: the library's idle timer of a kept connection runs on, from the last byte, until the head of the next request is in. It was set to the idle limit alone; now to the larger of both. Nothing else ends a head, so that 408 is not sent.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,7 +141,8 @@
 				configOrigin = {source, sinceMs: nowMs()};
 				configDoubt.noteInForce(nowMs());
 				headLimit.take(config.limits, nowMs());
-				server.keepAliveTimeout = config.limits.idleTimeoutMs;
+				// Runs on until the head of the next request is in, whose bytes may be that far apart.
+				server.keepAliveTimeout = Math.max(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
 				metrics.configVersion.set(config.version);
 				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
 				if (config.limits.maxHeaderBytes >= maxReadHeadBytes) {
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -470,6 +470,12 @@
 		});
 	}
 
+	it('allow headers on a kept connection that take longer than it may be idle', async () => {
+		await publish({idleTimeoutMs: 600, headerTimeoutMs: 3000});
+		const request = headOf(200);
+		expect(await talkTo(port, [request, request.slice(0, 50), async () => delay(2200), request.slice(50)])).to.deep.equal(['200', '200']);
+	});
+
 	const disallowed: ReadonlyArray<readonly [title: string, request: string, statusCode: string]> = [
 		['a path without a route', head('GET /new/1', 'host: a.example'), '404'],
 		['headers above the limit', headOf(20_000), '431'],
