fix(gateway): a configuration of 110,000 routes travels between gateways

Gateways that don't read the store refused a configuration of the size that the fleet is designed for, and went on with the one before: requests to new routes got 404.

Cause: not the frame, as the configuration is 3.5 MB when packed, with the 8 MB that a frame may have, but the unpacking, which was held to the same 8 MB; unpacked it is 20.3 MB.

Evidence: the new case of mesh-message.test.ts ended with `Cannot create a Buffer larger than 8388608 bytes` on the sources before and finds every route now, also after the configuration was passed on.

Still in the way of that size: 100,000 instances in one answer are 16.3 MB, over the limit of a frame, and 3.5 MB take 2.8 s on 10 Mbit/s.

--- a/packages/gateway/src/packed-config.ts
+++ b/packages/gateway/src/packed-config.ts
@@ -7,7 +7,8 @@
 import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {FleetConfig} from '@egretwing/core';
-import {decodeValue, encodeValue, maxFrameBytes} from '@egretwing/node';
+import {decodeValue, encodeValue} from '@egretwing/node';
+import {maxUnpackedConfigBytes} from './constants.ts';
 
 /** Two fifths of the time of zlib's default, for a result that is three tenths longer. */
 const compressionLevel = 1;
@@ -24,7 +25,7 @@
 
 /** The configuration in `bytes`; throws where they hold none. */
 export const unpackConfig = (bytes: Uint8Array): FleetConfig => {
-	const config = decodeValue(inflateRawSync(bytes, {maxOutputLength: maxFrameBytes})).unwrap() as FleetConfig;
+	const config = decodeValue(inflateRawSync(bytes, {maxOutputLength: maxUnpackedConfigBytes})).unwrap() as FleetConfig;
 	packed.set(config, Buffer.from(bytes));
 	return config;
 };
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -10,6 +10,9 @@
 const sender = {hostId: 'g-1', address: '10.0.0.1', peerPort: 7000};
 const chunkBytes = 1448;
 
+/** Routes of the fleet that the project is designed for. */
+const designRouteCount = 110_000;
+
 const entries: readonly InstanceEntry[] = [
 	{
 		instanceId: 'i-1', revision: 4, record: {
@@ -68,10 +71,13 @@
 		expect(message).to.include.keys('packedConfig').and.not.include.keys('config');
 	});
 
-	it('leaves every route of 1,440 to be found', () => {
-		const carried = carry({type: 'spread', message: {type: 'state', instancesAsOf: -1, config}});
-		const routes = carried.type === 'spread' && carried.message.type === 'state' ? carried.message.config!.routes : [];
-		const table = createPrefixRouteTable(routes);
-		expect(config.routes.filter(({hostName, pathPrefix, name}) => table.match(hostName, `${pathPrefix}x/y`)?.name !== name)).to.deep.equal([]);
-	});
+	for (const routeCount of [1440, designRouteCount]) {
+		it(`leaves every route of ${routeCount} to be found, also once it is passed on`, () => {
+			const sent = createLargeConfig(3, routeCount);
+			const carried = carry(carry({type: 'spread', message: {type: 'state', instancesAsOf: -1, config: sent}}));
+			const routes = carried.type === 'spread' && carried.message.type === 'state' ? carried.message.config!.routes : [];
+			const table = createPrefixRouteTable(routes);
+			expect(sent.routes.filter(({hostName, pathPrefix, name}) => table.match(hostName, `${pathPrefix}x/y`)?.name !== name)).to.deep.equal([]);
+		});
+	}
 });
--- a/packages/gateway/test/support/large-config.ts
+++ b/packages/gateway/test/support/large-config.ts
@@ -2,13 +2,13 @@
 
 import {createRandom, type FleetConfig} from '@egretwing/core';
 
-const routeCount = 1440;
+const usualRouteCount = 1440;
 const serviceCount = 40;
 const nameRange = 1e9;
 const nameRadix = 36;
 
 /** The large configuration of `version`; versions differ in one time limit. */
-export const createLargeConfig = (version: number): FleetConfig => {
+export const createLargeConfig = (version: number, routeCount = usualRouteCount): FleetConfig => {
 	const random = createRandom(7);
 	const drawName = (): string => Math.floor(random.next() * nameRange).toString(nameRadix);
 	return {
