fix(gateway): a request without a host leaves a line and a count

HTTP/1.1 requires the host header, and the library answered 400 by itself where it is missing: no log line, no counter, so that such refusals could not be told from those of the parser or explained afterwards.

The gateway refuses them itself now, with the same status. Evidence: the new case of denied.test.ts found no line before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -330,8 +330,9 @@
 	};
 
 	// The limit of the configuration is enforced per request, so that a change holds on open connections as well.
+	// A request without a host is refused per request as well, since the library leaves no trace of such a refusal.
 	const server = http.createServer({
-		requestTimeout: 0, headersTimeout: 0, keepAlive: true, maxHeaderSize: maxReadHeadBytes,
+		requestTimeout: 0, headersTimeout: 0, keepAlive: true, maxHeaderSize: maxReadHeadBytes, requireHostHeader: false,
 	}, handle);
 	// Beyond the default count, Node.js drops headers without a word; their size is bounded.
 	server.maxHeadersCount = 0;
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -148,6 +148,10 @@
 		: {host, target: target.startsWith('/') ? target : `/${target}`};
 };
 
+/** HTTP/1.1 requires the header, whatever the target says. */
+const lacksHost = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean =>
+	headers.host === undefined && httpVersionMajor === 1 && httpVersionMinor >= 1;
+
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
@@ -460,6 +464,11 @@
 			return;
 		}
 
+		if (lacksHost(incoming)) {
+			conclude(response, unrouted, refuseWith('malformed-request', 'no host'));
+			return;
+		}
+
 		if (headBytesOf(incoming) > parts.maxHeadBytes()) {
 			conclude(response, unrouted, refuseDisallowed('headers-too-large', 'headers'));
 			return;
--- a/packages/gateway/test/denied.test.ts
+++ b/packages/gateway/test/denied.test.ts
@@ -182,6 +182,13 @@
 			},
 			metric: 'egretwing_unreadable_total{code="HPE_HEADER_OVERFLOW",kind="headers-too-large",serving="false"} 1',
 		},
+		{
+			title: 'of a request that names no host',
+			request: head('GET http://a.example/r/1'),
+			statusCode: '400',
+			line: {message: 'refused', kind: 'malformed-request', reason: 'no host'},
+			metric: 'egretwing_refusals_total{kind="malformed-request",reason="no host"} 1',
+		},
 		{
 			title: 'of a path without a route',
 			request: head('GET /other/secret?q', 'host: B.example:80'),
