fix(core): a gateway that starts asks one peer at a time for the instances

Seen by callers: after a common start, 503 until the last gateways knew the instances.

Cause, counted in the model of 126 gateways with links of 10 Mbit/s: who learned all instances, 61 KB, sent them as news to four peers (readers to eight), 512 copies; news makes no catalogue whole, so that each receiver asked its sender for the same 61 KB again, and every other sender too, 532 copies; whole gateways pushed 79 more at those who compared with them. Gateways that knew few instances themselves were asked as well. All of these shared the links, so that answers came after the 300 ms in which they were waited for.

What changed: all instances are announced by a comparison in place of news; who lacks them asks one peer, and the next one only when the first is silent, as for a configuration; a comparison with a peer that lacks something is answered by a comparison, so that the peer asks once, in place of an unasked copy.

--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -3,16 +3,18 @@
  *
  * News is passed on at once to a few random peers of the own data centre by each gateway that did not know it (an
  * epidemic); regular comparisons with a random peer mend what was lost. The work of one gateway does not grow with their
- * number, and whole catalogues are sent only to gateways that start, or whose state is not a recent one.
+ * number, and whole catalogues are sent only to gateways that start, or whose state is not a recent one. What is large, a
+ * configuration or all instances, is announced, and sent only to who asks for it; who lacks it asks one peer at a time.
  */
 
 import type {Catalogue} from '../catalogue/catalogue.ts';
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
 import {drawSome, type Random} from '../random.ts';
 import {
-	compareIntervalMs, doubtMs, firstCompareIntervalMs, newsFanout, newsGraceMs, pullTimeoutMs, readerFanout,
+	compareIntervalMs, doubtMs, firstCompareIntervalMs, newsFanout, newsGraceMs, readerFanout,
 } from './constants.ts';
 import {createInstanceHistory} from './history.ts';
+import {createSinglePull, type SinglePull} from './single-pull.ts';
 import type {SpreadMessage, SpreadSend} from './types.ts';
 
 /** What the spread needs. */
@@ -53,12 +55,10 @@
 	readonly takeSilentPeers: () => readonly string[];
 };
 
-type WantedConfig = {
-	readonly version: number;
-	/** Others that announced it, to be asked when the first does not answer. */
-	readonly sources: string[];
-	readonly askedId: string;
-	readonly askedAtMs: number;
+/** What a merge changed. */
+type Merged = SpreadChange & {
+	/** True when all instances are known from now on. */
+	readonly isFirstWhole: boolean;
 };
 
 /** A state of a peer that this gateway has not been in. */
@@ -83,10 +83,10 @@
 	let isStillApart = false;
 	let nextCompareMs = 0;
 	let silentPeers: string[] = [];
-	/** Peers that were asked for instances, and when. */
-	const pulls = new Map<string, number>();
-	/** The newer configuration that a peer was asked for, and who else has it. */
-	let wanted: WantedConfig | undefined;
+	const instancesPull = createSinglePull();
+	const configPull = createSinglePull();
+	/** The configuration that is asked for; 0 for none. */
+	let wantedVersion = 0;
 
 	/** The next in the order of ids and random peers of the own data centre; others make up the number where it has too few. */
 	const pickNear = (count: number, except: string): readonly string[] => {
@@ -101,23 +101,27 @@
 		];
 	};
 
+	const isEveryInstanceKnown = (): boolean => catalogue.digest().instancesAsOf !== -1;
+
 	const noteState = (nowMs: number): void => {
 		const {instances, instancesAsOf} = catalogue.digest();
 		history.note(instances, instancesAsOf, nowMs);
 	};
 
-	const merge = (source: string, {config, entries = [], instancesAsOf = -1}: StoreNews, nowMs: number): SpreadChange | undefined => {
+	const merge = (source: string, {config, entries = [], instancesAsOf = -1}: StoreNews, nowMs: number): Merged | undefined => {
+		const wasWhole = isEveryInstanceKnown();
 		const isNewConfig = config !== undefined && catalogue.mergeConfig(config);
 		const news = catalogue.mergeInstances(entries, instancesAsOf, nowMs);
 		noteState(nowMs);
 		history.noteMerged(news, nowMs);
-		if (!isNewConfig && news.length === 0) {
+		const isFirstWhole = !wasWhole && isEveryInstanceKnown();
+		if (!isNewConfig && news.length === 0 && !isFirstWhole) {
 			return undefined;
 		}
 
 		const change: SpreadChange = {source, entries: news, ...(isNewConfig && {config})};
 		onChange(change);
-		return change;
+		return {...change, isFirstWhole};
 	};
 
 	const toNews = (entries: readonly InstanceEntry[]): SpreadMessage => ({
@@ -127,11 +131,19 @@
 		configVersion: catalogue.digest().configVersion,
 	});
 
-	const tell = (change: SpreadChange | undefined, receivers: () => readonly string[]): readonly SpreadSend[] => {
+	const compareTo = (to: string, isReply: boolean): SpreadSend => ({
+		to, message: {type: 'compare', digest: catalogue.digest(), ...(isReply && {isReply})}, transport: 'datagram',
+	});
+
+	const tell = (change: Merged | undefined, receivers: () => readonly string[]): readonly SpreadSend[] => {
 		if (change === undefined) {
 			return [];
 		}
 
+		if (change.isFirstWhole) {
+			return receivers().map(to => compareTo(to, false));
+		}
+
 		const message = toNews(change.entries);
 		return receivers().map(to => ({to, message, transport: 'stream'}));
 	};
@@ -139,67 +151,58 @@
 	const sendNews = (to: string, entries: readonly InstanceEntry[]): readonly SpreadSend[] =>
 		entries.length === 0 ? [] : [{to, message: toNews(entries), transport: 'stream'}];
 
-	const passOn = (change: SpreadChange | undefined, from: string): readonly SpreadSend[] => tell(change, () => pickNear(newsFanout, from));
+	const passOn = (change: Merged | undefined, from: string): readonly SpreadSend[] => tell(change, () => pickNear(newsFanout, from));
 
 	const askFor = (to: string, wantsConfig: boolean, wantsInstances: boolean): SpreadSend => ({
 		to, message: {type: 'pull', configVersion: wantsConfig ? catalogue.digest().configVersion : Number.MAX_SAFE_INTEGER, wantsInstances}, transport: 'datagram',
 	});
 
-	const pullInstances = (from: string, nowMs: number): readonly SpreadSend[] => {
-		if (pulls.has(from)) {
-			return [];
-		}
-
-		pulls.set(from, nowMs);
-		return [askFor(from, false, true)];
-	};
+	const pullInstances = (from: string, nowMs: number): readonly SpreadSend[] => instancesPull.offer(from, nowMs) ? [askFor(from, false, true)] : [];
 
-	/** A configuration may be long: it is asked for once, and from the next source only when the first is silent. */
 	const pullConfig = (from: string, version: number, nowMs: number): readonly SpreadSend[] => {
 		if (version <= catalogue.digest().configVersion) {
 			return [];
 		}
 
-		if (wanted !== undefined && wanted.version >= version) {
-			wanted.sources.push(from);
-			return [];
+		if (version > wantedVersion) {
+			wantedVersion = version;
+			configPull.end();
 		}
 
-		wanted = {
-			version, sources: [], askedId: from, askedAtMs: nowMs,
-		};
-		return [askFor(from, true, false)];
+		return configPull.offer(from, nowMs) ? [askFor(from, true, false)] : [];
 	};
 
-	const advanceWanted = (nowMs: number): readonly SpreadSend[] => {
-		if (wanted === undefined || catalogue.digest().configVersion >= wanted.version) {
-			wanted = undefined;
-			return [];
-		}
+	const advance = (pull: SinglePull, ask: (id: string) => SpreadSend, nowMs: number): readonly SpreadSend[] => {
+		const step = pull.advance(nowMs);
+		switch (step.type) {
+			case 'waits': {
+				return [];
+			}
 
-		if (nowMs - wanted.askedAtMs < pullTimeoutMs) {
-			return [];
+			case 'silent': {
+				silentPeers.push(step.silentId);
+				return step.nextId === undefined ? [] : [ask(step.nextId)];
+			}
 		}
+	};
 
-		silentPeers.push(wanted.askedId);
-		const next = wanted.sources.shift();
-		if (next === undefined) {
-			wanted = undefined;
-			return [];
+	const advancePulls = (nowMs: number): readonly SpreadSend[] => {
+		if (catalogue.digest().configVersion >= wantedVersion) {
+			configPull.end();
 		}
 
-		wanted = {...wanted, askedId: next, askedAtMs: nowMs};
-		return [askFor(next, true, false)];
+		return [...advance(configPull, id => askFor(id, true, false), nowMs), ...advance(instancesPull, id => askFor(id, false, true), nowMs)];
 	};
 
 	const takeNews = (from: string, message: Extract<SpreadMessage, {type: 'news'}>, nowMs: number): readonly SpreadSend[] => {
 		// Changes alone don't make a catalogue whole: what was registered before is asked for.
-		const asOf = catalogue.digest().instancesAsOf === -1 ? -1 : message.instancesAsOf;
+		const isLacking = !isEveryInstanceKnown();
+		const asOf = isLacking ? -1 : message.instancesAsOf;
 		const change = merge(from, {...message, instancesAsOf: asOf}, nowMs);
 		return [
 			...passOn(change, from),
 			...pullConfig(from, message.configVersion, nowMs),
-			...(asOf === -1 ? pullInstances(from, nowMs) : []),
+			...(isLacking && message.instancesAsOf !== -1 ? pullInstances(from, nowMs) : []),
 		];
 	};
 
@@ -219,14 +222,12 @@
 		return [{to: from, message, transport: 'stream'}];
 	};
 
-	const compareTo = (to: string, isReply: boolean): SpreadSend => ({
-		to, message: {type: 'compare', digest: catalogue.digest(), ...(isReply && {isReply})}, transport: 'datagram',
-	});
-
 	/** A peer whose state is a recent one of this gateway lacks what was merged since. */
 	const sendMissed = (to: string, sum: number, ageMs: number): readonly SpreadSend[] =>
 		sendNews(to, ageMs < newsGraceMs ? [] : history.mergedSince(sum));
 
+	const replyTo = (from: string, isReply: boolean | undefined): readonly SpreadSend[] => isReply === true ? [] : [compareTo(from, true)];
+
 	/** Both know all instances, in different states: the one ahead sends what the other missed. */
 	const settleDifference = (from: string, {digest, isReply}: Extract<SpreadMessage, {type: 'compare'}>, nowMs: number): readonly SpreadSend[] => {
 		const ageMs = history.ageMs(digest.instances, nowMs);
@@ -239,21 +240,19 @@
 			doubts.set(from, {sum: digest.instances, sinceMs: nowMs});
 		}
 
-		return isReply === true ? [] : [compareTo(from, true)];
+		return replyTo(from, isReply);
 	};
 
 	const compareWith = (from: string, message: Extract<SpreadMessage, {type: 'compare'}>, nowMs: number): readonly SpreadSend[] => {
-		const {digest} = message;
-		const own = catalogue.digest();
-		const isOwnWhole = own.instancesAsOf !== -1;
+		const {digest, isReply} = message;
+		const isOwnWhole = isEveryInstanceKnown();
 		const isPeerWhole = digest.instancesAsOf !== -1;
-		const offersConfig = own.configVersion > digest.configVersion;
-		const offersInstances = isOwnWhole && !isPeerWhole;
+		const isPeerLacking = (isOwnWhole && !isPeerWhole) || catalogue.digest().configVersion > digest.configVersion;
 		return [
 			...(isPeerWhole && !isOwnWhole ? pullInstances(from, nowMs) : []),
 			...(isPeerWhole && isOwnWhole ? settleDifference(from, message, nowMs) : []),
 			...pullConfig(from, digest.configVersion, nowMs),
-			...(offersInstances || offersConfig ? answerPull(from, {type: 'pull', configVersion: digest.configVersion, wantsInstances: offersInstances}) : []),
+			...(isPeerLacking ? replyTo(from, isReply) : []),
 		];
 	};
 
@@ -315,8 +314,8 @@
 				}
 
 				case 'state': {
-					if (message.entries !== undefined) {
-						pulls.delete(from);
+					if (message.entries !== undefined && message.instancesAsOf !== -1) {
+						instancesPull.end();
 					}
 
 					const change = merge(from, message, nowMs);
@@ -325,15 +324,8 @@
 			}
 		},
 		tick(nowMs) {
-			for (const [id, askedAtMs] of pulls) {
-				if (nowMs - askedAtMs >= pullTimeoutMs) {
-					pulls.delete(id);
-					silentPeers.push(id);
-				}
-			}
-
 			noteState(nowMs);
-			const sends = [...advanceWanted(nowMs), ...settleDoubts(nowMs)];
+			const sends = [...advancePulls(nowMs), ...settleDoubts(nowMs)];
 			if (nowMs < nextCompareMs) {
 				return sends;
 			}
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -34,7 +34,12 @@
 	const nodes = new Map<string, Node>(ids.map((id, index) => {
 		const catalogue = createCatalogue();
 		const spread = createSpread({
-			selfId: id, catalogue, random: createRandom((seed * 1000) + index + 1), peerIds: () => ids.filter(other => other !== id), nearPeerIds: () => ids.filter((other, place) => other !== id && place % 3 === index % 3), onChange: () => undefined,
+			selfId: id,
+			catalogue,
+			random: createRandom((seed * 1000) + index + 1),
+			peerIds: () => ids.filter(other => other !== id),
+			nearPeerIds: () => ids.filter((other, place) => other !== id && place % 3 === index % 3),
+			onChange: () => undefined,
 		});
 		return [id, {id, catalogue, spread}];
 	}));
@@ -187,6 +192,44 @@
 		expect(started.digest().configVersion).to.equal(2);
 	});
 
+	it('sends all instances once to each of 44 gateways that start, and changes alone as news', () => {
+		const fleet = createFleet(44);
+		const entries = Array.from({length: 300}, (_, index) => entry(`i-${index}`, index + 1));
+		for (const id of ['g-0', 'g-1']) {
+			fleet.read(id, {config: config(1), entries, instancesAsOf: 300});
+		}
+
+		fleet.runUntil(1000);
+		const carriers = fleet.sent.filter(message => (message.type === 'state' || message.type === 'news') && (message.entries?.length ?? 0) > 0);
+		expect(carriers).to.have.length(42);
+		expect([...fleet.nodes.values()].filter(({catalogue}) => !catalogue.isWhole())).to.deep.equal([]);
+	});
+
+	it('asks one peer at a time for the instances, the next when it is silent', () => {
+		const catalogue = createCatalogue();
+		const ids = ['g-1', 'g-2', 'g-3'];
+		const spread = createSpread({
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, onChange: () => undefined,
+		});
+		const digest = {configVersion: 0, instances: 7, instancesAsOf: 7};
+		const asked = (sends: readonly SpreadSend[]): readonly string[] => sends.filter(({message}) => message.type === 'pull').map(({to}) => to);
+
+		expect(ids.flatMap(id => asked(spread.receive(id, {type: 'compare', digest}, 0)))).to.deep.equal(['g-1']);
+		expect(asked(spread.tick(200))).to.deep.equal([]);
+		expect(asked(spread.tick(300))).to.deep.equal(['g-2']);
+		expect(spread.takeSilentPeers()).to.deep.equal(['g-1']);
+		spread.receive('g-2', {type: 'state', entries: [entry('i-1', 7)], instancesAsOf: 7}, 350);
+		expect(asked(spread.tick(600))).to.deep.equal([]);
+		expect(spread.takeSilentPeers()).to.deep.equal([]);
+	});
+
+	it('asks nobody for the instances who does not know all of them', () => {
+		const fleet = createFleet(2);
+		fleet.read('g-0', {config: config(1)});
+		fleet.runUntil(1000);
+		expect(fleet.sent.filter(message => message.type === 'pull' && message.wantsInstances)).to.deep.equal([]);
+	});
+
 	it('does not take a catalogue for whole by changes alone', () => {
 		const fleet = createFleet(2);
 		fleet.read('g-0', {config: config(1)});
--- /dev/null
+++ b/packages/gateway/test/common-start.test.ts
@@ -0,0 +1,69 @@
+import {expect} from 'chai';
+import {electionWaitMs} from '@egretwing/core';
+import {encodeMessage} from '../src/mesh-message.ts';
+import {createInstances} from './support/instances.ts';
+import {createLargeConfig} from './support/large-config.ts';
+import {createLinkedFleet} from './support/links.ts';
+
+const fleetSize = 126;
+const instanceCount = 380;
+const routeCount = 60;
+
+/** Time from the first read until the last gateway can serve: two fifths of the time within which a change has to be in force. */
+const wholeMs = 1000;
+
+/** What a gateway needs is sent to it once; as much again for answers that are asked for twice, and for announcements and comparisons. */
+const maxCopies = 3;
+
+const large = createLargeConfig(1);
+const config = {...large, routes: large.routes.slice(0, routeCount)};
+const entries = createInstances(instanceCount);
+
+/** Bytes of the answer that a gateway needs, for all of them. */
+const neededBytes = fleetSize * encodeMessage(
+	{hostId: 'g-100', address: '10.0.0.1', peerPort: 7000},
+	{type: 'spread', message: {type: 'state', entries, instancesAsOf: instanceCount}},
+).length;
+
+type Fleet = ReturnType<typeof createLinkedFleet>;
+
+const lacking = ({hosts}: Fleet): number => [...hosts.values()].filter(({catalogue}) => !catalogue.isWhole() || catalogue.entries().length < instanceCount).length;
+
+const sentBytes = ({hosts}: Fleet): number => [...hosts.values()].reduce((sum, host) => sum + host.sentBytes, 0);
+
+const readAll = (fleet: Fleet, id: string, count = instanceCount): void => {
+	fleet.read(id, {config});
+	fleet.read(id, {entries: entries.slice(0, count), instancesAsOf: count});
+};
+
+const together = (idsOf: (fleet: Fleet) => readonly string[]) => (fleet: Fleet): void => {
+	for (const id of idsOf(fleet)) {
+		readAll(fleet, id);
+	}
+};
+
+describe(`${fleetSize} gateways that start together, with links of 10 Mbit/s and ${instanceCount} instances`, () => {
+	const starts: ReadonlyArray<{readonly title: string; readonly read: (fleet: Fleet) => void}> = [
+		{title: 'with the elected readers', read: together(fleet => fleet.electedIds())},
+		{title: 'with readers behind small links', read: together(() => ['g-0', 'g-1'])},
+		{title: 'with six readers at which requests wait', read: together(() => ['g-3', 'g-4', 'g-5', 'g-6', 'g-7', 'g-8'])},
+	];
+	for (const {title, read} of starts) {
+		for (const seed of [1, 2, 3]) {
+			it(`are whole within ${wholeMs} ms of the first read, for at most ${maxCopies} times the bytes needed, ${title} (seed ${seed})`, function () {
+				this.timeout(60_000);
+				const fleet = createLinkedFleet(fleetSize, seed);
+				fleet.run(electionWaitMs);
+				const startMs = fleet.nowMs();
+				read(fleet);
+				fleet.run(2 * wholeMs, () => lacking(fleet) === 0);
+				const tookMs = fleet.nowMs() - startMs;
+				fleet.run(wholeMs);
+				const copies = sentBytes(fleet) / neededBytes;
+				const seen = `${lacking(fleet)} lack something, the last whole after ${tookMs} ms, ${copies.toFixed(2)} times the bytes needed`;
+				expect(tookMs, seen).to.be.below(wholeMs);
+				expect(copies, seen).to.be.below(maxCopies);
+			});
+		}
+	}
+});
