fix(gateway): all instances travel compressed between gateways

Seen by callers: after a common start, 503 until the last gateways knew the instances; longest where links are slow.

Cause: 380 instances are 61 KB with their field names. A reader that eight peers ask hands out 490 KB, 0.4 s of a link of 10 Mbit/s, before any of them can pass them on.

What changed: an answer with all instances is packed as a configuration is, where the gateway that asks says that it reads packed ones. The previous version does not say so and is answered as before; its plain answers are read.

Evidence: two starts more in the test. The message test of the size and the tests of plain and packed answers cover both versions.

--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -154,7 +154,11 @@
 	const passOn = (change: Merged | undefined, from: string): readonly SpreadSend[] => tell(change, () => pickNear(newsFanout, from));
 
 	const askFor = (to: string, wantsConfig: boolean, wantsInstances: boolean): SpreadSend => ({
-		to, message: {type: 'pull', configVersion: wantsConfig ? catalogue.digest().configVersion : Number.MAX_SAFE_INTEGER, wantsInstances}, transport: 'datagram',
+		to,
+		message: {
+			type: 'pull', configVersion: wantsConfig ? catalogue.digest().configVersion : Number.MAX_SAFE_INTEGER, wantsInstances, takesPacked: true,
+		},
+		transport: 'datagram',
 	});
 
 	const pullInstances = (from: string, nowMs: number): readonly SpreadSend[] => instancesPull.offer(from, nowMs) ? [askFor(from, false, true)] : [];
@@ -206,7 +210,9 @@
 		];
 	};
 
-	const answerPull = (from: string, {configVersion, wantsInstances, afterRevision}: Extract<SpreadMessage, {type: 'pull'}>): readonly SpreadSend[] => {
+	const answerPull = (from: string, {
+		configVersion, wantsInstances, afterRevision, takesPacked,
+	}: Extract<SpreadMessage, {type: 'pull'}>): readonly SpreadSend[] => {
 		if (afterRevision !== undefined) {
 			return sendNews(from, catalogue.entries().filter(({revision}) => revision > afterRevision));
 		}
@@ -218,6 +224,7 @@
 			instancesAsOf: wantsInstances ? catalogue.digest().instancesAsOf : -1,
 			...(isNewer && {config}),
 			...(wantsInstances && {entries: catalogue.entries()}),
+			...(takesPacked && {isPacked: true}),
 		};
 		return [{to: from, message, transport: 'stream'}];
 	};
--- a/packages/core/src/spread/types.ts
+++ b/packages/core/src/spread/types.ts
@@ -26,9 +26,13 @@
 		readonly wantsInstances: boolean;
 		/** Only instances that changed after this revision are wanted, as news. */
 		readonly afterRevision?: number;
+		/** The sender reads packed instances; the previous version does not. */
+		readonly takesPacked?: boolean;
 	}
 	| {
 		readonly type: 'state';
+		/** The receiver reads packed instances. */
+		readonly isPacked?: boolean;
 		readonly config?: FleetConfig;
 		readonly entries?: readonly InstanceEntry[];
 		readonly instancesAsOf: number;
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -223,6 +223,19 @@
 		expect(spread.takeSilentPeers()).to.deep.equal([]);
 	});
 
+	for (const takesPacked of [undefined, true]) {
+		it(`answers ${takesPacked ? 'a gateway that reads packed instances with these' : 'one of the previous version with plain instances'}`, () => {
+			const fleet = createFleet(2);
+			fleet.read('g-0', {entries: [entry('i-1', 7)], instancesAsOf: 7});
+			const [answer] = fleet.nodes.get('g-0')!.spread.receive('g-1', {
+				type: 'pull', configVersion: 0, wantsInstances: true, ...(takesPacked && {takesPacked}),
+			}, 0);
+			expect(answer!.message).to.deep.equal({
+				type: 'state', instancesAsOf: 7, entries: [entry('i-1', 7)], ...(takesPacked && {isPacked: true}),
+			});
+		});
+	}
+
 	it('asks nobody for the instances who does not know all of them', () => {
 		const fleet = createFleet(2);
 		fleet.read('g-0', {config: config(1)});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -27,8 +27,8 @@
  */
 export const maxReadHeadBytes = 131_072;
 
-/** Largest configuration that is unpacked, in bytes: three times one of 110,000 routes, for which the fleet is designed. */
-export const maxUnpackedConfigBytes = 67_108_864;
+/** Most that is unpacked of one message, in bytes: three times a configuration of 110,000 routes, for which the fleet is designed. */
+export const maxUnpackedBytes = 67_108_864;
 
 /** Time in which a connection to an instance has to open: many round trips between data centres. */
 export const connectTimeoutMs = 350;
--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -9,7 +9,9 @@
 import {
 	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
 } from './member-rows.ts';
-import {packConfig, unpackConfig} from './packed-config.ts';
+import {
+	packConfig, packEntries, unpackConfig, unpackEntries,
+} from './packed.ts';
 
 /** What gateways tell each other. */
 export type MeshMessage
@@ -27,8 +29,8 @@
 
 type State = Extract<SpreadMessage, {type: 'state'}>;
 
-/** A state as it travels: with its configuration packed, or plain as gateways of the previous version send it. */
-type WireState = State & {readonly packedConfig?: Uint8Array};
+/** A state as it travels: with its parts packed, or plain as gateways of the previous version send it. */
+type WireState = State & {readonly packedConfig?: Uint8Array; readonly packedEntries?: Uint8Array};
 
 /** A message about the catalogue as it travels. */
 type SpreadWireMessage = Exclude<SpreadMessage, State> | WireState;
@@ -49,8 +51,12 @@
 		return message;
 	}
 
-	const {config, ...others} = message;
-	return {...others, ...(config !== undefined && {packedConfig: packConfig(config)})};
+	const {config, entries, ...others} = message;
+	return {
+		...others,
+		...(config !== undefined && {packedConfig: packConfig(config)}),
+		...(entries !== undefined && (message.isPacked === true ? {packedEntries: packEntries(entries)} : {entries})),
+	};
 };
 
 const unpackSpread = (message: SpreadWireMessage): SpreadMessage => {
@@ -58,8 +64,12 @@
 		return message;
 	}
 
-	const {packedConfig, ...others} = message;
-	return {...others, ...(packedConfig !== undefined && {config: unpackConfig(packedConfig)})};
+	const {packedConfig, packedEntries, ...others} = message;
+	return {
+		...others,
+		...(packedConfig !== undefined && {config: unpackConfig(packedConfig)}),
+		...(packedEntries !== undefined && {entries: unpackEntries(packedEntries)}),
+	};
 };
 
 const toWire = (message: MeshMessage): WireMessage => {
--- a/packages/gateway/test/common-start.test.ts
+++ b/packages/gateway/test/common-start.test.ts
@@ -8,6 +8,8 @@
 const fleetSize = 126;
 const instanceCount = 380;
 const routeCount = 60;
+/** Instances that register between the reads of two readers. */
+const registeredBetween = 2;
 
 /** Time from the first read until the last gateway can serve: two fifths of the time within which a change has to be in force. */
 const wholeMs = 1000;
@@ -15,6 +17,9 @@
 /** What a gateway needs is sent to it once; as much again for answers that are asked for twice, and for announcements and comparisons. */
 const maxCopies = 3;
 
+/** Time between the reads of two readers, and until the first hears of what registered meanwhile. */
+const staggerMs = 20;
+
 const large = createLargeConfig(1);
 const config = {...large, routes: large.routes.slice(0, routeCount)};
 const entries = createInstances(instanceCount);
@@ -22,7 +27,11 @@
 /** Bytes of the answer that a gateway needs, for all of them. */
 const neededBytes = fleetSize * encodeMessage(
 	{hostId: 'g-100', address: '10.0.0.1', peerPort: 7000},
-	{type: 'spread', message: {type: 'state', entries, instancesAsOf: instanceCount}},
+	{
+		type: 'spread', message: {
+			type: 'state', entries, instancesAsOf: instanceCount, isPacked: true,
+		},
+	},
 ).length;
 
 type Fleet = ReturnType<typeof createLinkedFleet>;
@@ -42,17 +51,32 @@
 	}
 };
 
+/** Each reader finds more instances than the one before it; what is missing then registers, and all of them watch. */
+const whileInstancesRegister = (fleet: Fleet): void => {
+	const ids = ['g-0', 'g-1', 'g-3', 'g-4'];
+	for (const [index, id] of ids.entries()) {
+		readAll(fleet, id, instanceCount - (registeredBetween * (ids.length - index)));
+		fleet.run(staggerMs);
+	}
+
+	for (const id of ids) {
+		fleet.read(id, {entries: entries.slice(-registeredBetween * ids.length), instancesAsOf: instanceCount});
+	}
+};
+
 describe(`${fleetSize} gateways that start together, with links of 10 Mbit/s and ${instanceCount} instances`, () => {
-	const starts: ReadonlyArray<{readonly title: string; readonly read: (fleet: Fleet) => void}> = [
+	const starts: ReadonlyArray<{readonly title: string; readonly read: (fleet: Fleet) => void; readonly bytesPerMs?: number}> = [
 		{title: 'with the elected readers', read: together(fleet => fleet.electedIds())},
 		{title: 'with readers behind small links', read: together(() => ['g-0', 'g-1'])},
 		{title: 'with six readers at which requests wait', read: together(() => ['g-3', 'g-4', 'g-5', 'g-6', 'g-7', 'g-8'])},
+		{title: 'with links of 7 Mbit/s', read: together(() => ['g-3', 'g-4', 'g-5']), bytesPerMs: 875},
+		{title: 'while instances register', read: whileInstancesRegister},
 	];
-	for (const {title, read} of starts) {
+	for (const {title, read, bytesPerMs} of starts) {
 		for (const seed of [1, 2, 3]) {
 			it(`are whole within ${wholeMs} ms of the first read, for at most ${maxCopies} times the bytes needed, ${title} (seed ${seed})`, function () {
 				this.timeout(60_000);
-				const fleet = createLinkedFleet(fleetSize, seed);
+				const fleet = createLinkedFleet(fleetSize, seed, bytesPerMs);
 				fleet.run(electionWaitMs);
 				const startMs = fleet.nowMs();
 				read(fleet);
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -5,6 +5,7 @@
 	createFrameReader, decodeValue, encodeValue, frameBytes,
 } from '@egretwing/node';
 import {decodeMessage, encodeMessage, type MeshMessage} from '../src/mesh-message.ts';
+import {createInstances} from './support/instances.ts';
 import {createLargeConfig} from './support/large-config.ts';
 
 const sender = {hostId: 'g-1', address: '10.0.0.1', peerPort: 7000};
@@ -47,6 +48,12 @@
 			type: 'state', instancesAsOf: 5, config, entries,
 		}],
 		['instances alone', {type: 'state', instancesAsOf: 5, entries}],
+		['packed instances', {
+			type: 'state', instancesAsOf: 5, entries, isPacked: true,
+		}],
+		['a configuration and packed instances', {
+			type: 'state', instancesAsOf: 5, config, entries, isPacked: true,
+		}],
 		['news', {
 			type: 'news', instancesAsOf: 5, entries, configVersion: 3,
 		}],
@@ -80,4 +87,28 @@
 			expect(sent.routes.filter(({hostName, pathPrefix, name}) => table.match(hostName, `${pathPrefix}x/y`)?.name !== name)).to.deep.equal([]);
 		});
 	}
+
+	const wireStates: ReadonlyArray<{readonly title: string; readonly isPacked?: true; readonly held: string; readonly absent: string}> = [
+		{title: 'holds plain instances for the previous version', held: 'entries', absent: 'packedEntries'},
+		{
+			title: 'holds packed instances for a gateway that reads them', isPacked: true, held: 'packedEntries', absent: 'entries',
+		},
+	];
+	for (const {title, isPacked, held, absent} of wireStates) {
+		it(title, () => {
+			const bytes = encodeMessage(sender, {
+				type: 'spread', message: {
+					type: 'state', instancesAsOf: 5, entries, ...(isPacked && {isPacked}),
+				},
+			});
+			const {message} = (decodeValue(bytes).unwrap() as [string, string, number, {readonly message: object}])[3];
+			expect(message).to.include.keys(held).and.not.include.keys(absent);
+		});
+	}
+
+	it('holds the instances of a large fleet in a quarter of their bytes', () => {
+		const state = {type: 'state', instancesAsOf: 380, entries: createInstances(380)} as const;
+		const [plain, packed] = [state, {...state, isPacked: true}].map(message => encodeMessage(sender, {type: 'spread', message}).length);
+		expect(packed).to.be.below(plain! / 4);
+	});
 });
