fix(core): a gateway that has just started asks for changes since it knew the instances, not for all of them

Cause: who finds a peer in an unknown state asks it for what changed since the oldest state that it remembers. For two seconds after the start that is the state before it knew any instance, so that it asks for all of them, as news.

Evidence: the new decision test failed before (asked for changes after -1 in place of 7). Why it works: the oldest state counts from the one in which all instances were known.

--- a/packages/core/src/spread/history.ts
+++ b/packages/core/src/spread/history.ts
@@ -18,7 +18,7 @@
 	readonly ageMs: (sum: number, nowMs: number) => number | undefined;
 	/** What was merged since the state of `sum`. */
 	readonly mergedSince: (sum: number) => readonly InstanceEntry[];
-	/** Revision up to which the instances were known in the oldest state that is remembered; -1 when none is. */
+	/** Revision up to which the instances were known in the oldest state that is remembered and had all of them; -1 when none is. */
 	readonly oldestAsOf: () => number;
 };
 
@@ -58,7 +58,7 @@
 			const state = find(sum);
 			return state === undefined ? undefined : nowMs - (state.endedAtMs ?? nowMs);
 		},
-		oldestAsOf: () => states[0]?.asOf ?? -1,
+		oldestAsOf: () => states.find(({asOf}) => asOf !== -1)?.asOf ?? -1,
 		mergedSince(sum) {
 			const endedAtMs = find(sum)?.endedAtMs;
 			return endedAtMs === undefined ? [] : merged.filter(({atMs}) => atMs >= endedAtMs).map(({entry}) => entry);
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -236,6 +236,21 @@
 		});
 	}
 
+	it('asks a peer in an unknown state for changes since all instances were known, soon after a start as well', () => {
+		const catalogue = createCatalogue();
+		const ids = ['g-1', 'g-2'];
+		const spread = createSpread({
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, onChange: () => undefined,
+		});
+		spread.tick(0);
+		spread.receive('g-1', {type: 'state', entries: [entry('i-1', 7)], instancesAsOf: 7}, 100);
+		spread.receive('g-2', {type: 'compare', digest: {configVersion: 0, instances: 1, instancesAsOf: 8}}, 200);
+		const pulls = [300, 400, 500].flatMap(nowMs => spread.tick(nowMs)).map(({message}) => message).filter(({type}) => type === 'pull');
+		expect(pulls).to.deep.equal([{
+			type: 'pull', configVersion: Number.MAX_SAFE_INTEGER, wantsInstances: false, afterRevision: 7,
+		}]);
+	});
+
 	it('asks nobody for the instances who does not know all of them', () => {
 		const fleet = createFleet(2);
 		fleet.read('g-0', {config: config(1)});
