fix(gateway): an answer without a length that is broken off does not look whole

What callers saw: a success that ended in order, with a part of the body, where a long answer without a length was cut: its instance reset the connection, or the time of the request was over.

Cause: the gateway broke such an answer off by closing the caller's connection, and the orderly end of the connection is what completes an answer without a length.

Fix: an answer that has begun is broken off by a reset.

Evidence: four tests failed before and pass now: gateway.test.ts, a long answer without a length that the instance resets ("whole 2500000"); endless-answers.test.ts, a body without a length to callers that read on or stop reading, or that comes slowly ("200 whole" in place of "200 cut"). Long slow answers arrive whole before and after (gateway.test.ts).

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -152,6 +152,13 @@
 const lacksHost = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean =>
 	headers.host === undefined && httpVersionMajor === 1 && httpVersionMinor >= 1;
 
+/** Resets the connection: its orderly end would complete an answer without a length. */
+const breakOff = (response: http.ServerResponse): void => {
+	if (!response.destroyed) {
+		response.socket?.resetAndDestroy();
+	}
+};
+
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
@@ -381,13 +388,13 @@
 
 		response.write(body);
 		rest.once('error', () => {
-			response.destroy();
+			breakOff(response);
 		});
 		rest.once('end', () => {
 			if (isRestWhole?.() === true) {
 				response.end();
 			} else {
-				response.destroy();
+				breakOff(response);
 			}
 		});
 		rest.pipe(response, {end: false});
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -11,6 +11,7 @@
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
 import {heldAnswerBytes} from '../src/constants.ts';
+import {watchReset} from '../src/reset.ts';
 import {
 	startEndlessInstance, wholeAnswer, type EndlessAnswer, type EndlessInstance, type EndlessOptions,
 } from './support/endless-instance.ts';
@@ -39,6 +40,7 @@
 const kilobyte = 'x'.repeat(1024);
 const chunk = `400\r\n${kilobyte}\r\n`;
 const longKinds: ReadonlyArray<{readonly kind: string; readonly start: string; readonly piece: string}> = [
+	{kind: 'without a length', start: unboundedHead, piece: kilobyte},
 	{kind: 'in chunks', start: chunkedHead, piece: chunk},
 	{kind: 'with a length', start: longHead, piece: kilobyte},
 ];
@@ -178,10 +180,11 @@
 		host: address, port: entryPort, path, agent: false, method, signal: AbortSignal.timeout(patienceMs), headers: {host: 'a.example', 'egretwing-request-id': id, 'egretwing-deadline-ms': '5000'},
 	}, response => {
 		const {socket} = response;
+		const isReset = watchReset(socket);
 		const chunks: Buffer[] = [];
 		const end = (): void => {
 			// The library takes a reset, and the leaving of the caller, for the end of an answer without a length.
-			const isWhole = response.complete && socket.errored === null && reading !== 'leaves';
+			const isWhole = response.complete && !isReset() && reading !== 'leaves';
 			resolve({
 				statusCode: response.statusCode!, text: Buffer.concat(chunks).toString(), isWhole, endedAtMs: performance.now(),
 			});
@@ -202,6 +205,8 @@
 		});
 		response.once('error', end);
 		response.once('end', end);
+		outgoing.off('error', reject);
+		outgoing.once('error', end);
 	});
 	outgoing.once('error', reject);
 	outgoing.end();
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -11,6 +11,7 @@
 } from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {watchReset} from '../src/reset.ts';
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(206)}.1`;
@@ -129,6 +130,50 @@
 
 const silent: Handler = () => undefined;
 
+const pieceBytes = 500_000;
+const pieceCount = 6;
+
+type Ending = 'end' | 'reset';
+
+/** Writes more than the gateway holds back, slowly; `headers` say where it ends. */
+const answerSlowly = (headers: http.OutgoingHttpHeaders, ending: Ending): Handler => async (request, response) => {
+	response.useChunkedEncodingByDefault = headers.connection === undefined;
+	response.writeHead(200, headers);
+	for (let piece = 1; piece < pieceCount; piece++) {
+		response.write(Buffer.alloc(pieceBytes));
+		await delay(50);
+	}
+
+	if (ending === 'reset') {
+		request.socket.resetAndDestroy();
+	} else {
+		response.end(Buffer.alloc(pieceBytes));
+	}
+};
+
+/** Size of an answer, and whether it looks whole to its caller. */
+const receive = async (port: number, path: string): Promise<string> => new Promise(resolve => {
+	const request = http.request({
+		host: address, port, path, agent: false, headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
+	}, response => {
+		const isReset = watchReset(response.socket);
+		let sizeBytes = 0;
+		response.on('data', (chunk: Buffer) => {
+			sizeBytes += chunk.length;
+		});
+		response.once('end', () => {
+			resolve(isReset() ? 'cut' : `whole ${sizeBytes}`);
+		});
+		response.once('error', () => {
+			resolve('cut');
+		});
+	});
+	request.once('error', () => {
+		resolve('cut');
+	});
+	request.end();
+});
+
 describe('gateway', () => {
 	const ports = {next: firstPort};
 	let port = 0;
@@ -146,6 +191,8 @@
 
 	const callGateway = async (path: string, body?: string): Promise<Answer> => call(port, path, body);
 
+	const receiveLong = async (path: string): Promise<string> => receive(port, path);
+
 	const arrivals = (): number => instances.reduce((sum, instance) => sum + instance.arrivals.length, 0);
 
 	afterEach(async () => {
@@ -207,6 +254,24 @@
 		});
 	}
 
+	const longKinds: ReadonlyArray<readonly [kind: string, headers: http.OutgoingHttpHeaders]> = [
+		['with a length', {'content-length': pieceBytes * pieceCount}],
+		['in chunks', {}],
+		['without a length', {connection: 'close'}],
+	];
+	const longEnds: ReadonlyArray<readonly [title: string, ending: Ending, received: string]> = [
+		['passes a long slow answer', 'end', `whole ${pieceBytes * pieceCount}`],
+		['breaks off a long answer that the instance resets,', 'reset', 'cut'],
+	];
+	for (const [kind, headers] of longKinds) {
+		for (const [title, ending, received] of longEnds) {
+			it(`${title} ${kind}`, async () => {
+				await start([answerSlowly(headers, ending)]);
+				expect(await receiveLong('/idempotent/1')).to.equal(received);
+			});
+		}
+	}
+
 	it('serves an idempotent request from another instance while the first is silent, and cancels the silent attempt', async () => {
 		const gone: string[] = [];
 		let isFirst = true;
