fix(gateway): a long answer that the caller is not given is closed at once

What instances saw: an instance whose long error answer was replaced by the answer of another instance kept its connection, half read, until the time of the request was over.

Cause: such an answer is kept in case that no better one comes, and nothing closed it when one did.

Fix: once the final answer is chosen, the rests of all others are destroyed.

Evidence: the new case of endless-answers.test.ts failed before (connection still open 0.8 s after the end of the request), and passes now.

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -69,6 +69,8 @@
 	readonly finalAtMs: number;
 	readonly isReturning: boolean;
 	readonly upstreamRequest: UpstreamRequest;
+	/** Answers so far of which a part is still to be read. */
+	readonly longAnswers: UpstreamAnswer[];
 	readonly signal: AbortSignal;
 };
 
@@ -335,6 +337,9 @@
 				unreachable += Number(outcome.type === 'unreachable');
 				sends += Number(outcome.type !== 'unreachable');
 				mayHaveRun ||= mayHaveRunAfter(outcome);
+				if (outcome.type === 'answered' && outcome.answer.rest !== undefined) {
+					context.longAnswers.push(outcome.answer);
+				}
 			}
 
 			const {placement: {instanceId, startedAtMs}, outcome} = ended.at(-1)!;
@@ -370,6 +375,15 @@
 		return isCutOff ? refuseWith('outcome-unknown', 'answer cut off') : final;
 	};
 
+	/** Closes the connections of the long answers that the caller is not given. */
+	const closeUnused = ({longAnswers}: Context, final: Final): void => {
+		for (const answer of longAnswers) {
+			if (final.type !== 'answer' || final.answer !== answer) {
+				answer.rest?.destroy();
+			}
+		}
+	};
+
 	const writeAnswer = (response: http.ServerResponse, answer: UpstreamAnswer): void => {
 		const {statusCode, headers, body, isBounded, rest, isRestWhole} = answer;
 		const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
@@ -520,9 +534,11 @@
 				body: read.body,
 				isIdempotent: route.semantics === 'idempotent',
 			},
+			longAnswers: [],
 			signal: gone.signal,
 		};
 		const final = refuseCutOff(await attemptUntilFinal(context), context.finalAtMs);
+		closeUnused(context, final);
 		if (final.type !== 'caller-gone') {
 			dispatchers.noteServed(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
 		}
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -122,6 +122,7 @@
 /** Services with two instances; the first request to either of them gets an error without end. */
 const retried: ReadonlyArray<{readonly title: string; readonly later: EndlessOptions['later']; readonly expected: string}> = [
 	{title: 'tells a caller that the outcome is unknown when an error without end is cut off while another instance is asked', later: 'silence', expected: '502 whole'},
+	{title: 'closes the connection of an error without end when another instance has served the request', later: 'whole answers', expected: '200 whole'},
 ];
 
 type TestService = {
