--- a/packages/standin/src/backend/instance.ts
+++ b/packages/standin/src/backend/instance.ts
@@ -48,7 +48,7 @@
 	const slots = createSlots(settings.slots, settings.queueLength);
 	const sockets = new Set<Socket>();
 	const counts = {
-		requests: 0, runs: 0, cancelled: 0, shed: 0, refusedDraining: 0, crashes: 0, probes: 0, connects: 0, lastRequestAtMs: 0,
+		requests: 0, runs: 0, cancelled: 0, shed: 0, refusedDraining: 0, firstRefusedDrainingAtMs: 0, crashes: 0, probes: 0, connects: 0, lastRequestAtMs: 0,
 	};
 	let startedMs = Date.now();
 	let flapStartMs = 0;
@@ -295,6 +295,7 @@
 
 		if (faults.has('drain')) {
 			counts.refusedDraining++;
+			counts.firstRefusedDrainingAtMs ||= counts.lastRequestAtMs;
 			await refuse(request, response, 'draining');
 			return;
 		}
--- a/packages/standin/src/backend/types.ts
+++ b/packages/standin/src/backend/types.ts
@@ -58,6 +58,8 @@
 	readonly cancelled: number;
 	readonly shed: number;
 	readonly refusedDraining: number;
+	/** First answer that said that the instance drains; 0 before it. */
+	readonly firstRefusedDrainingAtMs: number;
 	readonly crashes: number;
 	readonly probes: number;
 	readonly connects: number;
--- a/packages/standin/test/standin.test.ts
+++ b/packages/standin/test/standin.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {Agent, request} from 'undici';
 import type {ConfigPage, HostList} from '@egretwing/core';
@@ -179,6 +180,18 @@
 		});
 	}
 
+	it('keeps the time of its first answer as draining', async () => {
+		const firstMs = (): number | undefined => backend.instances.get('b1')?.counts().firstRefusedDrainingAtMs;
+		await backend.setFault('b1', {type: 'drain'});
+		expect(firstMs()).to.equal(0);
+		await outcome('/seats');
+		const drainingFromMs = firstMs();
+		expect(drainingFromMs).to.equal(backend.instances.get('b1')?.counts().lastRequestAtMs);
+		await delay(2);
+		await outcome('/seats');
+		expect(firstMs()).to.equal(drainingFromMs);
+	});
+
 	it('answers again once a fault ends', async () => {
 		await backend.setFault('b1', {type: 'crash', pathPart: '/bad', restartMs: 60_000});
 		expect(await outcome('/bad')).to.equal('failed');
--- a/test/scenario/language/expectations.ts
+++ b/test/scenario/language/expectations.ts
@@ -25,6 +25,10 @@
 	createSentence('{instances:list} never ejected', ({instances}) => ({type: 'not-ejected', instances})),
 	createSentence('at least {instances:int} instances of {service:name} in use', ({instances, service}) => ({type: 'floor', service, instances})),
 	createSentence('no new work at {instance:name} from {from:duration}', ({instance, from}) => ({type: 'no-new-work', instance, fromMs: from})),
+	createSentence(
+		'no new work at {instance:name} later than {after:duration} after its word',
+		({instance, after}) => ({type: 'no-new-work-after-word', instance, afterMs: after}),
+	),
 	createSentence('entry host {host:int} not located from {from:duration} [until {until:duration}]', ({host, from, until}) => ({
 		type: 'not-located', host, fromMs: from, untilMs: until ?? Infinity,
 	})),
--- a/test/scenario/language/types.ts
+++ b/test/scenario/language/types.ts
@@ -76,6 +76,8 @@
 		| {readonly type: 'not-ejected'; readonly instances: readonly string[]}
 		| {readonly type: 'floor'; readonly service: string; readonly instances: number}
 		| {readonly type: 'no-new-work'; readonly instance: string; readonly fromMs: number}
+		/** No request arrives that long after the first answer in which the instance says that it drains. */
+		| {readonly type: 'no-new-work-after-word'; readonly instance: string; readonly afterMs: number}
 		| {readonly type: 'not-located'; readonly host: number; readonly fromMs: number; readonly untilMs: number}
 		| {readonly type: 'located'; readonly host: number; readonly fromMs: number; readonly untilMs: number}
 		| {readonly type: 'in-force'; readonly revision: number; readonly withinMs: number}
--- a/test/scenario/runner/judge.ts
+++ b/test/scenario/runner/judge.ts
@@ -168,6 +168,13 @@
 	return lastMs <= fromMs ? [] : [`new work still at ${lastMs} ms`];
 };
 
+/** An instance that was asked for nothing has said nothing, and got no work. */
+const judgeNewWorkAfterWord = (instance: string, afterMs: number, {instances}: Observations): readonly string[] => {
+	const {firstRefusedDrainingAtMs = 0, lastRequestAtMs = 0} = instances[instance] ?? {};
+	const laterMs = lastRequestAtMs - firstRefusedDrainingAtMs;
+	return firstRefusedDrainingAtMs === 0 || laterMs <= afterMs ? [] : [`new work still ${laterMs} ms after its word`];
+};
+
 const judgeAtMost = (count: number, atMost: number): readonly string[] => count <= atMost ? [] : [`${count} instead`];
 
 /** The id of the entry host with that number. */
@@ -212,6 +219,10 @@
 			return judgeNewWork(expectation.instance, expectation.fromMs, observations);
 		}
 
+		case 'no-new-work-after-word': {
+			return judgeNewWorkAfterWord(expectation.instance, expectation.afterMs, observations);
+		}
+
 		case 'located':
 		case 'not-located': {
 			return judgeLocated(expectation, observations);
