fix(entry): an upload that its caller sends slowly does not make its instance look slow

After an upload of some seconds the entry kept all work away from the instance that took it, while others had room: the length of the upload counted as the latency of the instance. Seen in `leaving-backend-server`: entries turned away from the instance whose uploads had ended.

The latency of an instance counts from the last byte of the request's body now. A request without a body, and one answered before its body ended, counts from its start as before. The limit of requests in flight and the expected wait still count the whole time, in which a slot is held.

--- a/packages/core/src/load/instances.ts
+++ b/packages/core/src/load/instances.ts
@@ -31,13 +31,20 @@
 	readonly holdMs: number;
 };
 
+/** What an attempt says about its instance. */
+export type FinishedAttempt = {
+	readonly end: AttemptEnd;
+	/** Time that the instance took. */
+	readonly latencyMs: number;
+};
+
 /** Load of the instances of a service. */
 export type InstanceLoads = {
 	/** Replaces the candidates; instances that left keep no state once nothing is in flight there. */
 	readonly setCandidates: (candidates: readonly Candidate[]) => void;
 	readonly start: (permit: Permit) => void;
 	/** Ends an attempt and learns from it. */
-	readonly finish: (permit: Permit, end: AttemptEnd, nowMs: number) => void;
+	readonly finish: (permit: Permit, finished: FinishedAttempt, nowMs: number) => void;
 	readonly views: (limits: InstanceLimits, nowMs: number) => readonly InstanceView[];
 	/** Slots of the instances that take requests, by their weight. */
 	readonly usableSlots: (slotsPerInstance: number, nowMs: number) => number;
@@ -94,10 +101,10 @@
 	state.failures++;
 };
 
-const learn = (state: InstanceState, permit: Permit, end: AttemptEnd, nowMs: number): void => {
+const learn = (state: InstanceState, {end, latencyMs}: FinishedAttempt, nowMs: number): void => {
 	switch (end) {
 		case 'answered': {
-			state.latency.observe(nowMs - permit.startedAtMs, nowMs);
+			state.latency.observe(latencyMs, nowMs);
 			state.slotFactor = Math.min(1, state.slotFactor + slotFactorStep);
 			state.failures = 0;
 			state.avoidedUntilMs = nowMs;
@@ -105,7 +112,7 @@
 		}
 
 		case 'timed-out': {
-			state.latency.observe(nowMs - permit.startedAtMs, nowMs);
+			state.latency.observe(latencyMs, nowMs);
 			break;
 		}
 
@@ -164,7 +171,7 @@
 			state.inFlight++;
 			state.suspectsInFlight += permit.isSuspect ? 1 : 0;
 		},
-		finish(permit, end, nowMs) {
+		finish(permit, finished, nowMs) {
 			const state = states.get(permit.instanceId);
 			if (state === undefined) {
 				return;
@@ -172,7 +179,7 @@
 
 			state.inFlight--;
 			state.suspectsInFlight -= permit.isSuspect ? 1 : 0;
-			learn(state, permit, end, nowMs);
+			learn(state, finished, nowMs);
 			dropIfGone(state);
 		},
 		views(limits, nowMs) {
--- a/packages/core/src/load/service-load.ts
+++ b/packages/core/src/load/service-load.ts
@@ -21,8 +21,12 @@
 	readonly configure: (settings: LoadSettings, candidates: readonly Candidate[], entryCount: number) => void;
 	/** Decides about a request; one that waits comes back from `dispatch`. */
 	readonly admit: (request: Request, nowMs: number) => AdmissionDecision;
-	/** Gives a permit back. Call `dispatch` afterwards. */
-	readonly release: (permit: Permit, end: AttemptEnd, nowMs: number) => void;
+	/**
+	 * Gives a permit back. Call `dispatch` afterwards.
+	 *
+	 * The instance is measured from `sentWholeAtMs`, or else from the start: the time before is its caller's.
+	 */
+	readonly release: (permit: Permit, end: AttemptEnd, nowMs: number, sentWholeAtMs?: number) => void;
 	/** Decides about waiting requests: after a release, a change of the instances, and at `nextDispatchMs`. */
 	readonly dispatch: (nowMs: number) => ReadonlyArray<Dispatch<Request>>;
 	/** Forgets a waiting request whose caller went away. */
@@ -220,8 +224,8 @@
 				}
 			}
 		},
-		release(permit, end, nowMs) {
-			instances.finish(permit, end, nowMs);
+		release(permit, end, nowMs, sentWholeAtMs = permit.startedAtMs) {
+			instances.finish(permit, {end, latencyMs: nowMs - sentWholeAtMs}, nowMs);
 			inFlight--;
 			const left = (inFlightOf.get(permit.workspace) ?? 0) - 1;
 			if (left > 0) {
--- a/packages/core/test/load/decisions.test.ts
+++ b/packages/core/test/load/decisions.test.ts
@@ -153,6 +153,31 @@
 		expect(admitAll(100, 1)).to.deep.equal(['run', 'run']);
 	});
 
+	const measured = [
+		{title: 'from the end of its body', sentWholeAtMs: 5990, expected: 'instance-0'},
+		{title: 'from its start when it had none', sentWholeAtMs: undefined, expected: 'instance-1'},
+	];
+	for (const {title, sentWholeAtMs, expected} of measured) {
+		it(`measures an instance by a request of 6 s ${title}`, () => {
+			const load = createLoad([1, 0]);
+			const answer = (id: number, fromMs: number, toMs: number, sentAtMs?: number): string | undefined => {
+				const decision = load.admit(createRequest(id), fromMs);
+				if (decision.type !== 'run') {
+					return undefined;
+				}
+
+				load.release(decision.permit, 'answered', toMs, sentAtMs);
+				return decision.permit.instanceId;
+			};
+
+			answer(1, 0, 6000, sentWholeAtMs);
+			load.configure(settings, [{instanceId: 'instance-0', weight: 0}, {instanceId: 'instance-1', weight: 1}], 1);
+			answer(2, 6000, 6050);
+			load.configure(settings, [{instanceId: 'instance-0', weight: 1}, {instanceId: 'instance-1', weight: 1}], 1);
+			expect(answer(3, 6050, 6060)).to.equal(expected);
+		});
+	}
+
 	it('refuses a request whose deadline has passed', () => {
 		expect(createLoad([1]).admit(createRequest(1, 'a', 5), 5)).to.deep.equal({type: 'refuse', kind: 'deadline-expired'});
 	});
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -216,7 +216,8 @@
 			}
 
 			const release = (outcome?: AttemptOutcome): void => {
-				load.release(admitted.permit, toAttemptEnd(outcome), nowMs());
+				const sentWholeAtMs = outcome?.type === 'answered' ? outcome.sentWholeAtMs : undefined;
+				load.release(admitted.permit, toAttemptEnd(outcome), nowMs(), sentWholeAtMs);
 				settleWaiting(load);
 			};
 
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -32,6 +32,8 @@
 		readonly statusCode: number;
 		readonly headers: Headers;
 		readonly body: Readable;
+		/** When the last byte of the request's body was passed on; absent without a body, or when the answer came before. */
+		readonly sentWholeAtMs?: number;
 	}
 	| {
 		/** Nothing was written to any connection. */
@@ -197,6 +199,7 @@
 			})
 			: undefined;
 		let isWritten = false;
+		let sentWholeAtMs: number | undefined;
 		let timer: NodeJS.Timeout | undefined;
 
 		const end = (reason: 'timeout' | 'caller-gone'): void => {
@@ -228,6 +231,7 @@
 		};
 
 		body?.stream.once('end', () => {
+			sentWholeAtMs = nowMs();
 			const digest = body.digest();
 			if (digest !== undefined) {
 				onBodyDigest?.(digest);
@@ -282,7 +286,7 @@
 				signal.removeEventListener('abort', onCallerGone);
 			});
 			return {
-				type: 'answered', statusCode: answer.statusCode, headers: answer.headers, body: answer.body,
+				type: 'answered', statusCode: answer.statusCode, headers: answer.headers, body: answer.body, ...(sentWholeAtMs !== undefined && {sentWholeAtMs}),
 			};
 		} catch (error) {
 			clearTimeout(timer);
--- a/packages/entry/test/admission.test.ts
+++ b/packages/entry/test/admission.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
@@ -70,6 +71,41 @@
 		}
 	});
 
+	it('goes on using an instance whose upload took long because its caller sent it slowly', async () => {
+		const served = {quick: 0, slow: 0};
+		const start = async (id: keyof typeof served, answerMs: number): Promise<FakeBackend> => startFakeBackend(id, 'rosterview', (incoming, response) => {
+			served[id] += incoming.method === 'GET' ? 1 : 0;
+			incoming.resume().once('end', async () => {
+				await delay(answerMs);
+				response.end('whole');
+			});
+		});
+		const backends = [await start('quick', 1), await start('slow', 50)];
+		const [{instance: quick}, {instance: slow}] = backends as [FakeBackend, FakeBackend];
+		const harness = await startHarness({records: [service, route], instances: [quick]});
+		const uploadMs = 1500;
+		const body = async function * (): AsyncGenerator<Uint8Array> {
+			yield Buffer.from('first');
+			await delay(uploadMs);
+			yield Buffer.from('last');
+		};
+
+		try {
+			await call(`${harness.url}/recordings/1`, {method: 'PUT', body: body(), duplex: 'half'});
+			harness.putInstances([quick, slow]);
+			for (let index = 0; index < 20; index++) {
+				await call(`${harness.url}/rosters/${index}`);
+			}
+
+			expect(served.quick).to.be.above(served.slow);
+		} finally {
+			await harness.close();
+			for (const backend of backends) {
+				backend.close();
+			}
+		}
+	});
+
 	it('spends no more than the budget on retries when every attempt is lost', async () => {
 		let attempts = 0;
 		const drop: http.RequestListener = incoming => {
--- a/test/scenario/leaving.test.ts
+++ b/test/scenario/leaving.test.ts
@@ -31,6 +31,8 @@
 	readonly permit: Permit;
 	readonly endsAtMs: number;
 	readonly isRefused: boolean;
+	/** When its caller had sent it whole. */
+	readonly sentWholeAtMs: number;
 };
 
 const serviceOf = (path: string): string | undefined => scenario.routes.find(({pathPrefix}) => path.startsWith(pathPrefix))?.service;
@@ -87,8 +89,9 @@
 		}
 
 		const ownAnswerMs = instanceId === slowId && nowMs < firstAnswersUntilMs ? firstAnswerMs : answerMs;
+		const sentWholeAtMs = nowMs + (uploadMs ?? 0);
 		running = [...running, {
-			entry, permit, isRefused, endsAtMs: nowMs + (isRefused ? 1 : uploadMs ?? ownAnswerMs),
+			entry, permit, isRefused, sentWholeAtMs, endsAtMs: isRefused ? nowMs + 1 : sentWholeAtMs + ownAnswerMs,
 		}];
 	};
 
@@ -102,8 +105,8 @@
 	for (let nowMs = 0; nowMs < scenario.durationMs; nowMs++) {
 		const ended = running.filter(({endsAtMs}) => endsAtMs <= nowMs);
 		running = running.filter(({endsAtMs}) => endsAtMs > nowMs);
-		for (const {entry, permit, isRefused} of ended) {
-			loads[entry]!.release(permit, isRefused ? 'shed' : 'answered', nowMs);
+		for (const {entry, permit, isRefused, sentWholeAtMs} of ended) {
+			loads[entry]!.release(permit, isRefused ? 'shed' : 'answered', nowMs, sentWholeAtMs);
 		}
 
 		configureAll();
