fix(entry): informational answers without end are cut off

Cause: each 1xx answer starts the parser's limit of header bytes anew, and nothing counted them.

Fix: the attempt fails after a hundred of them, as in the gateway; the limit stands once, in @egretwing/node.

The endless instance moves to test/support.

Not bounded in bytes, only in time: a status line and the extensions of a chunk, which undici reads as fast as they come.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -8,7 +8,9 @@
 
 import type {Readable} from 'node:stream';
 import {Pool, errors, type Dispatcher} from 'undici';
-import {answerIsBounded, forwardedHeaders, type Headers} from '@egretwing/node';
+import {
+	answerIsBounded, forwardedHeaders, maxInformational, type Headers,
+} from '@egretwing/node';
 import {BodyError, createRequestBody, type BodyFault} from './body.ts';
 import {deadlineHeader, ownHeaders} from './constants.ts';
 import type {CallerRequest} from './request.ts';
@@ -230,6 +232,14 @@
 			return true;
 		};
 
+		let informational = 0;
+		const onInfo = (): void => {
+			informational++;
+			if (informational > maxInformational) {
+				cancel.abort(new Error('Too many informational answers'));
+			}
+		};
+
 		body?.stream.once('end', () => {
 			sentWholeAtMs = nowMs();
 			const digest = body.digest();
@@ -261,6 +271,7 @@
 			body: body?.stream ?? null,
 			bodyTimeout: service.requestTimeoutMs,
 			signal: cancel.signal,
+			onInfo,
 			onWrite,
 		};
 		const cancelled = new Promise<never>((_resolve, reject) => {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,9 +54,6 @@
 /** Answers up to this size are held back until they are whole, so that a spoilt one can be replaced. */
 export const heldAnswerBytes = 1_048_576;
 
-/** Informational answers (1xx) that are read before the final one: far more than an instance has reason to send. */
-export const maxInformational = 100;
-
 /** Largest answer without use that is read to its end, so that its connection can be kept: far more than a rejection needs. */
 export const maxDrainBytes = 65_536;
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -9,9 +9,9 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {createIdleLimit} from '@egretwing/core';
-import {answerIsBounded} from '@egretwing/node';
+import {answerIsBounded, maxInformational} from '@egretwing/node';
 import {
-	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxInformational, maxReadHeadBytes,
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxReadHeadBytes,
 } from './constants.ts';
 import {watchReset} from './reset.ts';
 import type {HeaderNames} from './types.ts';
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -14,7 +14,7 @@
 import {watchReset} from '../src/reset.ts';
 import {
 	startEndlessInstance, wholeAnswer, type EndlessAnswer, type EndlessInstance, type EndlessOptions,
-} from './support/endless-instance.ts';
+} from '../../../test/support/endless-instance.ts';
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(209)}.1`;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -13,7 +13,9 @@
 export type {Sealer} from './seal.ts';
 export {createConnection, dial} from './connection.ts';
 export type {Connection, ConnectionHandlers, DialOptions} from './connection.ts';
-export {listen, readJson, sendJson} from './http.ts';
+export {
+	listen, maxInformational, readJson, sendJson,
+} from './http.ts';
 export {createOperatorServer} from './operator.ts';
 export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
 export {onShutdownSignal} from './shutdown.ts';
