test(gateway): bytes that come just before the next request on a kept connection are no answer to it

Endless garbage, answers to another request and half of one, sent in the moment in which the connection is taken again: the attempt counts as broken, its connection is closed, and the request after it gets its own answer. All pass on the code before this commit, too.

--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -11,6 +11,9 @@
 /** More than the buffers of a loopback connection hold. */
 const longBodyBytes = 16_000_000;
 
+/** Ends with its connection. */
+const unboundedAnswer = 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart';
+
 /** Starts an instance that answers each request with the next of `answers`; '' resets the connection. */
 const startInstance = async (answers: readonly string[], end: 'keep' | 'end' | 'reset' = 'keep') => {
 	const seen: string[] = [];
@@ -95,10 +98,10 @@
 		{title: 'refuses bytes that are no answer', answer: 'garbage\r\n\r\n', outcome: 'broken'},
 		{title: 'reports a reset after sending as broken', answer: '', outcome: 'broken'},
 		{
-			title: 'marks an answer without a length', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'end', outcome: 'answered 200 part unbounded',
+			title: 'marks an answer without a length', answer: unboundedAnswer, end: 'end', outcome: 'answered 200 part unbounded',
 		},
 		{
-			title: 'refuses an answer without a length that a reset ends', answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-signature: s\r\nconnection: close\r\n\r\npart', end: 'reset', outcome: 'broken',
+			title: 'refuses an answer without a length that a reset ends', answer: unboundedAnswer, end: 'reset', outcome: 'broken',
 		},
 		{
 			title: 'passes a whole answer that a reset follows', answer: whole('r1'), end: 'reset', outcome: 'answered 200 ok',
@@ -291,4 +294,42 @@
 			socket.destroy();
 		}
 	});
+
+	const unasked: ReadonlyArray<readonly [title: string, bytes: string]> = [
+		['bytes that are no answer', 'x'.repeat(longBodyBytes)],
+		['answers to another request', whole('r1').repeat(1000)],
+		['half of one', whole('r1').slice(0, -1)],
+	];
+	for (const [title, bytes] of unasked) {
+		it(`takes ${title}, sent on an idle connection just before the next request, for no answer to it`, async () => {
+			const sockets: net.Socket[] = [];
+			const server = net.createServer(socket => {
+				sockets.push(socket);
+				socket.on('error', () => undefined);
+				socket.on('data', data => {
+					const id = /egretwing-request-id: (\S+)/v.exec(data.toString())?.[1] ?? '';
+					socket.write(whole(id, id));
+				});
+			});
+			await new Promise<void>(resolve => {
+				server.listen(0, address, resolve);
+			});
+			const upstream = create();
+			const target = {instanceId: 'i', address, port: (server.address() as net.AddressInfo).port};
+			const send = (id: string) => upstream.send(target, request({requestId: id, headers: {host: 'a.example', 'egretwing-request-id': id}}), 1000);
+			await send('r1').outcome;
+			await delay(20);
+			sockets[0]!.write(bytes);
+			const second = send('r2');
+			expect(describeOutcome(await second.outcome)).to.equal('broken');
+			await delay(50);
+			expect(sockets[0]!.destroyed).to.equal(true);
+			expect(describeOutcome(await send('r3').outcome)).to.equal('answered 200 r3');
+			upstream.close();
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		});
+	}
 });
