fix(gateway): a peer whose answer is arriving is not taken for silent

Cause: who asked for instances or a configuration waited 300 ms for the whole answer, then asked another peer and reset its own stream to the first. An answer that a slow link hands to eight peers takes longer, so that copies multiplied.

What changed: frames tell that one has begun; while bytes of one come, with pauses of less than 300 ms, the peer that sends it is waited for. After 1 s another is asked as well if one offered the same, without a reset.

Not measured on real links.

--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -21,9 +21,12 @@
 /** Time after which a peer that lacks news is sent it: most hear it from others sooner. */
 export const newsGraceMs = 50;
 
-/** Time after which a peer that was asked for what it has counts as silent. */
+/** Time after which a peer that was asked for what it has counts as silent, if none of its answer is there. */
 export const pullTimeoutMs = 300;
 
+/** Time after which another peer is asked although an answer is arriving: two such answers fit into the time within which a change has to be in force. */
+export const slowPullMs = 1000;
+
 /** Readers of the store. Two, in different data centres, so that the loss of one costs no time. */
 export const readerCount = 2;
 
--- a/packages/core/src/spread/single-pull.ts
+++ b/packages/core/src/spread/single-pull.ts
@@ -1,12 +1,14 @@
 /** Asks for something large of one peer at a time: copies from several would share the links and each come later. */
 
-import {pullTimeoutMs} from './constants.ts';
+import {pullTimeoutMs, slowPullMs} from './constants.ts';
 
 /** What became of the question. */
 export type PullStep
 	= | {readonly type: 'waits'}
 	/** The peer that was asked did not answer; `nextId` is asked now, where another offered the same. */
-		| {readonly type: 'silent'; readonly silentId: string; readonly nextId: string | undefined};
+		| {readonly type: 'silent'; readonly silentId: string; readonly nextId: string | undefined}
+	/** The answer is arriving, but takes so long that `nextId` is asked as well. */
+		| {readonly type: 'slow'; readonly nextId: string};
 
 /** A question for one thing. */
 export type SinglePull = {
@@ -18,8 +20,8 @@
 	readonly end: () => void;
 };
 
-/** Creates a question that nobody was asked yet. */
-export const createSinglePull = (): SinglePull => {
+/** Creates a question that nobody was asked yet; `isArriving` tells whether a part of a message of a peer is there. */
+export const createSinglePull = (isArriving: (peerId: string) => boolean): SinglePull => {
 	const others = new Set<string>();
 	let asked: {readonly peerId: string; readonly atMs: number} | undefined;
 
@@ -28,6 +30,16 @@
 		others.clear();
 	};
 
+	const askNext = (peerId: string | undefined, nowMs: number): void => {
+		if (peerId === undefined) {
+			end();
+			return;
+		}
+
+		others.delete(peerId);
+		asked = {peerId, atMs: nowMs};
+	};
+
 	return {
 		offer(peerId, nowMs) {
 			if (asked !== undefined) {
@@ -43,17 +55,20 @@
 				return {type: 'waits'};
 			}
 
-			const silentId = asked.peerId;
-			others.delete(silentId);
+			const {peerId, atMs} = asked;
+			others.delete(peerId);
 			const [nextId] = others;
-			if (nextId === undefined) {
-				end();
-			} else {
-				others.delete(nextId);
-				asked = {peerId: nextId, atMs: nowMs};
+			if (isArriving(peerId)) {
+				if (nextId === undefined || nowMs - atMs < slowPullMs) {
+					return {type: 'waits'};
+				}
+
+				askNext(nextId, nowMs);
+				return {type: 'slow', nextId};
 			}
 
-			return {type: 'silent', silentId, nextId};
+			askNext(nextId, nowMs);
+			return {type: 'silent', silentId: peerId, nextId};
 		},
 		end,
 	};
--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -26,6 +26,8 @@
 	readonly peerIds: () => readonly string[];
 	/** Those of them in the own data centre. */
 	readonly nearPeerIds: () => readonly string[];
+	/** Whether a part of a message of this peer is there, and the rest on its way. */
+	readonly isArriving: (peerId: string) => boolean;
 	/** Called when a configuration or instances came into force, with where they came from. */
 	readonly onChange: (change: SpreadChange) => void;
 };
@@ -75,7 +77,7 @@
 
 /** Creates the spread of one gateway. */
 export const createSpread = ({
-	selfId, catalogue, random, peerIds, nearPeerIds, onChange,
+	selfId, catalogue, random, peerIds, nearPeerIds, isArriving, onChange,
 }: SpreadOptions): Spread => {
 	const history = createInstanceHistory();
 	const doubts = new Map<string, Doubt>();
@@ -83,8 +85,8 @@
 	let isStillApart = false;
 	let nextCompareMs = 0;
 	let silentPeers: string[] = [];
-	const instancesPull = createSinglePull();
-	const configPull = createSinglePull();
+	const instancesPull = createSinglePull(isArriving);
+	const configPull = createSinglePull(isArriving);
 	/** The configuration that is asked for; 0 for none. */
 	let wantedVersion = 0;
 
@@ -187,6 +189,10 @@
 				silentPeers.push(step.silentId);
 				return step.nextId === undefined ? [] : [ask(step.nextId)];
 			}
+
+			case 'slow': {
+				return [ask(step.nextId)];
+			}
 		}
 	};
 
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -39,6 +39,7 @@
 			random: createRandom((seed * 1000) + index + 1),
 			peerIds: () => ids.filter(other => other !== id),
 			nearPeerIds: () => ids.filter((other, place) => other !== id && place % 3 === index % 3),
+			isArriving: () => false,
 			onChange: () => undefined,
 		});
 		return [id, {id, catalogue, spread}];
@@ -209,7 +210,7 @@
 		const catalogue = createCatalogue();
 		const ids = ['g-1', 'g-2', 'g-3'];
 		const spread = createSpread({
-			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, onChange: () => undefined,
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, isArriving: () => false, onChange: () => undefined,
 		});
 		const digest = {configVersion: 0, instances: 7, instancesAsOf: 7};
 		const asked = (sends: readonly SpreadSend[]): readonly string[] => sends.filter(({message}) => message.type === 'pull').map(({to}) => to);
@@ -240,7 +241,7 @@
 		const catalogue = createCatalogue();
 		const ids = ['g-1', 'g-2'];
 		const spread = createSpread({
-			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, onChange: () => undefined,
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, isArriving: () => false, onChange: () => undefined,
 		});
 		spread.tick(0);
 		spread.receive('g-1', {type: 'state', entries: [entry('i-1', 7)], instancesAsOf: 7}, 100);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -136,6 +136,10 @@
 		random,
 		peerIds: fleet.peerIds,
 		nearPeerIds: fleet.nearPeerIds,
+		isArriving(id) {
+			const host = fleet.hosts().get(id);
+			return host !== undefined && mesh.isArriving(host);
+		},
 		onChange({source, config, entries}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -17,6 +17,8 @@
 /** Channel to the other gateways. */
 export type Mesh = {
 	readonly send: (to: PeerEndpoint, message: MeshMessage, transport: 'datagram' | 'stream') => void;
+	/** Whether a part of a message of this peer came lately, and the rest is missing. */
+	readonly isArriving: (from: PeerEndpoint) => boolean;
 	/** Ends the stream to a peer that does not answer. */
 	readonly reset: (to: PeerEndpoint) => void;
 	readonly close: () => void;
@@ -79,6 +81,7 @@
 				// A datagram that could not be sent counts as lost, as the protocols above expect.
 			});
 		},
+		isArriving: streams.isArriving,
 		reset: streams.reset,
 		close() {
 			isClosed = true;
--- a/packages/gateway/test/common-start.test.ts
+++ b/packages/gateway/test/common-start.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {electionWaitMs} from '@egretwing/core';
+import {electionWaitMs, type InstanceEntry} from '@egretwing/core';
 import {encodeMessage} from '../src/mesh-message.ts';
 import {createInstances} from './support/instances.ts';
 import {createLargeConfig} from './support/large-config.ts';
@@ -20,19 +20,23 @@
 /** Time between the reads of two readers, and until the first hears of what registered meanwhile. */
 const staggerMs = 20;
 
+/** Ten times as many instances take longer to hand to eight peers than a silent peer is waited for. */
+const manyInstances = createInstances(10 * instanceCount);
+
+/** With so many each is sent once, and what else is sent is small beside it. */
+const maxSlowCopies = 1.1;
+
 const large = createLargeConfig(1);
 const config = {...large, routes: large.routes.slice(0, routeCount)};
 const entries = createInstances(instanceCount);
 
 /** Bytes of the answer that a gateway needs, for all of them. */
-const neededBytes = fleetSize * encodeMessage(
-	{hostId: 'g-100', address: '10.0.0.1', peerPort: 7000},
-	{
-		type: 'spread', message: {
-			type: 'state', entries, instancesAsOf: instanceCount, isPacked: true,
-		},
+const neededBytes = (needed: readonly InstanceEntry[]): number => fleetSize * encodeMessage({hostId: 'g-100', address: '10.0.0.1', peerPort: 7000}, {
+	type: 'spread',
+	message: {
+		type: 'state', entries: needed, instancesAsOf: needed.length, isPacked: true,
 	},
-).length;
+}).length;
 
 type Fleet = ReturnType<typeof createLinkedFleet>;
 
@@ -64,6 +68,23 @@
 	}
 };
 
+describe(`${fleetSize} gateways that start together, with ${manyInstances.length} instances`, () => {
+	it(`ask nobody else while an answer arrives: they are sent at most ${maxSlowCopies} times the bytes needed`, function () {
+		this.timeout(60_000);
+		const fleet = createLinkedFleet(fleetSize, 1);
+		fleet.run(electionWaitMs);
+		for (const id of fleet.electedIds()) {
+			fleet.read(id, {config, entries: manyInstances, instancesAsOf: manyInstances.length});
+		}
+
+		fleet.run(2 * wholeMs, () => lacking(fleet) === 0);
+		fleet.run(wholeMs);
+		const copies = sentBytes(fleet) / neededBytes(manyInstances);
+		expect(lacking(fleet)).to.equal(0);
+		expect(copies).to.be.below(maxSlowCopies);
+	});
+});
+
 describe(`${fleetSize} gateways that start together, with links of 10 Mbit/s and ${instanceCount} instances`, () => {
 	const starts: ReadonlyArray<{readonly title: string; readonly read: (fleet: Fleet) => void; readonly bytesPerMs?: number}> = [
 		{title: 'with the elected readers', read: together(fleet => fleet.electedIds())},
@@ -83,7 +104,7 @@
 				fleet.run(2 * wholeMs, () => lacking(fleet) === 0);
 				const tookMs = fleet.nowMs() - startMs;
 				fleet.run(wholeMs);
-				const copies = sentBytes(fleet) / neededBytes;
+				const copies = sentBytes(fleet) / neededBytes(entries);
 				const seen = `${lacking(fleet)} lack something, the last whole after ${tookMs} ms, ${copies.toFixed(2)} times the bytes needed`;
 				expect(tookMs, seen).to.be.below(wholeMs);
 				expect(copies, seen).to.be.below(maxCopies);
--- a/packages/gateway/test/support/links.ts
+++ b/packages/gateway/test/support/links.ts
@@ -21,7 +21,7 @@
 };
 
 /** A part of a message on its way, or its end. */
-type Piece = {readonly atMs: number; readonly sizeBytes: number; readonly ends: Letter | undefined};
+type Piece = {readonly atMs: number; readonly sizeBytes: number; readonly letter: Letter; readonly isEnd: boolean};
 
 type Host = {
 	readonly id: string;
@@ -32,6 +32,8 @@
 	readonly tickOffsetMs: number;
 	readonly streams: Map<string, Letter[]>;
 	readonly arriving: Piece[];
+	/** Peers of which a part of a message is there. */
+	readonly midway: Set<string>;
 	/** Number of whole configurations that arrived. */
 	copies: number;
 	sentBytes: number;
@@ -64,10 +66,11 @@
 			random: createRandom((seed * 1000) + index),
 			peerIds: () => ids.filter(other => other !== id),
 			nearPeerIds: () => ids.filter((other, place) => other !== id && place % dataCentreCount === index % dataCentreCount),
+			isArriving: peerId => hosts.get(id)!.midway.has(peerId),
 			onChange: () => undefined,
 		});
 		return [id, {
-			id, catalogue, spread, speed: index % 21 === 20 ? 10 : 1, tickOffsetMs: index * 37 % tickIntervalMs, streams: new Map(), arriving: [], copies: 0, sentBytes: 0,
+			id, catalogue, spread, speed: index % 21 === 20 ? 10 : 1, tickOffsetMs: index * 37 % tickIntervalMs, streams: new Map(), arriving: [], midway: new Set(), copies: 0, sentBytes: 0,
 		}];
 	}));
 
@@ -95,7 +98,9 @@
 		const sizeBytes = Math.min(bytesPerMs, letter.leftBytes);
 		letter.leftBytes -= sizeBytes;
 		host.sentBytes += sizeBytes;
-		hosts.get(letter.to)!.arriving.push({atMs: nowMs + latencyMs, sizeBytes, ends: letter.leftBytes === 0 ? letter : undefined});
+		hosts.get(letter.to)!.arriving.push({
+			atMs: nowMs + latencyMs, sizeBytes, letter, isEnd: letter.leftBytes === 0,
+		});
 		host.streams.delete(stream);
 		if (letter.leftBytes === 0) {
 			waiting.shift();
@@ -108,11 +113,14 @@
 
 	const receive = (host: Host): void => {
 		for (let leftBytes = bytesPerMs * host.speed; leftBytes > 0 && (host.arriving[0]?.atMs ?? Number.POSITIVE_INFINITY) <= nowMs;) {
-			const {sizeBytes, ends} = host.arriving.shift()!;
+			const {sizeBytes, letter: {from, message}, isEnd} = host.arriving.shift()!;
 			leftBytes -= sizeBytes;
-			if (ends !== undefined) {
-				host.copies += Number(ends.message.type === 'state' && ends.message.config !== undefined);
-				post(host, host.spread.receive(ends.from, ends.message, nowMs));
+			if (isEnd) {
+				host.midway.delete(from);
+				host.copies += Number(message.type === 'state' && message.config !== undefined);
+				post(host, host.spread.receive(from, message, nowMs));
+			} else {
+				host.midway.add(from);
 			}
 		}
 	};
--- a/packages/node/src/frames.ts
+++ b/packages/node/src/frames.ts
@@ -43,6 +43,8 @@
 export type FrameReader = {
 	/** Takes the next bytes of the stream and returns the payloads that became whole. */
 	readonly push: (bytes: Uint8Array) => Result<readonly Buffer[], FrameError>;
+	/** True when a frame has begun and is not whole. */
+	readonly isMidway: () => boolean;
 };
 
 /** Creates a reader that refuses frames of more than `limitBytes`. */
@@ -54,6 +56,7 @@
 	let neededBytes = lengthBytes;
 
 	return {
+		isMidway: () => waitingBytes > 0,
 		push(bytes) {
 			parts.push(Buffer.from(bytes));
 			waitingBytes += bytes.length;
--- a/packages/node/src/peer-streams.ts
+++ b/packages/node/src/peer-streams.ts
@@ -11,6 +11,9 @@
 /** Bytes that may wait for one slow peer; what comes after is dropped. */
 const maxWaitingBytes = 16_777_216;
 
+/** Time without bytes after which a message that has begun counts as stuck: many round trips, and less than a lost packet takes that was sent twice. */
+const arrivalPauseMs = 300;
+
 /** Where a peer listens. */
 export type PeerEndpoint = {
 	readonly address: string;
@@ -21,6 +24,8 @@
 export type PeerStreams = {
 	/** Sends one message; dropped when the peer can't be reached or reads too slowly. */
 	readonly send: (to: PeerEndpoint, message: Buffer) => void;
+	/** Whether a part of a message of this peer came lately, and the rest is missing. */
+	readonly isArriving: (from: PeerEndpoint) => boolean;
 	/** Ends the connection to a peer that does not answer; the next message opens another. */
 	readonly reset: (to: PeerEndpoint) => void;
 	readonly close: () => void;
@@ -32,20 +37,29 @@
 	readonly onMessage: (message: Buffer) => boolean;
 };
 
-const readFrames = (socket: net.Socket, onMessage: (message: Buffer) => boolean): void => {
+/** A connection that a peer opened. */
+type Incoming = {
+	/** True while a message is on its way in it. */
+	readonly isArriving: () => boolean;
+};
+
+const readFrames = (socket: net.Socket, onMessage: (message: Buffer) => boolean): Incoming => {
 	const reader = createFrameReader();
+	let lastBytesMs = 0;
 	socket.on('data', bytes => {
+		lastBytesMs = performance.now();
 		const payloads = reader.push(bytes);
 		if (payloads.isErr() || !payloads.value.every(payload => onMessage(payload))) {
 			socket.destroy();
 		}
 	});
+	return {isArriving: () => reader.isMidway() && performance.now() - lastBytesMs < arrivalPauseMs};
 };
 
 /** Starts listening for peers. */
 export const createPeerStreams = async (options: PeerStreamsOptions): Promise<PeerStreams> => {
 	const outgoing = new Map<string, net.Socket>();
-	const incoming = new Set<net.Socket>();
+	const incoming = new Map<net.Socket, Incoming>();
 
 	const prepare = (socket: net.Socket, onClose: () => void): void => {
 		socket.setNoDelay(true);
@@ -59,11 +73,10 @@
 	};
 
 	const server = net.createServer(socket => {
-		incoming.add(socket);
 		prepare(socket, () => {
 			incoming.delete(socket);
 		});
-		readFrames(socket, options.onMessage);
+		incoming.set(socket, readFrames(socket, options.onMessage));
 	});
 	await listen(server, options.peerPort, options.address);
 
@@ -88,13 +101,14 @@
 				socket.write(frameBytes(message));
 			}
 		},
+		isArriving: ({address}) => [...incoming].some(([{remoteAddress}, {isArriving}]) => remoteAddress === address && isArriving()),
 		reset(to) {
 			outgoing.get(keyOf(to))?.destroy();
 			outgoing.delete(keyOf(to));
 		},
 		close() {
 			server.close();
-			for (const socket of [...outgoing.values(), ...incoming]) {
+			for (const socket of [...outgoing.values(), ...incoming.keys()]) {
 				socket.destroy();
 			}
 		},
