fix(gateway): what a stream to a slow peer holds is still sent when another is opened

Seen by callers: routes and instances that come late where links are slow.

Cause: a peer whose answer is late has its stream destroyed, because a stream may be stuck after a cut. It is the stream the other way, though, that is late; what was on its way to the peer, perhaps the instances that it had asked for, was lost.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -389,7 +389,7 @@
 		for (const id of spread.takeSilentPeers()) {
 			const host = fleet.hosts().get(id);
 			if (host !== undefined) {
-				mesh.reset(host);
+				mesh.renew(host);
 			}
 		}
 
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -19,8 +19,8 @@
 	readonly send: (to: PeerEndpoint, message: MeshMessage, transport: 'datagram' | 'stream') => void;
 	/** Whether a part of a message of this peer came lately, and the rest is missing. */
 	readonly isArriving: (from: PeerEndpoint) => boolean;
-	/** Ends the stream to a peer that does not answer. */
-	readonly reset: (to: PeerEndpoint) => void;
+	/** Opens another stream to a peer that does not answer; the present one may be stuck. */
+	readonly renew: (to: PeerEndpoint) => void;
 	readonly close: () => void;
 };
 
@@ -82,7 +82,7 @@
 			});
 		},
 		isArriving: streams.isArriving,
-		reset: streams.reset,
+		renew: streams.renew,
 		close() {
 			isClosed = true;
 			datagrams.close();
--- a/packages/gateway/test/support/links.ts
+++ b/packages/gateway/test/support/links.ts
@@ -125,10 +125,19 @@
 		}
 	};
 
+	/** What the present stream holds is still sent. */
+	const renew = (host: Host, id: string): void => {
+		const waiting = host.streams.get(`stream ${id}`);
+		if (waiting !== undefined) {
+			host.streams.delete(`stream ${id}`);
+			host.streams.set(`stream ${id} until ${nowMs}`, waiting);
+		}
+	};
+
 	const tick = (host: Host): void => {
 		post(host, host.spread.tick(nowMs));
 		for (const id of host.spread.takeSilentPeers()) {
-			host.streams.delete(`stream ${id}`);
+			renew(host, id);
 		}
 	};
 
--- a/packages/node/src/peer-streams.ts
+++ b/packages/node/src/peer-streams.ts
@@ -26,8 +26,8 @@
 	readonly send: (to: PeerEndpoint, message: Buffer) => void;
 	/** Whether a part of a message of this peer came lately, and the rest is missing. */
 	readonly isArriving: (from: PeerEndpoint) => boolean;
-	/** Ends the connection to a peer that does not answer; the next message opens another. */
-	readonly reset: (to: PeerEndpoint) => void;
+	/** Lets the next message to a peer that does not answer open another connection; what the present one holds is still sent. */
+	readonly renew: (to: PeerEndpoint) => void;
 	readonly close: () => void;
 };
 
@@ -59,6 +59,8 @@
 /** Starts listening for peers. */
 export const createPeerStreams = async (options: PeerStreamsOptions): Promise<PeerStreams> => {
 	const outgoing = new Map<string, net.Socket>();
+	/** These, and those that were renewed and still send. */
+	const opened = new Set<net.Socket>();
 	const incoming = new Map<net.Socket, Incoming>();
 
 	const prepare = (socket: net.Socket, onClose: () => void): void => {
@@ -83,7 +85,9 @@
 	const connect = ({address, peerPort}: PeerEndpoint, key: string): net.Socket => {
 		const socket = net.connect({host: address, port: peerPort, localAddress: options.address});
 		outgoing.set(key, socket);
+		opened.add(socket);
 		prepare(socket, () => {
+			opened.delete(socket);
 			if (outgoing.get(key) === socket) {
 				outgoing.delete(key);
 			}
@@ -102,13 +106,13 @@
 			}
 		},
 		isArriving: ({address}) => [...incoming].some(([{remoteAddress}, {isArriving}]) => remoteAddress === address && isArriving()),
-		reset(to) {
-			outgoing.get(keyOf(to))?.destroy();
+		renew(to) {
+			outgoing.get(keyOf(to))?.end();
 			outgoing.delete(keyOf(to));
 		},
 		close() {
 			server.close();
-			for (const socket of [...outgoing.values(), ...incoming.keys()]) {
+			for (const socket of [...opened, ...incoming.keys()]) {
 				socket.destroy();
 			}
 		},
--- a/packages/node/test/peer-streams.test.ts
+++ b/packages/node/test/peer-streams.test.ts
@@ -12,6 +12,8 @@
 const settleMs = 50;
 /** More than a message that has begun may pause. */
 const pauseMs = 400;
+/** More than the system's buffers of a connection take. */
+const largeBytes = 8_000_000;
 
 type Endpoint = {readonly address: string; readonly peerPort: number};
 
@@ -69,4 +71,35 @@
 			expect(received).to.have.length(sentBytes === frame.length ? 1 : 0);
 		});
 	}
+
+	it('send a slow peer what they hold, and the next message by another connection, after a renewal', async () => {
+		const sockets: net.Socket[] = [];
+		const readers = new Map<net.Socket, Buffer[]>();
+		const slow = net.createServer({pauseOnConnect: true}, connection => {
+			sockets.push(connection);
+		});
+		slow.listen(peerPort, peer.address);
+		await once(slow, 'listening');
+		const large = Buffer.alloc(largeBytes, 1);
+		const small = Buffer.alloc(10, 2);
+		streams.send(peer, large);
+		await once(slow, 'connection');
+		streams.renew(peer);
+		streams.send(peer, small);
+		await once(slow, 'connection');
+		await Promise.all(sockets.map(async connection => {
+			const parts: Buffer[] = [];
+			readers.set(connection, parts);
+			connection.on('data', bytes => {
+				parts.push(bytes);
+			});
+			connection.resume();
+			await delay(pauseMs);
+		}));
+		slow.close();
+		streams.close();
+		const arrived = Array.from(readers.values(), parts => Buffer.concat(parts));
+		expect(arrived.map(({length}) => length)).to.deep.equal([large, small].map(message => frameBytes(message).length));
+		expect(arrived.map((bytes, index) => bytes.equals(frameBytes([large, small][index]!)))).to.deep.equal([true, true]);
+	});
 });
