fix(gateway): a long answer behind another on its connection is broken off too

What callers saw: with two requests on one connection, the second a long answer whose time was over while the first was still awaited, the connection stayed open with a part of the second answer on it.

Cause: an answer that waits behind another has no socket yet, so that the reset of it did nothing. Found in review.

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -156,9 +156,17 @@
 
 /** Resets the connection: its orderly end would complete an answer without a length. */
 const breakOff = (response: http.ServerResponse): void => {
-	if (!response.destroyed) {
-		response.socket?.resetAndDestroy();
+	if (response.destroyed) {
+		return;
 	}
+
+	if (response.socket === null) {
+		// An earlier answer has the connection; nothing of this one is out yet.
+		response.destroy();
+		return;
+	}
+
+	response.socket.resetAndDestroy();
 };
 
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
+import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
@@ -125,6 +126,12 @@
 	{title: 'closes the connection of an error without end when another instance has served the request', later: 'whole answers', expected: '200 whole'},
 ];
 
+/** A slow answer, and a long one whose time is over before the slow one has come. */
+const oneBehindAnother: ReadonlyArray<{readonly answer: EndlessAnswer; readonly limitMs: number}> = [
+	{answer: {start: 'HTTP/1.1 200 ', piece: 'x', pauseMs: 50}, limitMs: longTimeoutMs},
+	{answer: {start: longHead, piece: kilobyte}, limitMs: timeoutMs},
+];
+
 type TestService = {
 	readonly semantics: 'idempotent' | 'at-most-once';
 	readonly timeoutMs: number;
@@ -226,7 +233,10 @@
 			const start = async () => startEndlessInstance(address, {start: errorHead, piece: kilobyte}, {later, ids});
 			return {semantics: 'idempotent', timeoutMs: longTimeoutMs, instances: await Promise.all([start(), start()])};
 		}));
-		services = [...single, ...double];
+		const behind = await Promise.all(oneBehindAnother.map(async ({answer, limitMs}): Promise<TestService> => ({
+			semantics: 'at-most-once', timeoutMs: limitMs, instances: [await startEndlessInstance(address, answer)],
+		})));
+		services = [...single, ...double, ...behind];
 		gateway = await startGateway(createTestSettings('g', address, entryPort), {store: createStore(services), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
 		while (!gateway.isReady()) {
 			await delay(20);
@@ -273,4 +283,22 @@
 	for (const [index, {title, expected}] of retried.entries()) {
 		it(title, async () => check(cases.length + index, {expected}));
 	}
+
+	it('costs the caller its connection when its answer is cut off while an earlier one on the connection is awaited', async () => {
+		const requests = oneBehindAnother.map((_, index) => [
+			`GET ${pathOf(cases.length + retried.length + index)} HTTP/1.1`, 'host: a.example', `egretwing-request-id: q${index}`, 'egretwing-deadline-ms: 5000', '', '',
+		].join('\r\n'));
+		const socket = net.connect(entryPort, address);
+		socket.on('error', () => undefined);
+		socket.resume();
+		socket.write(requests.join(''));
+		const closed = new Promise<string>(resolve => {
+			socket.once('close', () => {
+				resolve('closed');
+			});
+		});
+		const end = await Promise.race([closed, delay(longTimeoutMs + endSlackMs, 'open')]);
+		socket.destroy();
+		expect(end).to.equal('closed');
+	});
 });
