fix(dispatch): the spread leaves out an instance that lost its address, and counts from the failure, not from its echo

What callers would see: requests spent on an address that another instance has, and sound instances left out for longer than the floor allows when reports are delayed.

Cause: an instance whose address another has was told apart from silence, but not from a failure of its own, so that the spread came back to it after 3.5 s of 8. A repeated report that came more than 100 ms late counted as a new failure, and its 3.5 s began again; links may hold a packet for half a second. Found in review.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -84,6 +84,15 @@
 /** Difference in time below which what a peer repeats is no news: datagrams are delayed by less. */
 export const heardJitterMs = 100;
 
+/** Delay of a datagram up to which what a peer repeats counts as known: a link whose packets wait longer counts as overloaded. */
+export const heardDelayMs = 500;
+
+/** Difference in time below which nothing new is to be told: times are told in whole milliseconds. */
+export const toldRoundingMs = 2;
+
+/** Bytes of one row of a report besides the id of the instance, of one byte a character, at most. */
+export const reportRowBytes = 12;
+
 /** Time after which a peer's report no longer counts: several report intervals. */
 export const reportLifetimeMs = 1500;
 
--- a/packages/core/src/dispatch/instance-trust.ts
+++ b/packages/core/src/dispatch/instance-trust.ts
@@ -6,7 +6,7 @@
  */
 
 import {
-	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, heardJitterMs, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, spreadAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
+	avoidFactor, avoidSuspicion, brokenAvoidMs, goodAnswerRelief, heardDelayMs, maxAvoidMs, maxShedAvoidMs, minBrokenAvoidMs, proofLifetimeMs, serverErrorSuspicion, shedAvoidMs, spreadAvoidMs, suspicionHalfLifeMs, unprovenRisk, unreachableAvoidMs,
 } from './constants.ts';
 import type {AttemptResult} from './types.ts';
 
@@ -39,8 +39,8 @@
 	let avoidUntilMs = Number.NEGATIVE_INFINITY;
 	let toldAvoidUntilMs = Number.NEGATIVE_INFINITY;
 	let avoidedAtMs = Number.NEGATIVE_INFINITY;
-	/** End of the avoidance for silence, which may be due to the way to the instance. */
-	let silentUntilMs = Number.NEGATIVE_INFINITY;
+	/** End of the avoidance for what time does not mend: silence, which may be due to the way to the instance, or a lost address. */
+	let lastingUntilMs = Number.NEGATIVE_INFINITY;
 	let goodAtMs: number | undefined;
 	let ownGoodAtMs: number | undefined;
 	let failuresInRow = 0;
@@ -76,8 +76,8 @@
 		return Math.max(minBrokenAvoidMs, brokenAvoidMs * (avoidFactor ** Math.max(0, failuresInRow - 1)));
 	};
 
-	const avoidSilent = (durationMs: number, nowMs: number): boolean => {
-		silentUntilMs = Math.max(silentUntilMs, nowMs + durationMs);
+	const avoidLasting = (durationMs: number, nowMs: number): boolean => {
+		lastingUntilMs = Math.max(lastingUntilMs, nowMs + durationMs);
 		return avoid(durationMs, nowMs);
 	};
 
@@ -113,7 +113,7 @@
 				}
 
 				case 'no-answer': {
-					return avoidSilent(noteFailure(startedAtMs, nowMs), nowMs);
+					return avoidLasting(noteFailure(startedAtMs, nowMs), nowMs);
 				}
 
 				case 'shed': {
@@ -123,10 +123,11 @@
 
 				case 'unreachable': {
 					failuresInRow++;
-					return avoidSilent(Math.min(maxAvoidMs, unreachableAvoidMs * (2 ** (failuresInRow - 1))), nowMs);
+					return avoidLasting(Math.min(maxAvoidMs, unreachableAvoidMs * (2 ** (failuresInRow - 1))), nowMs);
 				}
 
 				case 'replaced': {
+					lastingUntilMs = nowMs + maxAvoidMs;
 					return avoidAndTell(maxAvoidMs, nowMs);
 				}
 
@@ -135,19 +136,29 @@
 				}
 			}
 		},
-		observeStall: nowMs => nowMs >= avoidUntilMs && avoidSilent(noteFailure(nowMs, nowMs), nowMs),
+		observeStall: nowMs => nowMs >= avoidUntilMs && avoidLasting(noteFailure(nowMs, nowMs), nowMs),
 		hear(peerGoodAtMs, peerAvoidUntilMs, nowMs) {
 			if (peerGoodAtMs !== undefined && peerGoodAtMs > (goodAtMs ?? Number.NEGATIVE_INFINITY) && peerGoodAtMs > avoidedAtMs) {
 				goodAtMs = peerGoodAtMs;
 			}
 
-			if (peerAvoidUntilMs !== undefined && peerAvoidUntilMs > avoidUntilMs + heardJitterMs) {
-				avoidUntilMs = peerAvoidUntilMs;
+			if (peerAvoidUntilMs === undefined || peerAvoidUntilMs <= avoidUntilMs) {
+				return;
+			}
+
+			// A repetition that was delayed is no new failure.
+			if (peerAvoidUntilMs > avoidUntilMs + heardDelayMs) {
 				avoidedAtMs = Math.max(avoidedAtMs, nowMs);
 			}
+
+			avoidUntilMs = peerAvoidUntilMs;
+			// Failures are not believed for that long: another instance has the address.
+			if (peerAvoidUntilMs - nowMs > brokenAvoidMs) {
+				lastingUntilMs = peerAvoidUntilMs;
+			}
 		},
 		isAvoided: nowMs => nowMs < avoidUntilMs,
-		mayHaveRecovered: nowMs => nowMs < avoidUntilMs && nowMs >= silentUntilMs && nowMs - avoidedAtMs >= spreadAvoidMs,
+		mayHaveRecovered: nowMs => nowMs < avoidUntilMs && nowMs >= lastingUntilMs && nowMs - avoidedAtMs >= spreadAvoidMs,
 		needsTrial: () => goodAtMs === undefined || goodAtMs < avoidedAtMs,
 		risk(nowMs) {
 			const proofAgeMs = goodAtMs === undefined || goodAtMs < avoidedAtMs ? Number.POSITIVE_INFINITY : nowMs - goodAtMs;
