fix(gateway): reports fit a datagram whatever instances are called, and repetitions do not wait for ever

What callers would see: under more changes than a report has room for, an avoidance was told once and, if that datagram was lost, never again; requests in flight lapsed at the peers. With ids of 17 characters a report of 48 rows was 1,323 bytes and went over the stream, behind configurations.

Cause: repetitions came after all changes, without ageing, and the room was counted in rows.

Fix: what peers have not heard of for longest goes first, changes and repetitions alike; the room is counted in bytes.

Evidence: two cases of report-news.test.ts and two of three of mesh-message.test.ts failed before (shown in review).

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -81,9 +81,6 @@
 /** Weight of a new answer in the mean service time. */
 export const serviceTimeWeight = 0.05;
 
-/** Difference in time below which what a peer repeats is no news: datagrams are delayed by less. */
-export const heardJitterMs = 100;
-
 /** Delay of a datagram up to which what a peer repeats counts as known: a link whose packets wait longer counts as overloaded. */
 export const heardDelayMs = 500;
 
--- a/packages/core/src/dispatch/report-news.ts
+++ b/packages/core/src/dispatch/report-news.ts
@@ -3,16 +3,16 @@
  * the service has.
  *
  * Answers the load in which a gateway has requests at more instances than one packet names: what an instance broke goes
- * first, then what changed, then what would lapse at the peers.
+ * first, then what peers have not heard of for longest, of all that changed or would lapse at them.
  */
 
-import {heardJitterMs} from './constants.ts';
+import {reportRowBytes, toldRoundingMs} from './constants.ts';
 import type {DispatchReport, InstanceReport} from './types.ts';
 
 /** What has been told so far. */
 export type ReportNews = {
-	/** Rows to tell now, `limit` at most; they count as told. Rows that peers know already are repeated after `repeatMs`. */
-	readonly take: (report: DispatchReport, limit: number, repeatMs: number, nowMs: number) => readonly InstanceReport[];
+	/** Rows to tell now, in `maxBytes`; they count as told. Rows that peers know already are repeated after `repeatMs`. */
+	readonly take: (report: DispatchReport, maxBytes: number, repeatMs: number, nowMs: number) => readonly InstanceReport[];
 	/** Rows that had no place when rows were taken last. */
 	readonly untold: () => number;
 };
@@ -30,7 +30,7 @@
 	readonly toldAtMs: number;
 };
 
-const urgencies = {avoided: 0, changed: 1, repeated: 2} as const;
+const urgencies = {avoided: 0, other: 1} as const;
 
 const neverTold: Told = {
 	inFlight: 0, goodAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: Number.NEGATIVE_INFINITY, atMs: Number.NEGATIVE_INFINITY,
@@ -42,17 +42,31 @@
 
 /** How much peers need to hear of an instance; undefined when they know it. */
 const urgencyOf = (instance: InstanceReport, told: Told, repeatMs: number, nowMs: number): number | undefined => {
-	if (avoidUntilMsOf(instance, nowMs) > told.avoidUntilMs + heardJitterMs) {
+	if (avoidUntilMsOf(instance, nowMs) > told.avoidUntilMs + toldRoundingMs) {
 		return urgencies.avoided;
 	}
 
 	if (instance.inFlight !== told.inFlight) {
-		return urgencies.changed;
+		return urgencies.other;
 	}
 
 	const isLasting = instance.inFlight > 0 || instance.avoidMs !== undefined;
-	const isNewer = goodAtMsOf(instance, nowMs) > told.goodAtMs + heardJitterMs;
-	return (isLasting || isNewer) && nowMs - told.atMs >= repeatMs ? urgencies.repeated : undefined;
+	const isNewer = goodAtMsOf(instance, nowMs) > told.goodAtMs + toldRoundingMs;
+	return (isLasting || isNewer) && nowMs - told.atMs >= repeatMs ? urgencies.other : undefined;
+};
+
+/** What peers have not heard of for longest goes first, so that neither changes nor repetitions wait for ever. */
+const compareRows = (left: Row, right: Row): number =>
+	left.urgency - right.urgency || (left.toldAtMs < right.toldAtMs ? -1 : Number(left.toldAtMs > right.toldAtMs));
+
+/** The first of `instances` whose rows take `maxBytes` at most. */
+const fit = (instances: readonly InstanceReport[], maxBytes: number): readonly InstanceReport[] => {
+	let sizeBytes = 0;
+	const end = instances.findIndex(({instanceId}) => {
+		sizeBytes += instanceId.length + reportRowBytes;
+		return sizeBytes > maxBytes;
+	});
+	return end === -1 ? instances : instances.slice(0, end);
 };
 
 /** Creates the news of a gateway that has told nothing. */
@@ -79,17 +93,14 @@
 	};
 
 	return {
-		take({instances}, limit, repeatMs, nowMs) {
+		take({instances}, maxBytes, repeatMs, nowMs) {
 			const named = new Set(instances.map(({instanceId}) => instanceId));
 			const rows = [...instances, ...findEnded(named)].flatMap((instance): readonly Row[] => {
 				const told = toldById.get(instance.instanceId) ?? neverTold;
 				const urgency = urgencyOf(instance, told, repeatMs, nowMs);
 				return urgency === undefined ? [] : [{instance, urgency, toldAtMs: told.atMs}];
 			});
-			const chosen = rows
-				.toSorted((left, right) => left.urgency - right.urgency || (left.toldAtMs < right.toldAtMs ? -1 : Number(left.toldAtMs > right.toldAtMs)))
-				.slice(0, limit)
-				.map(({instance}) => instance);
+			const chosen = fit(rows.toSorted(compareRows).map(({instance}) => instance), maxBytes);
 			untold = rows.length - chosen.length;
 			for (const instance of chosen) {
 				toldById.set(instance.instanceId, {
--- a/packages/core/test/dispatch/report-news.test.ts
+++ b/packages/core/test/dispatch/report-news.test.ts
@@ -3,7 +3,8 @@
 
 const repeatMs = 500;
 
-const limit = 3;
+/** Room for three rows. */
+const limitBytes = 57;
 
 const busy = (count: number): readonly InstanceReport[] => Array.from({length: count}, (_, index) => ({instanceId: `busy-${index}`, inFlight: 1}));
 
@@ -13,7 +14,7 @@
 
 const idsTold = (steps: readonly Step[]): ReadonlyArray<readonly string[]> => {
 	const news = createReportNews();
-	return steps.map(({atMs, instances}) => news.take({instances}, limit, repeatMs, atMs).map(({instanceId}) => instanceId));
+	return steps.map(({atMs, instances}) => news.take({instances}, limitBytes, repeatMs, atMs).map(({instanceId}) => instanceId));
 };
 
 describe('news for peers', () => {
@@ -71,10 +72,33 @@
 		});
 	}
 
+	/** Times at which `steady` is told while as many others as there is room for change all the time. */
+	const timesTold = (steady: (atMs: number) => InstanceReport): readonly number[] => {
+		const news = createReportNews();
+		return Array.from({length: 31}, (_, index) => index * 100).filter(atMs => {
+			const changing = busy(4).map(instance => ({...instance, inFlight: 1 + ((atMs / 100) % 2)}));
+			const told = news.take({instances: [...changing, steady(atMs)]}, limitBytes, repeatMs, atMs);
+			return told.some(({instanceId}) => instanceId === steady(atMs).instanceId);
+		});
+	};
+
+	const lasting: ReadonlyArray<readonly [title: string, steady: (atMs: number) => InstanceReport]> = [
+		['an avoidance', atMs => ({...avoided, avoidMs: 5000 - atMs})],
+		['a request in flight', () => ({instanceId: 'long', inFlight: 1})],
+	];
+	for (const [title, steady] of lasting) {
+		it(`repeat ${title} before it lapses, while more changes than there is room for`, () => {
+			const times = timesTold(steady);
+			const pauses = times.slice(1).map((atMs, index) => atMs - times[index]!);
+			expect(times.length, times.join(' ')).to.be.at.least(3);
+			expect(Math.max(...pauses)).to.be.at.most(1000);
+		});
+	}
+
 	it('count what had no place', () => {
 		const news = createReportNews();
 		const untold = [0, 100, 200].map(atMs => {
-			news.take({instances: busy(5)}, limit, repeatMs, atMs);
+			news.take({instances: busy(5)}, limitBytes, repeatMs, atMs);
 			return news.untold();
 		});
 		expect(untold).to.deep.equal([2, 0, 0]);
@@ -82,7 +106,7 @@
 
 	it('tell that nothing is in flight any more', () => {
 		const news = createReportNews();
-		news.take({instances: busy(1)}, limit, repeatMs, 0);
-		expect(news.take({instances: []}, limit, repeatMs, 100)).to.deep.equal([{instanceId: 'busy-0', inFlight: 0}]);
+		news.take({instances: busy(1)}, limitBytes, repeatMs, 0);
+		expect(news.take({instances: []}, limitBytes, repeatMs, 100)).to.deep.equal([{instanceId: 'busy-0', inFlight: 0}]);
 	});
 });
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -18,8 +18,8 @@
 /** Time between two log lines about what is believed of a service that takes requests. */
 export const stateLogIntervalMs = 1000;
 
-/** Instances that one report names, at most, so that it fits one packet. */
-export const reportsPerDatagram = 48;
+/** Bytes of the rows of one report, at most: a datagram of 1,200 bytes, less the names of the sender and of the service. */
+export const reportRowsBytes = 1000;
 
 /**
  * Largest head of a request or an answer that is read at all, in bytes: eight times the usual limit of HTTP servers. The
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -17,7 +17,7 @@
 } from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {
-	idleReportIntervalMs, reportIntervalMs, reportingMs, reportsPerDatagram, stateLogIntervalMs,
+	idleReportIntervalMs, reportIntervalMs, reportingMs, reportRowsBytes, stateLogIntervalMs,
 } from './constants.ts';
 
 /** What becomes of a request that asks for an instance. */
@@ -148,7 +148,7 @@
 		}
 
 		service.isReportDue = false;
-		const instances = service.news.take(service.dispatcher.report(timeMs), reportsPerDatagram, idleReportIntervalMs, timeMs);
+		const instances = service.news.take(service.dispatcher.report(timeMs), reportRowsBytes, idleReportIntervalMs, timeMs);
 		if (instances.length === 0) {
 			return;
 		}
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -12,7 +12,7 @@
 export type {MeshMessage, MeshPeer} from './mesh-message.ts';
 
 /** Largest message that is sent as a datagram, in bytes. */
-const maxDatagramBytes = 1200;
+export const maxDatagramBytes = 1200;
 
 /** Channel to the other gateways. */
 export type Mesh = {
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -1,10 +1,14 @@
 import {type Buffer} from 'node:buffer';
 import {expect} from 'chai';
-import {createPrefixRouteTable, type InstanceEntry} from '@egretwing/core';
+import {
+	createPrefixRouteTable, createReportNews, toReportRows, type InstanceEntry,
+} from '@egretwing/core';
 import {
 	createFrameReader, decodeValue, encodeValue, frameBytes,
 } from '@egretwing/node';
+import {reportRowsBytes} from '../src/constants.ts';
 import {decodeMessage, encodeMessage, type MeshMessage} from '../src/mesh-message.ts';
+import {maxDatagramBytes} from '../src/mesh.ts';
 import {createInstances} from './support/instances.ts';
 import {createLargeConfig} from './support/large-config.ts';
 
@@ -106,6 +110,17 @@
 		});
 	}
 
+	for (const prefix of ['i-', 'seatledger-', 'seatledger-ga-north-a-']) {
+		it(`holds a full report on instances named like ${prefix}1000 in one datagram`, () => {
+			const instances = Array.from({length: 100}, (_, index) => ({
+				instanceId: `${prefix}${1000 + index}`, inFlight: 200, goodAgeMs: 2900, avoidMs: 4999,
+			}));
+			const rows = toReportRows({instances: createReportNews().take({instances}, reportRowsBytes, 500, 0)});
+			expect(rows.length).to.be.above(25);
+			expect(encodeMessage({hostId: 'front-ga-north-a-100', address: '127.20.1.100', peerPort: 17_000}, {type: 'load', service: 'seatledger', rows}).length).to.be.at.most(maxDatagramBytes);
+		});
+	}
+
 	it('holds the instances of a large fleet in a quarter of their bytes', () => {
 		const state = {type: 'state', instancesAsOf: 380, entries: createInstances(380)} as const;
 		const [plain, packed] = [state, {...state, isPacked: true}].map(message => encodeMessage(sender, {type: 'spread', message}).length);
