fix(core): a peer that answered is not taken for silent

What callers would see: streams to healthy peers were renewed for nothing, which delays configurations and instances.

Cause: a question to a peer ended only with what had been hoped for. A version that was announced once and never came, an answer that was not whole, and instances that the store told meanwhile left it open until the peer counted as silent.

--- a/packages/core/src/spread/spread.ts
+++ b/packages/core/src/spread/spread.ts
@@ -201,6 +201,10 @@
 			configPull.end();
 		}
 
+		if (isEveryInstanceKnown()) {
+			instancesPull.end();
+		}
+
 		return [...advance(configPull, id => askFor(id, true, false), nowMs), ...advance(instancesPull, id => askFor(id, false, true), nowMs)];
 	};
 
@@ -327,10 +331,16 @@
 				}
 
 				case 'state': {
-					if (message.entries !== undefined && message.instancesAsOf !== -1) {
+					// Also what is not whole, or not the newest, is an answer; comparisons tell who has more.
+					if (message.entries !== undefined) {
 						instancesPull.end();
 					}
 
+					if (message.config !== undefined) {
+						configPull.end();
+						wantedVersion = 0;
+					}
+
 					const change = merge(from, message, nowMs);
 					return [...passOn(change, from), ...sendNewer(from, message)];
 				}
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -337,3 +337,36 @@
 		})).to.have.length(2);
 	});
 });
+
+describe('question to a peer', () => {
+	const digest = (configVersion: number, instancesAsOf: number) => ({configVersion, instances: 7, instancesAsOf});
+	const cases: ReadonlyArray<readonly [title: string, learn: (spread: Spread) => void]> = [
+		['it sent the configuration that it has, though a newer one was announced once', spread => {
+			spread.receive('g-1', {type: 'state', entries: [], instancesAsOf: 7}, 0);
+			spread.receive('g-1', {type: 'compare', digest: digest(9, 7)}, 0);
+			spread.tick(300);
+			spread.takeSilentPeers();
+			spread.receive('g-2', {type: 'compare', digest: digest(5, 7)}, 400);
+			spread.receive('g-2', {type: 'state', config: config(5), instancesAsOf: -1}, 450);
+		}],
+		['the store told all instances meanwhile', spread => {
+			spread.receive('g-1', {type: 'compare', digest: digest(0, 7)}, 500);
+			spread.takeRead({entries: [], instancesAsOf: 7}, 600);
+		}],
+		['it said that it does not know all instances', spread => {
+			spread.receive('g-1', {type: 'compare', digest: digest(0, 7)}, 500);
+			spread.receive('g-1', {type: 'state', entries: [], instancesAsOf: -1}, 550);
+		}],
+	];
+	for (const [title, learn] of cases) {
+		it(`does not count it as silent where ${title}`, () => {
+			const ids = ['g-1', 'g-2', 'g-3'];
+			const spread = createSpread({
+				selfId: 'g-0', catalogue: createCatalogue(), random: createRandom(1), peerIds: () => ids, nearPeerIds: () => ids, isArriving: () => false, onChange: () => undefined,
+			});
+			learn(spread);
+			spread.tick(850);
+			expect(spread.takeSilentPeers()).to.deep.equal([]);
+		});
+	}
+});
