fix(gateway): a version that peers name and nobody hands over ends as a reason for doubt

What callers would see: 503 in place of 404, 413 or 431 without end, while a peer goes on naming a configuration that does not arrive.

Cause: each naming renewed the doubt of 3 s. Found in review.

--- a/packages/gateway/src/config-doubt.ts
+++ b/packages/gateway/src/config-doubt.ts
@@ -1,7 +1,7 @@
 /** Whether the configuration in force here may be older than that of others, so that what it does not allow is no reason for a final refusal. */
 
 import type {SpreadMessage} from '@egretwing/core';
-import {configDoubtMs} from './constants.ts';
+import {configDoubtMs, maxConfigDoubtMs} from './constants.ts';
 
 /** What speaks for and against the configuration in force here. */
 export type ConfigDoubt = {
@@ -14,7 +14,8 @@
 	readonly isDoubtful: (ownVersion: number, nowMs: number) => boolean;
 };
 
-type Heard = {readonly version: number; readonly atMs: number};
+/** The newest version that a peer named, and when it was named first and last. */
+type Heard = {readonly version: number; readonly firstMs: number; readonly lastMs: number};
 
 const versionIn = (message: SpreadMessage): number => {
 	switch (message.type) {
@@ -40,9 +41,11 @@
 /** Creates the doubt of a gateway that has just started. */
 export const createConfigDoubt = (): ConfigDoubt => {
 	let firstUntilMs: number | undefined;
-	let newest: Heard = {version: 0, atMs: Number.NEGATIVE_INFINITY};
+	let newest: Heard = {version: 0, firstMs: Number.NEGATIVE_INFINITY, lastMs: Number.NEGATIVE_INFINITY};
 
-	const holds = ({atMs}: Heard, nowMs: number): boolean => nowMs - atMs < configDoubtMs;
+	const isRecent = ({lastMs}: Heard, nowMs: number): boolean => nowMs - lastMs < configDoubtMs;
+
+	const holds = (heard: Heard, nowMs: number): boolean => isRecent(heard, nowMs) && nowMs - heard.firstMs < maxConfigDoubtMs;
 
 	return {
 		noteInForce(nowMs) {
@@ -53,8 +56,10 @@
 		},
 		noteMessage(message, nowMs) {
 			const version = versionIn(message);
-			if (version >= newest.version || !holds(newest, nowMs)) {
-				newest = {version, atMs: nowMs};
+			if (version === newest.version) {
+				newest = {...newest, lastMs: nowMs};
+			} else if (version > newest.version || !isRecent(newest, nowMs)) {
+				newest = {version, firstMs: nowMs, lastMs: nowMs};
 			}
 		},
 		isDoubtful: (ownVersion, nowMs) => nowMs < (firstUntilMs ?? 0) || (newest.version > ownVersion && holds(newest, nowMs)),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -107,3 +107,6 @@
 
 /** How long a configuration heard from a peer at the start may be an old one, and how long a peer's word counts that it holds a newer one: the time in which a change has to be in force everywhere. */
 export const configDoubtMs = 3000;
+
+/** How long one version that peers name, and that does not arrive, counts at most: several times that; a peer that goes on naming it is wrong, or can't hand it over. */
+export const maxConfigDoubtMs = 5 * configDoubtMs;
