--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -26,6 +26,7 @@
 import {headBytesOf} from './head.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
+import {firstServerErrorStatusCode, gatewayTimeoutStatusCode, misdirectedStatusCode} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
 import type {
 	Upstream, UpstreamAnswer, UpstreamOutcome, UpstreamRequest,
@@ -103,10 +104,6 @@
 	expired: 'queue-timeout',
 };
 
-const firstServerErrorStatusCode = 500;
-const gatewayTimeoutStatusCode = 504;
-const misdirectedStatusCode = 421;
-
 const toResult = (outcome: UpstreamOutcome, isCallerGone: boolean): AttemptResult => {
 	switch (outcome.type) {
 		case 'answered': {
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -14,6 +14,7 @@
 	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxReadHeadBytes,
 } from './constants.ts';
 import {watchReset} from './reset.ts';
+import {firstServerErrorStatusCode, misdirectedStatusCode, unavailableStatusCode} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
 
 /** Where an attempt goes. */
@@ -85,9 +86,6 @@
 	readonly onConnect: () => void;
 };
 
-const misdirectedStatusCode = 421;
-const unavailableStatusCode = 503;
-const firstServerErrorStatusCode = 500;
 const msPerSecond = 1000;
 
 const keepAliveHintMs = (header: string | string[] | undefined): number => {
