fix(core): a gateway at which requests wait asks the store again though it was turned away

Cause: a gateway that is turned away is passed over as a reader for 4 s, by those who hear it say so. Two said so before they knew the others. These took them for the readers, and the two took each other for one, so that nobody asked.

Fix: a gateway that knows nothing while requests wait at it asks again after half a second, whoever is taken for a reader.

--- a/packages/core/src/spread/constants.ts
+++ b/packages/core/src/spread/constants.ts
@@ -30,6 +30,9 @@
 /** Readers of the store. Two, in different data centres, so that the loss of one costs no time. */
 export const readerCount = 2;
 
+/** Time after which a gateway at which requests wait asks the store again that turned it away: requests wait for a second, and few gateways have any. */
+export const awaitedRetryMs = 500;
+
 /** How long a member that was turned away by the store is passed over as a reader. */
 export const unreachableHoldMs = 4000;
 
--- a/packages/core/src/spread/readers.ts
+++ b/packages/core/src/spread/readers.ts
@@ -3,11 +3,12 @@
  * Strong ones where there are any: a reader decodes each configuration and is the first that peers ask for it.
  *
  * A member that the store turns away, or does not answer, says so and is passed over for a while. A gateway that knows
- * nothing while requests wait at it reads at once: after a loss of all gateways no peer could tell it anything sooner.
+ * nothing while requests wait at it reads at once, and again after a short while: after a loss of all gateways no peer
+ * could tell it anything sooner.
  */
 
 import {rankStrongest} from '../placement/strongest.ts';
-import {electionWaitMs, readerCount, unreachableHoldMs} from './constants.ts';
+import {awaitedRetryMs, electionWaitMs, readerCount, unreachableHoldMs} from './constants.ts';
 
 /** A gateway that could read. */
 export type ReaderCandidate = {
@@ -47,7 +48,9 @@
 export const createReaderElection = (startedAtMs: number): ReaderElection => {
 	const unreachableAtMs = new Map<string, number>();
 
-	const isReachable = (hostId: string, nowMs: number): boolean => nowMs - (unreachableAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) >= unreachableHoldMs;
+	const sinceUnreachableMs = (hostId: string, nowMs: number): number => nowMs - (unreachableAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY);
+
+	const isReachable = (hostId: string, nowMs: number): boolean => sinceUnreachableMs(hostId, nowMs) >= unreachableHoldMs;
 
 	return {
 		noteUnreachable(hostId, nowMs) {
@@ -57,7 +60,8 @@
 			unreachableAtMs.delete(hostId);
 		},
 		isReader(selfId, members, nowMs, isAwaited = false) {
-			if (isAwaited && isReachable(selfId, nowMs)) {
+			// What members say of themselves may be lost, so that each may take another for a reader.
+			if (isAwaited && sinceUnreachableMs(selfId, nowMs) >= awaitedRetryMs) {
 				return true;
 			}
 
--- a/packages/core/test/spread.test.ts
+++ b/packages/core/test/spread.test.ts
@@ -338,6 +338,39 @@
 	});
 });
 
+describe('readers of the store after a common start', () => {
+	/** Requests wait that long for a process that has just started. */
+	const startWaitMs = 1000;
+	const stepMs = 50;
+	const members = ['a', 'b', 'a', 'b'].map((dataCentre, index) => ({hostId: `g-${index}`, dataCentre}));
+	/** When the store turned a member away, and whether the others hear it: the first ones know nobody yet. */
+	const turnedAway: ReadonlyMap<string, {readonly atMs: number; readonly isHeard: boolean}> = new Map([
+		['g-0', {atMs: 700, isHeard: true}],
+		['g-1', {atMs: 700, isHeard: true}],
+		['g-2', {atMs: 100, isHeard: false}],
+		['g-3', {atMs: 100, isHeard: false}],
+	]);
+
+	it('are found within the time that requests wait, though the store turned each member away before some knew each other', () => {
+		const elections = new Map(members.map(({hostId}) => [hostId, createReaderElection(0)]));
+		for (const [hostId, {atMs, isHeard}] of turnedAway) {
+			for (const [otherId, election] of elections) {
+				if (isHeard || otherId === hostId) {
+					election.noteUnreachable(hostId, atMs);
+				}
+			}
+		}
+
+		const storeBackMs = 1000;
+		let nowMs = storeBackMs;
+		while (![...elections].some(([hostId, election]) => election.isReader(hostId, members, nowMs, true))) {
+			nowMs += stepMs;
+		}
+
+		expect(nowMs - storeBackMs).to.be.at.most(startWaitMs);
+	});
+});
+
 describe('question to a peer', () => {
 	const digest = (configVersion: number, instancesAsOf: number) => ({configVersion, instances: 7, instancesAsOf});
 	const cases: ReadonlyArray<readonly [title: string, learn: (spread: Spread) => void]> = [
