fix(gateway): an earlier refusal that comes again is not taken for that of the next request

Callers: "not run, come back" for a request that an instance had run or was running.

Cause: a refusal without an id was believed on any connection. On a kept one it may as well be an earlier refusal that a faulty instance writes again. The same holds for an answer to the same request, sent again to the same instance: it names the right id. A request without an id was given any answer at all, also one that named another request.

Evidence: six of the new tests failed before (refusal without an id after a refusal and after an answer, three repetitions over one connection, a request without an id given the answer to another). A repeated refusal that names its request was told apart before. An instance that stops anywhere in the head of its answer was taken for broken before, at every byte, by close and by reset; two tests hold that now.

Fix: on a kept connection a refusal has to name its request. A connection carries no request twice (256 requests at most, so that what is kept of them is bounded), and a request without an id gets a connection of its own.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -36,6 +36,9 @@
 /** Longest time that a connection to an instance is kept unused: instances may drop idle ones without notice. */
 export const maxIdleConnectionMs = 4000;
 
+/** Requests that one connection to an instance carries, at most: their ids are kept with it, some 20 KB for each. */
+export const maxRequestsPerConnection = 256;
+
 /** A connection is given up this long before the instance said that it closes it. */
 export const idleCloseMarginMs = 1000;
 
@@ -45,6 +48,9 @@
 /** When callers of a process that knows too little are asked to come back. */
 export const notReadyRetryMs = 250;
 
+/** When callers of a process that shuts down are asked to come back: another gateway can take their request at once, over a new connection. */
+export const stoppingRetryMs = 50;
+
 /** Silence, in mean service times, after which an idempotent request is also sent elsewhere: one answer in twenty-five takes longer where service times spread log-normally by 0.8. */
 export const hedgeFactor = 3;
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -11,7 +11,7 @@
 import {createIdleLimit} from '@egretwing/core';
 import {answerIsBounded, maxInformational} from '@egretwing/node';
 import {
-	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxReadHeadBytes,
+	connectTimeoutMs, heldAnswerBytes, idleCloseMarginMs, maxDrainBytes, maxDrainMs, maxIdleConnectionMs, maxReadHeadBytes, maxRequestsPerConnection,
 } from './constants.ts';
 import {watchReset} from './reset.ts';
 import {firstServerErrorStatusCode, misdirectedStatusCode, unavailableStatusCode} from './status-codes.ts';
@@ -93,7 +93,12 @@
 	return seconds === undefined ? Number.POSITIVE_INFINITY : Number(seconds) * msPerSecond;
 };
 
-type AnswerSocket = net.Socket & {idleGuard?: () => void; idleSinceMs?: number};
+type AnswerSocket = net.Socket & {
+	idleGuard?: () => void;
+	idleSinceMs?: number;
+	/** Ids of the requests that it has carried. */
+	carriedIds?: Set<string>;
+};
 
 /** Keeps connections for a bounded time and destroys those on which an instance speaks unasked. */
 class GuardedAgent extends http.Agent {
@@ -104,20 +109,8 @@
 		this.#nowMs = nowMs;
 	}
 
-	/** Closes connections that have been idle for longer. */
-	dropIdle(limitMs: number): void {
-		const beforeMs = this.#nowMs() - limitMs;
-		for (const sockets of Object.values(this.freeSockets)) {
-			for (const socket of sockets ?? []) {
-				if (((socket as AnswerSocket).idleSinceMs ?? 0) < beforeMs) {
-					socket.destroy();
-				}
-			}
-		}
-	}
-
 	override keepSocketAlive(socket: AnswerSocket): boolean {
-		if (socket.destroyed || socket.readableLength > 0) {
+		if (socket.destroyed || socket.readableLength > 0 || (socket.carriedIds?.size ?? 0) >= maxRequestsPerConnection) {
 			return false;
 		}
 
@@ -140,6 +133,25 @@
 		socket.setTimeout(0);
 		super.reuseSocket(socket, request);
 	}
+
+	/** Closes connections that have been idle for longer. */
+	dropIdle(limitMs: number): void {
+		const beforeMs = this.#nowMs() - limitMs;
+		this.#dropFree(({idleSinceMs}) => (idleSinceMs ?? 0) < beforeMs);
+	}
+
+	/** Closes idle connections that have carried the request before: an answer to it that comes again would name the right id. */
+	dropCarriers(requestId: string): void {
+		this.#dropFree(({carriedIds}) => carriedIds?.has(requestId) === true);
+	}
+
+	#dropFree(isDropped: (socket: AnswerSocket) => boolean): void {
+		for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
+			if (isDropped(socket)) {
+				socket.destroy();
+			}
+		}
+	}
 }
 
 /** Tells, once an answer has ended, whether it is whole: a reset does not complete an answer that has no length. */
@@ -174,13 +186,14 @@
 	answer.statusCode === misdirectedStatusCode || answer.headers[names.notExecuted] !== undefined;
 
 /** Why an answer can't be that of the request; undefined when it can. */
-const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames): string | undefined => {
+const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames, isReused: boolean): string | undefined => {
 	const isRefused = isNotExecuted(answer, names);
 	const echoedId = answer.headers[names.requestId];
-	// A refusal may come from what has no idea of the request; one that names another request came late and says nothing of this one.
-	const mayBeOwn = echoedId === request.requestId || (isRefused && echoedId === undefined);
-	if (request.requestId !== undefined && !mayBeOwn) {
-		return `answer to another request: ${String(echoedId)}`;
+	const isNamed = echoedId !== undefined && echoedId !== '';
+	// A refusal may come from what has no idea of the request; on a kept connection it may as well be an earlier one that comes again.
+	const isOwn = isNamed ? echoedId === request.requestId : request.requestId === undefined || (isRefused && !isReused);
+	if (!isOwn) {
+		return isNamed ? `answer to another request: ${String(echoedId)}` : 'answer that names no request';
 	}
 
 	if (isRefused) {
@@ -221,11 +234,16 @@
 	};
 
 	const send = (target: UpstreamTarget, request: UpstreamRequest, leftMs: number): UpstreamAttempt => {
+		const {requestId} = request;
 		const idleLimitMs = idleLimit.limitMs(nowMs());
 		if (idleLimitMs !== undefined && !request.isIdempotent) {
 			agentOf(target).dropIdle(idleLimitMs);
 		}
 
+		if (requestId !== undefined) {
+			agentOf(target).dropCarriers(requestId);
+		}
+
 		/** How long the connection had been idle; undefined for a new one. */
 		let idleMs: number | undefined;
 		let isSent = false;
@@ -237,7 +255,8 @@
 			settle = resolve;
 		});
 		const outgoing = http.request({
-			agent: agentOf(target),
+			// Without an id, nothing would tell its answer from what a kept connection still holds.
+			agent: requestId === undefined ? false : agentOf(target),
 			host: target.address,
 			port: target.port,
 			localAddress,
@@ -334,7 +353,7 @@
 				outgoing.shouldKeepAlive = false;
 			}
 
-			const fault = findFault(answer, request, headerNames);
+			const fault = findFault(answer, request, headerNames, outgoing.reusedSocket);
 			if (fault !== undefined) {
 				answer.destroy();
 				fail(fault);
@@ -356,6 +375,11 @@
 				clearTimeout(connectTimer);
 			};
 
+			if (requestId !== undefined) {
+				const carrier: AnswerSocket = socket;
+				carrier.carriedIds = (carrier.carriedIds ?? new Set()).add(requestId);
+			}
+
 			if (outgoing.reusedSocket) {
 				idleMs = nowMs() - ((socket as AnswerSocket).idleSinceMs ?? nowMs());
 				onReady();
