fix(gateway): a shutdown takes no request that may outlast it, and answers what still waits

Callers: requests that came late in the time of a planned stop were taken and passed on; at its end they were cut without an answer, among them such that may not be repeated.

Cause: a gateway that shuts down took all that came until the last connection closed, whatever time the request had, and closed all connections at the end while requests waited for an instance or were at one.

Fix: in the second half of a shutdown a request whose time may end after it is refused at once as not run, to be taken by another gateway. At the end what waits is refused as not run, and what is at an instance gets 502.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -132,3 +132,6 @@
 
 /** Time for which that is believed after the last reset: as long as an instance is avoided at most. */
 export const idleLossMemoryMs = 8000;
+
+/** Part of a shutdown in which requests are taken though their time ends after it: most are answered in a fraction of their time, and three service times and more are left. */
+export const lateTakeShare = 0.5;
--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -13,7 +13,7 @@
 	createInstancePool, type ChoiceContext, type InstanceCensus, type InstancePool,
 } from './instance-pool.ts';
 import type {
-	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, LateDecision, Placement,
+	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, LateDecision, Placement, RejectReason,
 } from './types.ts';
 import {compareUrgency, createWaitQueue} from './wait-queue.ts';
 
@@ -25,6 +25,8 @@
 	readonly finish: (placement: Placement, result: AttemptResult, nowMs: number) => boolean;
 	/** Decisions about waiting requests; to be called after each change and every few tens of milliseconds. */
 	readonly poll: (nowMs: number) => ReadonlyArray<LateDecision<Request>>;
+	/** Rejects what waits, and all that comes from now on. */
+	readonly stop: (nowMs: number) => ReadonlyArray<LateDecision<Request>>;
 	/** Forgets a waiting request whose caller left. */
 	readonly cancel: (request: Request) => void;
 	/** Counts a final answer to a caller. */
@@ -63,6 +65,7 @@
 	const pool = createInstancePool(dataCentre, random);
 	const queue = createWaitQueue<Request>();
 	let serviceMs = initialServiceMs;
+	let isStopped = false;
 	let results: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
 
 	const countUnserved = (nowMs: number): number => {
@@ -88,7 +91,12 @@
 		return (ahead + 1) * serviceMs / ownSlots;
 	};
 
-	const reject = (reason: Extract<DispatchDecision, {type: 'reject'}>['reason'], context: ChoiceContext): Extract<DispatchDecision, {type: 'reject'}> => {
+	const reject = (reason: RejectReason, context: ChoiceContext): Extract<DispatchDecision, {type: 'reject'}> => {
+		if (reason === 'stopping') {
+			// Another gateway can take it at once.
+			return {type: 'reject', reason, retryAfterMs: minRetryAfterMs};
+		}
+
 		const waitMs = expectedWaitMs(queue.length(), context);
 		// Spread, so that rejected callers don't come back together.
 		const spreadMs = waitMs * (0.5 + random.next());
@@ -112,6 +120,10 @@
 		setInstances: pool.setInstances,
 		submit(request, nowMs) {
 			const context = contextAt(nowMs);
+			if (isStopped) {
+				return reject('stopping', context);
+			}
+
 			if (nowMs >= request.finalAtMs) {
 				return reject('expired', context);
 			}
@@ -169,6 +181,14 @@
 
 			return decisions;
 		},
+		stop(nowMs) {
+			isStopped = true;
+			const context = contextAt(nowMs);
+			return queue.inOrder().map(request => {
+				queue.remove(request);
+				return {request, decision: reject('stopping', context)};
+			});
+		},
 		cancel(request) {
 			queue.remove(request);
 		},
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -6,6 +6,8 @@
 export type {RetryLimits, RetryWindow} from './retry-window.ts';
 export {fromReportRows, toReportRows} from './report-rows.ts';
 export type {ReportRow} from './report-rows.ts';
+export {isTakenWhileStopping} from './stop-plan.ts';
+export type {StopPlan} from './stop-plan.ts';
 export {createReportNews} from './report-news.ts';
 export type {ReportNews} from './report-news.ts';
 export type {
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -37,7 +37,9 @@
 	/** The service has no instance that may take it. */
 		| 'no-instance'
 	/** Its time ran out while it waited. */
-		| 'expired';
+		| 'expired'
+	/** The gateway shuts down. */
+		| 'stopping';
 
 /** The right to send one request to one instance, given back once. */
 export type Placement = {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,9 +67,9 @@
 	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
 } from './catalogue/index.ts';
 export {
-	createDispatcher, createIdleLimit, createReportNews, createRetryWindow, fromReportRows, slackShareOf, toReportRows,
+	createDispatcher, createIdleLimit, createReportNews, createRetryWindow, fromReportRows, isTakenWhileStopping, slackShareOf, toReportRows,
 } from './dispatch/index.ts';
-export type {ReportNews, ReportRow} from './dispatch/index.ts';
+export type {ReportNews, ReportRow, StopPlan} from './dispatch/index.ts';
 export type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, Dispatcher, DispatcherSnapshot, DispatcherState, InstanceReport, LateDecision, RejectReason, RetryLimits, RetryWindow,
 } from './dispatch/index.ts';
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -1,8 +1,9 @@
 import {expect} from 'chai';
+import {createInstances} from './load-model.ts';
 import {
-	createDispatcher, createRandom, createRetryWindow, fromReportRows, slackShareOf, toReportRows, type AttemptResult, type DispatchDecision, type DispatchRequest, type Dispatcher,
+	createDispatcher, createRandom, createRetryWindow, fromReportRows, isTakenWhileStopping, slackShareOf, toReportRows,
+	type AttemptResult, type DispatchDecision, type DispatchRequest, type Dispatcher,
 } from '@egretwing/core';
-import {createInstances} from './load-model.ts';
 
 const request = (changes: Partial<DispatchRequest> = {}): DispatchRequest => ({
 	requestId: 'r', rank: 1, isIdempotent: false, isReturning: false, bodyBytes: 0, objectiveAtMs: 10_800, finalAtMs: 11_200, attemptedIds: [], ...changes,
@@ -205,6 +206,34 @@
 	dispatcher.hear('peer', {instances: rangeOf(count).map(index => ({instanceId: idOf(index), inFlight: 0, goodAgeMs: 0}))}, nowMs);
 };
 
+describe('dispatch decisions while the gateway shuts down', () => {
+	/** Six seconds are allowed, of which the last half second is for the end itself. */
+	const stop = {beganAtMs: 10_000, endsAtMs: 15_500};
+
+	const comings: ReadonlyArray<readonly [title: string, atMs: number, timeMs: number, isTaken: boolean]> = [
+		['takes what comes first, however long it may take', 12_500, 5000, true],
+		['takes what comes late and ends in time', 13_400, 2000, true],
+		['refuses what comes late and may not end in time', 13_600, 2000, false],
+		['refuses what comes at the end', 15_400, 400, false],
+	];
+	for (const [title, atMs, timeMs, isTaken] of comings) {
+		it(title, () => {
+			expect(isTakenWhileStopping(stop, atMs + timeMs, atMs)).to.equal(isTaken);
+		});
+	}
+
+	it('rejects at its end what waits, and what comes after, to be taken by another gateway at once', () => {
+		const dispatcher = create(1);
+		const waiting = request({requestId: 'waits'});
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('i-0');
+		expect(sentTo(dispatcher.submit(waiting, 10_010))).to.equal('wait');
+		const rejected: DispatchDecision = {type: 'reject', reason: 'stopping', retryAfterMs: 50};
+		expect(dispatcher.stop(10_100)).to.deep.equal([{request: waiting, decision: rejected}]);
+		expect(dispatcher.submit(request(), 10_110)).to.deep.equal(rejected);
+		expect(dispatcher.poll(10_200)).to.deep.equal([]);
+	});
+});
+
 describe('dispatch decisions while work is spread', () => {
 	/** Sends a request each 100 ms, one after another, and counts the instances that got one. */
 	const countUsed = (dispatcher: Dispatcher<DispatchRequest>, requests: number): number => {
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -38,6 +38,8 @@
 	/** The inputs of the last decision, for logs. */
 	readonly explain: (service: string, instanceId?: string) => Readonly<Record<string, unknown>>;
 	readonly tick: () => void;
+	/** Rejects what waits, and all that comes from now on; returns how many waited. */
+	readonly stop: () => number;
 	/** Figures of all services, for metrics and status. */
 	readonly snapshots: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
@@ -228,6 +230,14 @@
 				logState(service);
 			}
 		},
+		stop() {
+			const decisions = [...services.values()].flatMap(({dispatcher}) => dispatcher.stop(nowMs()));
+			for (const {request, decision} of decisions) {
+				request.settle(decision);
+			}
+
+			return decisions.length;
+		},
 		snapshots: () => Array.from(services.values(), ({name, dispatcher}) => ({service: name, ...dispatcher.snapshot(nowMs())})),
 	};
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 	type MemberSend,
 	type RetryWindow,
 	type SpreadSend,
+	type StopPlan,
 } from '@egretwing/core';
 import {
 	createOperatorServer, createProcessClock, listen, refuseUnreadable, type Logger,
@@ -52,7 +53,7 @@
 	readonly isReady: () => boolean;
 	/** Takes other seeds. */
 	readonly setSeeds: (addresses: readonly string[]) => void;
-	/** Leaves the answers to callers, lets requests in flight end, then closes everything. */
+	/** Leaves the answers to callers, lets requests in flight end, answers those that are left, then closes everything. */
 	readonly shutdown: () => Promise<void>;
 };
 
@@ -94,7 +95,7 @@
 	let seeds = settings.seedAddresses;
 	let nextUpkeepMs = 0;
 	let announcedUp = false;
-	let isDraining = false;
+	let stopPlan: StopPlan | undefined;
 	let nextJoinMs = 0;
 
 	/** Opens once configuration and instances are known. */
@@ -250,7 +251,7 @@
 		}
 	};
 
-	const isReader = (): boolean => !isDraining && election.isReader(hostId, [...fleet.hosts().values()], nowMs(), whole.isAwaited());
+	const isReader = (): boolean => stopPlan === undefined && election.isReader(hostId, [...fleet.hosts().values()], nowMs(), whole.isAwaited());
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const statements = isFull && topic === 'instances' ? entriesOfFullRead(entries, asOf, catalogue.entries(), false) : entries;
@@ -304,6 +305,7 @@
 		configOrigin: () => configOrigin,
 		isConfigDoubtful: () => configDoubt.isDoubtful(catalogue.digest().configVersion, nowMs()),
 		maxHeadBytes: () => headLimit.bytes(nowMs()),
+		stopPlan: () => stopPlan,
 		dispatchers,
 		upstream,
 		retryWindow: retryWindowOf,
@@ -322,7 +324,7 @@
 	});
 
 	const handle = async (incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-		if (isDraining) {
+		if (stopPlan !== undefined) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -371,7 +373,7 @@
 	};
 
 	const announce = (): void => {
-		if (!announcedUp && !isDraining && catalogue.isWhole()) {
+		if (!announcedUp && stopPlan === undefined && catalogue.isWhole()) {
 			announcedUp = true;
 			whole.open();
 			logger.info('ready', {configVersion: catalogue.digest().configVersion, instancesAsOf: catalogue.digest().instancesAsOf, afterMs: Math.round(nowMs() - startedAtMs)});
@@ -411,7 +413,7 @@
 		registry: metrics.registry,
 		handle: (_method, url) => url.pathname === '/v1/status'
 			? {
-				program: 'egretwing-gateway', hostId, ready: announcedUp && !isDraining, digest: catalogue.digest(), members: membership.members(), services: dispatchers.snapshots(),
+				program: 'egretwing-gateway', hostId, ready: announcedUp && stopPlan === undefined, digest: catalogue.digest(), members: membership.members(), services: dispatchers.snapshots(),
 			}
 			: undefined,
 	});
@@ -441,19 +443,21 @@
 
 	const shutdown = async (): Promise<void> => {
 		const beganAtMs = nowMs();
-		isDraining = true;
+		stopPlan = {beganAtMs, endsAtMs: beganAtMs + (settings.shutdownMs * drainEndShare)};
 		logger.info('shutdown begun', {connections: await connectionsLeft()});
 		sendMembers(membership.setEntry('draining', incarnation, beganAtMs));
 		await delay(settings.shutdownMs * drainAcceptShare);
 		server.close();
 		server.closeIdleConnections();
-		while (nowMs() - beganAtMs < settings.shutdownMs * drainEndShare && await connectionsLeft() > 0) {
+		while (nowMs() < stopPlan.endsAtMs && await connectionsLeft() > 0) {
 			await delay(tickIntervalMs);
 			server.closeIdleConnections();
 		}
 
+		const waiting = dispatchers.stop();
+		upstream.close();
 		logger.info('shutdown ended', {
-			connections: await connectionsLeft(), tookMs: Math.round(nowMs() - beganAtMs), peerSentBytes: Object.fromEntries(sentBytesByKind),
+			connections: await connectionsLeft(), waiting, tookMs: Math.round(nowMs() - beganAtMs), peerSentBytes: Object.fromEntries(sentBytesByKind),
 		});
 		sendMembers(membership.leave(nowMs()));
 		for (const reader of readers) {
@@ -463,7 +467,6 @@
 		await delay(tickIntervalMs);
 		clearInterval(ticks);
 		store.close();
-		upstream.close();
 		operator.close();
 		mesh.close();
 		server.closeAllConnections();
@@ -471,8 +474,8 @@
 
 	let ending: Promise<void> | undefined;
 	return {
-		locate: dataCentre => fleet.locate(dataCentre, isDraining),
-		isReady: () => announcedUp && !isDraining,
+		locate: dataCentre => fleet.locate(dataCentre, stopPlan !== undefined),
+		isReady: () => announcedUp && stopPlan === undefined,
 		setSeeds(addresses) {
 			seeds = addresses;
 			nextJoinMs = 0;
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -4,6 +4,7 @@
 import {
 	createRefusal,
 	drawService,
+	isTakenWhileStopping,
 	type AttemptResult,
 	type Catalogue,
 	type DispatchPlacement,
@@ -15,11 +16,12 @@
 	type Refusal,
 	type RejectReason,
 	type RetryWindow,
+	type StopPlan,
 } from '@egretwing/core';
 import {forwardedHeaders, refuse} from '@egretwing/node';
 import {readBody} from './body.ts';
 import {
-	hedgeFactor, loggedNameLength, maxUnreachable, notReadyRetryMs, startWaitMs, timerSlackMs,
+	hedgeFactor, loggedNameLength, maxUnreachable, notReadyRetryMs, startWaitMs, stoppingRetryMs, timerSlackMs,
 } from './constants.ts';
 import type {Dispatchers, Placed} from './dispatchers.ts';
 import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
@@ -49,6 +51,8 @@
 	readonly isConfigDoubtful: () => boolean;
 	/** Largest head that a request may have now. */
 	readonly maxHeadBytes: () => number;
+	/** The shutdown under way; undefined before one was asked for. */
+	readonly stopPlan: () => StopPlan | undefined;
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
 	readonly retryWindow: (service: string) => RetryWindow;
@@ -102,6 +106,7 @@
 	'wait-too-long': 'overloaded',
 	'no-instance': 'no-capacity',
 	expired: 'queue-timeout',
+	stopping: 'draining',
 };
 
 const toResult = (outcome: UpstreamOutcome, isCallerGone: boolean): AttemptResult => {
@@ -483,7 +488,7 @@
 		const requestId = typeof idHeader === 'string' ? idHeader : '';
 		const unrouted = {requestId, service: '', arrivedAtMs};
 		// A process that has just started knows enough within moments, sooner than the caller finds another gateway.
-		const isWhole = catalogue.isWhole() || await parts.whenWhole(AbortSignal.timeout(startWaitMs));
+		const isWhole = catalogue.isWhole() || (parts.stopPlan() === undefined && await parts.whenWhole(AbortSignal.timeout(startWaitMs)));
 		const config = catalogue.config();
 		if (!isWhole || config === undefined) {
 			conclude(response, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances', notReadyRetryMs));
@@ -524,12 +529,19 @@
 		const service = drawService(route.services, parts.random);
 		const callerWaitsMs = Number(incoming.headers[headerNames.deadlineMs] ?? Number.NaN);
 		const limitMs = Number.isFinite(callerWaitsMs) ? Math.min(callerWaitsMs, route.timeoutMs) : route.timeoutMs;
+		const finalAtMs = arrivedAtMs + limitMs;
+		const stop = parts.stopPlan();
+		if (stop !== undefined && !isTakenWhileStopping(stop, finalAtMs, nowMs())) {
+			conclude(response, {...unrouted, service}, refuseWith('draining', 'may outlast the shutdown', stoppingRetryMs));
+			return;
+		}
+
 		const context: Context = {
 			requestId,
 			route,
 			service,
 			arrivedAtMs,
-			finalAtMs: arrivedAtMs + limitMs,
+			finalAtMs,
 			isReturning: false,
 			upstreamRequest: {
 				requestId: requestId === '' ? undefined : requestId,
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -6,13 +6,13 @@
 import {expect} from 'chai';
 import {electionWaitMs, type FleetConfig, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
-import {
-	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
-} from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
 import {watchReset} from '../src/reset.ts';
 import {createTestSettings} from './support/settings.ts';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
+} from '@egretwing/gateway';
 
 const address = `${networkOf(206)}.1`;
 /** Below the ports that the system hands out to connections and to the instances of these tests. */
@@ -52,9 +52,14 @@
 
 const config: FleetConfig = {
 	version: 1,
-	routes: (['idempotent', 'at-most-once'] as const).map(semantics => ({
-		name: semantics, hostName: 'a.example', pathPrefix: `/${semantics}/`, semantics, timeoutMs: 1000, latencyObjectiveMs: 800, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
-	})),
+	routes: [
+		...(['idempotent', 'at-most-once'] as const).map(semantics => ({
+			name: semantics, hostName: 'a.example', pathPrefix: `/${semantics}/`, semantics, timeoutMs: 1000, latencyObjectiveMs: 800, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
+		})),
+		{
+			name: 'long', hostName: 'a.example', pathPrefix: '/long/', semantics: 'at-most-once', timeoutMs: 10_000, latencyObjectiveMs: 9000, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
+		},
+	],
 	services: [{name: 's', healthPath: '/', connectionsPerInstance: 10}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
@@ -89,9 +94,9 @@
 
 type Answer = {readonly statusCode: number; readonly body: string; readonly headers: http.IncomingHttpHeaders};
 
-const call = async (port: number, path: string, body?: string): Promise<Answer> => new Promise((resolve, reject) => {
+const call = async (port: number, path: string, body?: string, deadlineMs = 1500): Promise<Answer> => new Promise((resolve, reject) => {
 	const request = http.request({
-		host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': '1500'},
+		host: address, port, path, agent: false, method: body === undefined ? 'GET' : 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'egretwing-deadline-ms': String(deadlineMs)},
 	}, response => {
 		let text = '';
 		response.setEncoding('utf8');
@@ -391,4 +396,71 @@
 		expect(body).to.equal('late');
 		await ended;
 	});
+
+	describe('while it shuts down', () => {
+		/** Within the time in which connections are accepted, but too late for a request of a second. */
+		const lateMs = 800;
+
+		const kindOf = ({statusCode, headers}: Answer): string => `${statusCode} ${String(headers['egretwing-kind'])}`;
+
+		const answerAfter = (waitMs: number): Handler => (_request, response) => {
+			setTimeout(() => {
+				response.writeHead(200, {'content-length': 2}).end('ok');
+			}, waitMs);
+		};
+
+		const callWhileStopping = async (afterMs: number, deadlineMs: number): Promise<Answer> => {
+			await start([answerAfter(100)]);
+			await delay(1000);
+			const ended = gateway.shutdown();
+			await delay(afterMs);
+			const answer = await call(port, '/at-most-once/1', 'x', deadlineMs);
+			await ended;
+			return answer;
+		};
+
+		const comings: ReadonlyArray<readonly [title: string, afterMs: number, deadlineMs: number, outcome: string, arrivals: number]> = [
+			['takes a request at its begin', 100, 1000, '200 undefined', 1],
+			['refuses a request late in its time that may last longer, and sends it nowhere', lateMs, 1000, '503 draining', 0],
+			['takes a request late in its time that ends before', lateMs, 400, '200 undefined', 1],
+		];
+		for (const [title, afterMs, deadlineMs, outcome, expected] of comings) {
+			it(title, async () => {
+				expect([kindOf(await callWhileStopping(afterMs, deadlineMs)), arrivals()]).to.deep.equal([outcome, expected]);
+			});
+		}
+
+		it('refuses a request whose body is whole only late in its time', async () => {
+			await start([answerAfter(100)]);
+			await delay(1000);
+			const request = http.request({
+				host: address, port, path: '/long/1', agent: false, method: 'POST', headers: {host: 'a.example', 'egretwing-request-id': 'r1', 'content-length': 2},
+			});
+			const answer = new Promise<http.IncomingMessage>((resolve, reject) => {
+				request.once('response', resolve);
+				request.once('error', reject);
+			});
+			request.write('x');
+			await delay(50);
+			const ended = gateway.shutdown();
+			await delay(lateMs);
+			request.end('x');
+			const {statusCode} = await answer;
+			expect([statusCode, arrivals()]).to.deep.equal([503, 0]);
+			await ended;
+		});
+
+		it('tells what still waits at its end that it did not run, and what is at an instance that it may have', async () => {
+			await start([silent]);
+			await delay(1000);
+			const answers = ['1', '2', '3'].map(async name => call(port, `/long/${name}`, 'x', 10_000));
+			await delay(100);
+			const ended = gateway.shutdown();
+			const kinds = await Promise.all(answers.map(async answer => kindOf(await answer)));
+			expect(kinds.toSorted()).to.deep.equal(['502 outcome-unknown', '503 draining', '503 draining']);
+			// An instance that has not proved itself takes one request at a time.
+			expect(arrivals()).to.equal(1);
+			await ended;
+		});
+	});
 });
