fix(entry): a refusal written once more is not taken for that of the next request

Callers: "not run" for an idempotent request that an instance had run or was running.

Cause: a connection that had carried a refusal was kept. Written once more, the refusal is the answer to the next request for all that the protocol between entry and instance says, which knows no ids. At-most-once requests have connections of their own.

An instance that stops in the head of its answer, at any byte, also after an informational one, was taken for broken before; tests for entry and gateway hold that now.

Fix: the connection is closed with the refusal, so that no other request meets it.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -105,7 +105,20 @@
 /** Longest time that a timer of Node can wait. */
 const longestTimerMs = (2 ** 31) - 1;
 
-type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean};
+type GuardedOptions = Dispatcher.RequestOptions & {readonly onWrite?: () => boolean; readonly notRunStatusCodes?: readonly number[] | undefined};
+
+/** The backend server refused the request. */
+class ShedEnd extends Error {
+	readonly statusCode: number;
+	readonly headers: Headers;
+
+	constructor(statusCode: number, headers: Headers) {
+		super(`The request was refused with ${statusCode}`);
+		this.name = 'ShedEnd';
+		this.statusCode = statusCode;
+		this.headers = headers;
+	}
+}
 
 class AttemptEnd extends Error {
 	readonly reason: 'timeout' | 'caller-gone' | 'write-refused';
@@ -117,8 +130,11 @@
 	}
 }
 
-/** Asks `onWrite` at the moment at which undici is about to write the request, and writes nothing if it says no. */
-const guardWrites: Dispatcher.DispatcherComposeInterceptor = dispatch => (options, handler) => dispatch(options, {
+/**
+ * Asks `onWrite` at the moment at which undici is about to write the request, and writes nothing if it says no. Closes a
+ * connection that has carried a refusal: written once more, it could not be told from that of the next request.
+ */
+const guardExchange: Dispatcher.DispatcherComposeInterceptor = dispatch => (options, handler) => dispatch(options, {
 	onRequestStart(controller, context) {
 		if ((options as GuardedOptions).onWrite?.() === false) {
 			throw new AttemptEnd('write-refused');
@@ -127,7 +143,14 @@
 		handler.onRequestStart?.(controller, context);
 	},
 	onRequestUpgrade: handler.onRequestUpgrade?.bind(handler),
-	onResponseStart: handler.onResponseStart?.bind(handler),
+	onResponseStart(controller, statusCode, headers, statusMessage) {
+		if ((options as GuardedOptions).notRunStatusCodes?.includes(statusCode)) {
+			controller.abort(new ShedEnd(statusCode, headers));
+			return;
+		}
+
+		handler.onResponseStart?.(controller, statusCode, headers, statusMessage);
+	},
 	onResponseData: handler.onResponseData?.bind(handler),
 	onResponseEnd: handler.onResponseEnd?.bind(handler),
 	onResponseError: handler.onResponseError?.bind(handler),
@@ -135,6 +158,10 @@
 
 const classify = (error: unknown, isWritten: boolean): AttemptOutcome => {
 	const ended = error instanceof AttemptEnd ? error.reason : undefined;
+	if (error instanceof ShedEnd) {
+		return {type: 'shed', statusCode: error.statusCode, headers: error.headers};
+	}
+
 	if (!isWritten) {
 		return {type: 'not-written', reason: ended ?? 'connect-failed'};
 	}
@@ -183,7 +210,7 @@
 			headersTimeout: 0,
 			...(!isReused && {keepAliveTimeout: unusedConnectionMs}),
 		});
-		const guarded = pool.compose(guardWrites);
+		const guarded = pool.compose(guardExchange);
 		pools.set(id, {pool, guarded, usedAtMs: nowMs()});
 		return guarded;
 	};
@@ -273,6 +300,7 @@
 			signal: cancel.signal,
 			onInfo,
 			onWrite,
+			notRunStatusCodes: options.notRunStatusCodes,
 		};
 		const cancelled = new Promise<never>((_resolve, reject) => {
 			cancel.signal.addEventListener('abort', () => {
@@ -283,11 +311,6 @@
 			const answer = await Promise.race([dispatcherOf(request, destination).request(guardedOptions), cancelled]);
 			clearTimeout(timer);
 			timer = undefined;
-			if (options.notRunStatusCodes?.includes(answer.statusCode)) {
-				answer.body.on('error', () => undefined).destroy();
-				return {type: 'shed', statusCode: answer.statusCode, headers: answer.headers};
-			}
-
 			if (!answerIsBounded(request.method, answer.statusCode, answer.headers)) {
 				answer.body.on('error', () => undefined).destroy();
 				return {type: 'unknown', reason: 'answer-unbounded'};
--- a/packages/entry/test/whole-answers.test.ts
+++ b/packages/entry/test/whole-answers.test.ts
@@ -139,7 +139,56 @@
 	});
 });
 
+describe('refusal of an instance', () => {
+	const refusal = 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n';
+
+	for (const path of ['/seats/1', '/rosters/1']) {
+		it(`is not taken for that of the next request when it is written once more (${path})`, async () => {
+			const refused = new Set<net.Socket>();
+			const script: Script = (socket, number, request) => {
+				if (number === 1 || refused.has(socket)) {
+					refused.add(socket);
+					socket.write(refusal);
+				} else {
+					echo(socket, request);
+				}
+			};
+
+			await withBackends(script, 1, async (harness, backends) => {
+				expect(await call(`${harness.url}${path}`, {method: 'POST'})).to.include({kind: 'shed-by-backend', ran: 'not-run'});
+				expect(await call(`${harness.url}${path}`, {method: 'POST'})).to.include({statusCode: 200, text: path});
+				expect(backends[0]?.openedConnections()).to.equal(2);
+			});
+		});
+	}
+});
+
 describe('answers', () => {
+	const informational = 'HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n';
+	const head = `${informational}HTTP/1.1 200 OK\r\nx-own: 1\r\ncontent-length: 4\r\nconnection: close\r\n\r\n`;
+	for (const [path, ending] of [['/seats/1', 'close'], ['/seats/1', 'reset'], ['/rosters/1', 'close'], ['/rosters/1', 'reset']] as const) {
+		it(`are not passed on when the instance stops in their head, at any byte, by a ${ending} (${path})`, async () => {
+			const taken: string[] = [];
+			const script: Script = (socket, _number, {head: requestHead}) => {
+				const length = Number(/ \S+\?(\d+)/v.exec(requestHead)?.[1]);
+				socket.write(head.slice(0, length));
+				if (ending === 'close') {
+					socket.end();
+				} else {
+					socket.resetAndDestroy();
+				}
+			};
+
+			await withBackends(script, 1, async harness => {
+				for (let length = 1; length < head.length; length++) {
+					const {kind} = await call(`${harness.url}${path}?${length}`, {method: 'POST'});
+					taken.push(...(kind === 'outcome-unknown' ? [] : [`${length} ${kind}`]));
+				}
+			});
+			expect(taken).to.deep.equal([]);
+		});
+	}
+
 	const cut: ReadonlyArray<{readonly title: string; readonly bytes: string}> = [
 		{title: 'shorter than its length', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf'},
 		{title: 'without its last chunk', bytes: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'},
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -369,7 +369,8 @@
 
 	for (const end of ['end', 'reset'] as const) {
 		it(`takes an answer for broken wherever in its head the instance ${end === 'end' ? 'closes' : 'resets'} the connection`, async () => {
-			const heads = [whole('r1'), unboundedAnswer].map(answer => answer.slice(0, answer.indexOf('\r\n\r\n') + 3));
+			const informational = 'HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n';
+			const heads = [whole('r1'), unboundedAnswer, `${informational}${whole('r1')}`].map(answer => answer.slice(0, answer.lastIndexOf('\r\n\r\n') + 3));
 			const cut = heads.flatMap(head => Array.from(head, (_, index) => head.slice(0, index + 1)));
 			const outcomes = await Promise.all(cut.map(async answer => {
 				const instance = await startInstance([answer], end);
