fix(node): a connection that carried a malformed request is closed after its refusal

Two tests of the entry ("no host", "two hosts") failed on Node.js 20.19.0 in 3 of 3 runs, on the landed sources as well: the connection was left to the idle timeout of the library, which closes it in time on later versions only. What follows a malformed request may be read in more than one way too, so that the refusal itself closes the connection now.

--- a/packages/node/src/refusal.ts
+++ b/packages/node/src/refusal.ts
@@ -50,6 +50,11 @@
 	const retryAfter = retryAfterMs === undefined ? retryAfterSeconds?.toString() : (retryAfterMs / msPerSecond).toFixed(3);
 	const body = JSON.stringify(createProblem(kind, detail, ran));
 	boundUnreadBody(response);
+	if (kind === 'malformed-request') {
+		// What follows on the connection may be read in more than one way, too.
+		response.shouldKeepAlive = false;
+	}
+
 	response.writeHead(statusCode, {
 		'content-type': 'application/problem+json',
 		'content-length': Buffer.byteLength(body),
