--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -1,9 +1,9 @@
 import {expect} from 'chai';
-import {createInstances} from './load-model.ts';
 import {
 	createDispatcher, createRandom, createRetryWindow, fromReportRows, isTakenWhileStopping, slackShareOf, toReportRows,
 	type AttemptResult, type DispatchDecision, type DispatchRequest, type Dispatcher,
 } from '@egretwing/core';
+import {createInstances} from './load-model.ts';
 
 const request = (changes: Partial<DispatchRequest> = {}): DispatchRequest => ({
 	requestId: 'r', rank: 1, isIdempotent: false, isReturning: false, bodyBytes: 0, objectiveAtMs: 10_800, finalAtMs: 11_200, attemptedIds: [], ...changes,
