fix(dispatch): a new instance gets its first request within a second, whatever kind the requests are

While most instances are in trouble, new ones are a large part of those that count as sound, and what can't be repeated left each of them alone for 2.5 s, more than the two seconds within which it has to be reached. A service without idempotent requests gave them nothing until then.

The decision test failed before ('i-0' in place of 'joined').

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -131,7 +131,7 @@
 export const spreadAvoidMs = 3500;
 
 /** How long a new instance is left to the idempotent requests before any request may be its first. */
-export const introductionDelayMs = 2500;
+export const introductionDelayMs = 800;
 
 /** Shortest idle time at which a reset may mean that the instance forgot the connection: shorter ones are ends of other causes. */
 export const minIdleLossMs = 100;
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -87,6 +87,14 @@
 		expect([used(createJoined(4)), used(create(4))]).to.deep.equal([4, 1]);
 	});
 
+	it('sends an instance that joined a second ago its first request, also what can\'t be repeated', () => {
+		const dispatcher = create(1, 4);
+		run(dispatcher, 'good', 9000, 100);
+		const [first] = createInstances(1, 4);
+		dispatcher.setInstances([first!, {...first!, instanceId: 'joined', knownSinceMs: 9000}]);
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('joined');
+	});
+
 	it('waits half a service time for a trusted instance rather than use one that nobody has tried', () => {
 		const dispatcher = create(2, 2);
 		const proven = run(dispatcher, 'good', 9000, 100);
