fix(dispatch): an instance counts as used when a request is sent to it, not while one is in flight there

A gateway took each report of a peer that had a request in flight at an instance for a new request. One long or hanging request kept the instance from all gateways for seconds, and made the share of reached instances, on which the spread of work depends, look higher than it was. The class of fault is a proxy measure: in flight in place of sent. An instance of another data centre was reached after two seconds only, when the two seconds allowed are over.

Now the rise of a peer's requests in flight counts. An instance with a pending request is sought out after 1.7 s, and not at all with two of them, since it is likely to hang. Another data centre's instances are reached after 1.5 s.

Two decision tests failed before.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -119,7 +119,13 @@
 export const spreadIdleMs = 1000;
 
 /** The same for an instance of another data centre, so that its own gateways come first: a trial may cost a request. */
-export const remoteSpreadIdleMs = 2 * spreadIdleMs;
+export const remoteSpreadIdleMs = 1.5 * spreadIdleMs;
+
+/** The same for an instance with a request that has not ended since: it may hang, so that it comes last, but before the two seconds are over. */
+export const pendingSpreadIdleMs = 1700;
+
+/** Requests without an end from which the spread leaves an instance alone: several that take so long are hardly chance. */
+export const maxPendingAtTarget = 2;
 
 /** Cost of an instance that the spread is to reach next: below that of any other. */
 export const spreadCost = -0.5;
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -7,7 +7,7 @@
 
 import type {Random} from '../random.ts';
 import {
-	crowdingCost, idempotentRiskFactor, introductionDelayMs, maxReachingShare, minReachedShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, patienceFactor, patientRisk, reachedMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
+	crowdingCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxReachingShare, minReachedShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, patienceFactor, patientRisk, pendingSpreadIdleMs, reachedMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
 } from './constants.ts';
 import {createInstanceTrust, type InstanceTrust} from './instance-trust.ts';
 import type {
@@ -104,6 +104,16 @@
 
 const lastUseMs = ({usedAtMs, peerUsedAtMs}: Member): number => Math.max(usedAtMs, peerUsedAtMs);
 
+/** When a peer sent a request last, as far as its report tells: one that stays in flight, or ends, was sent before. */
+const peerUseMs = (inFlightBefore: number, inFlight: number, goodAgeMs: number | undefined, nowMs: number): number => {
+	if (inFlight > inFlightBefore) {
+		return nowMs;
+	}
+
+	// A request that came and ended between two reports shows in its answer alone.
+	return inFlightBefore === 0 && goodAgeMs !== undefined ? nowMs - goodAgeMs : Number.NEGATIVE_INFINITY;
+};
+
 /** Negative when `left` has rested longer. */
 const compareLastUse = (left: Member, right: Member | undefined): number =>
 	right === undefined || lastUseMs(left) === lastUseMs(right) ? 0 : lastUseMs(left) - lastUseMs(right);
@@ -168,11 +178,20 @@
 		|| facts.dataCentre !== dataCentre
 		|| !(request.isIdempotent || nowMs - facts.knownSinceMs >= introductionDelayMs);
 
+	const spreadIdleMsOf = ({facts}: Member, inFlight: number): number => {
+		if (inFlight > 0) {
+			return pendingSpreadIdleMs;
+		}
+
+		return facts.dataCentre === dataCentre ? spreadIdleMs : remoteSpreadIdleMs;
+	};
+
 	/** True when it has rested long enough for the spread of work to reach it next, whether or not it has proved itself. */
 	const isSpreadTarget = (member: Member, context: ChoiceContext): boolean => {
-		const idleMs = member.facts.dataCentre === dataCentre ? spreadIdleMs : remoteSpreadIdleMs;
+		const inFlight = inFlightAt(member, context.nowMs);
 		return context.isSpread
-			&& context.nowMs - lastUseMs(member) > idleMs
+			&& context.nowMs - lastUseMs(member) > spreadIdleMsOf(member, inFlight)
+			&& inFlight < maxPendingAtTarget
 			&& !isLeftOut(member, context)
 			&& !isOverdue(member, context);
 	};
@@ -340,14 +359,14 @@
 					continue;
 				}
 
+				const inFlightBefore = member.peers.get(peerId)?.inFlight ?? 0;
 				if (inFlight > 0) {
 					member.peers.set(peerId, {inFlight, heardAtMs: nowMs});
 				} else {
 					member.peers.delete(peerId);
 				}
 
-				const usedAtMs = inFlight > 0 ? nowMs : nowMs - (goodAgeMs ?? Number.POSITIVE_INFINITY);
-				member.peerUsedAtMs = Math.max(member.peerUsedAtMs, usedAtMs);
+				member.peerUsedAtMs = Math.max(member.peerUsedAtMs, peerUseMs(inFlightBefore, inFlight, goodAgeMs, nowMs));
 				member.trust.hear(goodAgeMs === undefined ? undefined : nowMs - goodAgeMs, avoidMs === undefined ? undefined : nowMs + avoidMs, nowMs);
 			}
 		},
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -195,9 +195,9 @@
 const floorShare = 0.7;
 
 /** A dispatcher that spreads its work at 10 s, since half of its last answers were no use to callers. */
-const createSpreading = (count: number, seed = 1): Dispatcher<DispatchRequest> => {
+const createSpreading = (count: number, seed = 1, slots = 1, dataCentres?: readonly string[]): Dispatcher<DispatchRequest> => {
 	const dispatcher = createDispatcher('a', createRandom(seed));
-	dispatcher.setInstances(createInstances(count, 1));
+	dispatcher.setInstances(createInstances(count, slots, dataCentres));
 	for (let index = 0; index < 20; index++) {
 		dispatcher.noteServed(index % 2 === 0, 9900);
 	}
@@ -314,6 +314,43 @@
 		expect(sent.filter(id => id === 'i-2')).to.have.length(1);
 	});
 
+	const pending: ReadonlyArray<readonly [title: string, goodAtMs: number | undefined]> = [
+		['proved itself before', 7900],
+	];
+	for (const [title, goodAtMs] of pending) {
+		it(`comes back within two seconds to an instance that ${title} and has had one request since, which a peer reports again and again`, () => {
+			const dispatcher = createSpreading(3, 1, 2);
+			if (goodAtMs !== undefined) {
+				dispatcher.hear('other', {instances: [{instanceId: 'i-2', inFlight: 0, goodAgeMs: 0}]}, goodAtMs);
+			}
+
+			for (const atMs of [8100, 8600, 9100, 9600]) {
+				dispatcher.hear('peer', {instances: [{instanceId: 'i-2', inFlight: 1}]}, atMs);
+			}
+
+			hearGood(dispatcher, 2, 9950);
+			expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('i-2');
+		});
+	}
+
+	it('leaves an instance alone at which two requests stay without an answer', () => {
+		const dispatcher = createSpreading(3, 1, 4);
+		for (const peer of ['peer', 'other']) {
+			dispatcher.hear(peer, {instances: [{instanceId: 'i-2', inFlight: 1}]}, 8100);
+			dispatcher.hear(peer, {instances: [{instanceId: 'i-2', inFlight: 1}]}, 9500);
+		}
+
+		hearGood(dispatcher, 2, 9950);
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.not.equal('i-2');
+	});
+
+	it('reaches an instance of another data centre within two seconds of its last request', () => {
+		const dispatcher = createSpreading(3, 1, 1, ['a', 'a', 'b']);
+		hearGood(dispatcher, 3, 8200);
+		hearGood(dispatcher, 2, 9950);
+		expect(sentTo(dispatcher.submit(request(), 10_000))).to.equal('i-2');
+	});
+
 	it('does not seek out an instance whose request is overdue', () => {
 		const dispatcher = createSpreading(2);
 		hearGood(dispatcher, 2, 8000);
