fix(dispatch): an instance that takes long over its trial gets another request after a second

An instance that is new, cold or on trial takes one request at a time over all gateways, so that one long request kept it from others for as long as it lasted. After a second without a request it may take one more, up to its slots.

Evidence: the decision test failed before.

--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -165,10 +165,16 @@
 		return usable;
 	};
 
-	/** An instance that has to prove itself gets one request at a time. */
-	const slotsFor = ({facts, trust}: Member, nowMs: number): number => {
+	/** An instance that has to prove itself gets one request at a time; one that takes long over it gets another after a while. */
+	const slotsFor = (member: Member, nowMs: number): number => {
+		const {facts, trust} = member;
 		const isWarm = nowMs >= facts.warmAtMs;
-		return trust.needsTrial() || !isWarm ? 1 : facts.slots;
+		if (isWarm && !trust.needsTrial()) {
+			return facts.slots;
+		}
+
+		const hasRested = nowMs - lastUseMs(member) > spreadIdleMs;
+		return hasRested ? Math.min(facts.slots, inFlightAt(member, nowMs) + 1) : 1;
 	};
 
 	const isIntroduced = ({facts, trust, usedAtMs}: Member, request: DispatchRequest, nowMs: number): boolean =>
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -316,6 +316,7 @@
 
 	const pending: ReadonlyArray<readonly [title: string, goodAtMs: number | undefined]> = [
 		['proved itself before', 7900],
+		['has to prove itself', undefined],
 	];
 	for (const [title, goodAtMs] of pending) {
 		it(`comes back within two seconds to an instance that ${title} and has had one request since, which a peer reports again and again`, () => {
