--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -59,6 +59,11 @@
 	...changes,
 });
 
+/** Deeper than any program nests its values. */
+const nestingDepth = 300_000;
+
+const deeplyNested: unknown = JSON.parse(`${'['.repeat(nestingDepth)}${']'.repeat(nestingDepth)}`);
+
 describe('registration of an instance', () => {
 	it('is decoded into the types of the product', () => {
 		expect(decodeInstance(registration()).unwrap()).to.deep.equal({
@@ -66,11 +71,23 @@
 		});
 	});
 
+	it('may have fields that are not known, however deep', () => {
+		expect(decodeInstance(registration({odd: deeplyNested})).isOk()).to.equal(true);
+	});
+
 	const refused: ReadonlyArray<readonly [title: string, written: unknown]> = [
 		['no object', 7],
 		['bytes that are no JSON', undefined],
 		['no address', registration({address: undefined})],
 		['an address without a port', registration({address: '10.0.0.1'})],
+		['a port out of range', registration({address: '10.0.0.1:65536'})],
+		['port 0', registration({address: '10.0.0.1:0'})],
+		['an address that is no IP number', registration({address: '10.0.0.256:8080'})],
+		['more slots than connections can be told apart', registration({info: {service: 's1', zone: 'a', slots: 1e15}})],
+		['a number that is infinite once parsed', registration({status: {state: 'ready', sequence: Number('1e400'), warmup_left_ms: 0}})],
+		['a time to warm up without end', registration({status: {state: 'ready', sequence: 1, warmup_left_ms: 1e300}})],
+		['a deeply nested value', deeplyNested],
+		['a deeply nested field', registration({info: deeplyNested})],
 		['a state that is not known', registration({status: {state: 'resting', sequence: 1, warmup_left_ms: 0}})],
 		['slots of another type', registration({info: {service: 's1', zone: 'a', slots: '2'}})],
 		['a start that is no whole number', registration({born: 1.5})],
