--- a/packages/gateway/test/support/fleet-model.ts
+++ b/packages/gateway/test/support/fleet-model.ts
@@ -2,18 +2,17 @@
 
 import {setImmediate} from 'node:timers/promises';
 import {
-	createCatalogue, createManualClock, createRandom, type AttemptResult, type Catalogue, type DispatchPlacement, type InstanceEntry, type Random,
+	createCatalogue, createManualClock, createRandom, type AttemptResult, type Catalogue, type DispatchPlacement, type InstanceEntry,
 } from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
-import {
-	connectTimeoutMs, maxIdleConnectionMs, maxUnreachable, tickIntervalMs,
-} from '../../src/constants.ts';
+import {maxUnreachable, tickIntervalMs} from '../../src/constants.ts';
 import {createDispatchers, type Dispatchers, type Placed} from '../../src/dispatchers.ts';
+import {createAttempts} from './fleet-attempts.ts';
 import {
 	createBehaviour, createInstances, drawFor, warmupMs, type FleetInstance,
 } from './fleet-instances.ts';
 import type {FleetLoad} from './fleet-load.ts';
-import {findTroubledWindows, type LoggedAttempt, type TroubledWindow} from './floor-windows.ts';
+import {findTroubledWindows, type TroubledWindow} from './floor-windows.ts';
 
 const service = 'seatledger';
 
@@ -23,15 +22,6 @@
 /** Time after which a gateway hears of a change of the instances. */
 const listDelayMs = 100;
 
-/** Time after which a failing instance resets a request. */
-const resetAfterMs = 20;
-
-/** Time after which an instance rejects a request, or its host a connection. */
-const rejectAfterMs = 2;
-
-/** Time after which a lost packet is sent again; doubles each time. */
-const retransmitMs = 200;
-
 /** Attempts of one request, at most. */
 const maxAttempts = 3;
 
@@ -52,28 +42,10 @@
 	readonly repeats: number;
 };
 
-/** What becomes of an attempt, and when. */
-type Ending = {
-	readonly atMs: number;
-	readonly result: AttemptResult;
-};
-
-type InstanceState = {
-	readonly arrivedAtMs: number[];
-	readonly failedAtMs: number[];
-	readonly attempts: LoggedAttempt[];
-	/** When each of its slots is free. */
-	readonly freeAtMs: number[];
-	/** When requests that it took end there. */
-	endsAtMs: readonly number[];
-};
-
 type Gateway = {
 	readonly id: string;
 	readonly catalogue: Catalogue;
 	readonly dispatchers: Dispatchers;
-	/** When the last exchange with an instance ended. */
-	readonly connectedAtMs: Map<string, number>;
 };
 
 const createSchedule = () => {
@@ -87,11 +59,6 @@
 	};
 };
 
-const lognormalMs = ({serviceMs, serviceSpread}: FleetLoad, random: Random): number => {
-	const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
-	return serviceMs * Math.exp((serviceSpread * normal) - ((serviceSpread ** 2) / 2));
-};
-
 /** What the store says of an instance over time. */
 const entriesOf = ({slots}: FleetLoad, instance: FleetInstance, index: number): ReadonlyArray<{readonly atMs: number; readonly entry: InstanceEntry}> => {
 	const {
@@ -115,14 +82,10 @@
 	const clock = createManualClock();
 	const schedule = createSchedule();
 	const instances = createInstances(service, load);
-	const instanceById = new Map(instances.map(instance => [instance.instanceId, instance]));
 	const behaviour = createBehaviour(load);
+	const attempts = createAttempts(load, instances, behaviour, random);
 	const asked: Array<Request['record']> = [];
 	const lostAtMs = load.lostAtMs ?? Number.POSITIVE_INFINITY;
-	const states = new Map<string, InstanceState>(instances.map(({instanceId}) => [instanceId, {
-		arrivedAtMs: [], failedAtMs: [], attempts: [], freeAtMs: Array.from({length: load.slots}, () => 0), endsAtMs: [],
-	}]));
-
 	const createGateway = (dataCentre: string, index: number): Gateway => {
 		const id = `gateway-${index}`;
 		const catalogue = createCatalogue();
@@ -144,9 +107,7 @@
 				});
 			},
 		});
-		return {
-			id, catalogue, dispatchers, connectedAtMs: new Map(),
-		};
+		return {id, catalogue, dispatchers};
 	};
 
 	const gateways: readonly Gateway[] = Object.entries(load.gateways)
@@ -177,102 +138,6 @@
 		}
 	};
 
-	/** Lost packets come late. */
-	const retransmissionsMs = (instance: FleetInstance, gateway: Gateway, nowMs: number): number => {
-		const lossShare = behaviour.lossShare(instance, gateway.id, nowMs);
-		if (lossShare === 0) {
-			return 0;
-		}
-
-		let delayMs = 0;
-		for (let waitMs = retransmitMs; waitMs < load.timeoutMs && random.next() < lossShare; waitMs *= 2) {
-			delayMs += waitMs;
-		}
-
-		return delayMs;
-	};
-
-	/** The time until `endMs` at which the instance falls silent or ends, if it does. */
-	const interruptionOf = (instance: FleetInstance, gateway: Gateway, fromMs: number, endMs: number): Ending | undefined => {
-		const changesMs = [...instance.troubles.map(({fromMs: atMs}) => atMs), instance.endsAtMs].filter(atMs => atMs > fromMs && atMs < endMs);
-		for (const atMs of changesMs.toSorted((left, right) => left - right)) {
-			const reach = behaviour.reach(instance, gateway.id, atMs);
-			if (reach !== 'open') {
-				return reach === 'silent' ? {atMs: Number.POSITIVE_INFINITY, result: 'no-answer'} : {atMs, result: 'broken'};
-			}
-		}
-
-		return undefined;
-	};
-
-	/** Runs a request in the next free slot; undefined when the queue is full. */
-	const occupy = (state: InstanceState, nowMs: number, workMs: number): number | undefined => {
-		state.endsAtMs = state.endsAtMs.filter(atMs => atMs > nowMs);
-		if (load.queueLength !== undefined && state.endsAtMs.length >= load.slots + load.queueLength) {
-			return undefined;
-		}
-
-		const slot = state.freeAtMs.indexOf(Math.min(...state.freeAtMs));
-		const endMs = Math.max(nowMs, load.queueLength === undefined ? 0 : state.freeAtMs[slot]!) + workMs;
-		state.freeAtMs[slot] = endMs;
-		state.endsAtMs = [...state.endsAtMs, endMs];
-		return endMs;
-	};
-
-	const run = (instance: FleetInstance, gateway: Gateway, nowMs: number): Ending => {
-		const state = states.get(instance.instanceId)!;
-		state.arrivedAtMs.push(nowMs);
-		const failure = behaviour.failureOf(instance, random.next(), nowMs);
-		const workMs = failure?.mode === 'reset' ? resetAfterMs : lognormalMs(load, random) * behaviour.slowness(instance, nowMs);
-		const isError = random.next() < load.errorShare;
-		if (failure?.isOwn) {
-			state.failedAtMs.push(nowMs);
-		}
-
-		switch (failure?.mode) {
-			case 'reset': {
-				return {atMs: nowMs + resetAfterMs, result: 'broken'};
-			}
-
-			case 'shed': {
-				return {atMs: nowMs + rejectAfterMs, result: 'shed'};
-			}
-
-			case 'hang': {
-				return {atMs: Number.POSITIVE_INFINITY, result: 'no-answer'};
-			}
-
-			case 'lost-answer':
-			case 'error':
-			case undefined: {
-				const endMs = occupy(state, nowMs, workMs);
-				if (endMs === undefined) {
-					return {atMs: nowMs + rejectAfterMs, result: 'shed'};
-				}
-
-				const result = failure?.mode === 'lost-answer' ? 'broken' : (isError || failure?.mode === 'error' ? 'server-error' : 'good');
-				return interruptionOf(instance, gateway, nowMs, endMs) ?? {atMs: endMs + retransmissionsMs(instance, gateway, nowMs), result};
-			}
-		}
-	};
-
-	const attempt = (gateway: Gateway, {instanceId}: DispatchPlacement, finalAtMs: number): Ending => {
-		const nowMs = clock.nowMs();
-		const instance = instanceById.get(instanceId)!;
-		const reach = behaviour.reach(instance, gateway.id, nowMs);
-		if (reach === 'refused') {
-			return {atMs: nowMs + rejectAfterMs, result: 'unreachable'};
-		}
-
-		if (reach === 'silent') {
-			const isConnected = nowMs - (gateway.connectedAtMs.get(instanceId) ?? Number.NEGATIVE_INFINITY) < maxIdleConnectionMs;
-			return isConnected ? {atMs: finalAtMs, result: 'no-answer'} : {atMs: Math.min(finalAtMs, nowMs + connectTimeoutMs), result: 'unreachable'};
-		}
-
-		const ending = run(instance, gateway, nowMs);
-		return ending.atMs > finalAtMs ? {atMs: finalAtMs, result: 'no-answer'} : ending;
-	};
-
 	const conclude = (gateway: Gateway, request: Request, isServed: boolean): void => {
 		request.record.isServed = isServed;
 		gateway.dispatchers.noteServed(service, isServed);
@@ -292,10 +157,7 @@
 	const end = (gateway: Gateway, request: Request, placement: DispatchPlacement, result: AttemptResult): void => {
 		const {instanceId} = placement;
 		gateway.dispatchers.finish(service, placement, result);
-		if (result === 'good' || result === 'server-error') {
-			gateway.connectedAtMs.set(instanceId, clock.nowMs());
-		}
-
+		attempts.noteEnd(instanceId, gateway.id, result, clock.nowMs());
 		const attemptedIds = [...request.attemptedIds, instanceId];
 		const isUnrun = result === 'unreachable' || result === 'shed';
 		if (!isUnrun) {
@@ -318,10 +180,7 @@
 		}
 
 		const {placement} = placed;
-		const {atMs, result} = attempt(gateway, placement, request.finalAtMs);
-		states.get(placement.instanceId)!.attempts.push({
-			gatewayId: gateway.id, fromMs: clock.nowMs(), untilMs: atMs, result,
-		});
+		const {atMs, result} = attempts.run(placement.instanceId, gateway.id, clock.nowMs(), request.finalAtMs);
 		if (atMs < lostAtMs) {
 			schedule.at(atMs, () => {
 				end(gateway, request, placement, result);
@@ -391,8 +250,9 @@
 		await setImmediate();
 	}
 
-	const logs = instances.map(instance => [instance, states.get(instance.instanceId)!] as const);
 	return {
-		asked: asked.length, unserved: asked.filter(({isServed}) => !isServed).length, windows: findTroubledWindows(load.lengthMs, asked, logs, behaviour),
+		asked: asked.length,
+		unserved: asked.filter(({isServed}) => !isServed).length,
+		windows: findTroubledWindows(load.lengthMs, asked, attempts.logs(), behaviour),
 	};
 };
