fix(dispatch): an instance on trial gets a second request only while work is spread

Outside of the spread a caller is served better by waiting than by an instance that does not answer.

--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -165,8 +165,8 @@
 		return usable;
 	};
 
-	/** An instance that has to prove itself gets one request at a time; one that takes long over it gets another after a while. */
-	const slotsFor = (member: Member, nowMs: number): number => {
+	/** An instance that has to prove itself gets one request at a time; while work is spread, one that takes long over it gets another after a while. */
+	const slotsFor = (member: Member, {nowMs, isSpread}: ChoiceContext): number => {
 		const {facts, trust} = member;
 		const isWarm = nowMs >= facts.warmAtMs;
 		if (isWarm && !trust.needsTrial()) {
@@ -174,7 +174,7 @@
 		}
 
 		const hasRested = nowMs - lastUseMs(member) > spreadIdleMs;
-		return hasRested ? Math.min(facts.slots, inFlightAt(member, nowMs) + 1) : 1;
+		return isSpread && hasRested ? Math.min(facts.slots, inFlightAt(member, nowMs) + 1) : 1;
 	};
 
 	const isIntroduced = ({facts, trust, usedAtMs}: Member, request: DispatchRequest, nowMs: number): boolean =>
@@ -296,7 +296,7 @@
 			let bestCost = Number.POSITIVE_INFINITY;
 			let equals = 0;
 			for (const member of usable) {
-				const isFull = inFlightAt(member, nowMs) >= slotsFor(member, nowMs);
+				const isFull = inFlightAt(member, nowMs) >= slotsFor(member, context);
 				const isTooRisky = avoidsRisk && !isSpreadTarget(member, context) && isIntroduced(member, request, nowMs) && member.trust.risk(nowMs) >= patientRisk;
 				if (isFull || isTooRisky || request.attemptedIds.includes(member.facts.instanceId)) {
 					continue;
@@ -338,7 +338,7 @@
 				.map(({facts}) => facts.instanceId);
 		},
 		hasOther: attemptedIds => [...members.keys()].some(id => !attemptedIds.includes(id)),
-		usableSlots: context => usableMembers(context).reduce((sum, member) => sum + slotsFor(member, context.nowMs), 0),
+		usableSlots: context => usableMembers(context).reduce((sum, member) => sum + slotsFor(member, context), 0),
 		ownInFlight: () => [...members.values()].reduce((sum, {startsMs}) => sum + startsMs.size, 0),
 		inFlight: context => usableMembers(context).reduce((sum, member) => sum + inFlightAt(member, context.nowMs), 0),
 		report: nowMs => ({
