refactor(gateway): the floor's search refuses counts that are none; soundness without 'this'

A search with '--seeds x' played nothing and ended as if nothing broke. The kept cases depend on the order of the draws, which the generator says now.

--- a/packages/gateway/test/support/fleet-instances.ts
+++ b/packages/gateway/test/support/fleet-instances.ts
@@ -154,8 +154,14 @@
 		return [...made, ...own].toSorted((left, right) => right.requestShare - left.requestShare);
 	};
 
+	/** True when it takes requests and was in no trouble for a while, its own episodes aside. */
+	const isUntroubled = ({joinsAtMs, leavesAtMs, unlistedAtMs, endsAtMs, troubles}: FleetInstance, nowMs: number): boolean =>
+		nowMs >= joinsAtMs && nowMs < Math.min(leavesAtMs, unlistedAtMs, endsAtMs)
+		&& troubles.every(({fromMs, untilMs}) => nowMs < fromMs || nowMs >= untilMs + soundAfterTroubleMs);
+
 	return {
 		reach,
+		isUntroubled,
 		/** The failure of a request for which `draw` was drawn: the likeliest one, if any. */
 		failureOf(instance: FleetInstance, draw: number, nowMs: number): DrawnFailure | undefined {
 			const [likeliest] = failureShares(instance, nowMs);
@@ -171,12 +177,7 @@
 		},
 		/** True when it takes requests and was in no trouble for a while, its own episodes included. */
 		isSound(instance: FleetInstance, nowMs: number): boolean {
-			return this.isUntroubled(instance, nowMs) && episodeAgeMs(instance.instanceId, nowMs) >= episodes.lengthMs + soundAfterEpisodeMs;
-		},
-		/** The same without its own episodes. */
-		isUntroubled({joinsAtMs, leavesAtMs, unlistedAtMs, endsAtMs, troubles}: FleetInstance, nowMs: number): boolean {
-			return nowMs >= joinsAtMs && nowMs < Math.min(leavesAtMs, unlistedAtMs, endsAtMs)
-				&& troubles.every(({fromMs, untilMs}) => nowMs < fromMs || nowMs >= untilMs + soundAfterTroubleMs);
+			return isUntroubled(instance, nowMs) && episodeAgeMs(instance.instanceId, nowMs) >= episodes.lengthMs + soundAfterEpisodeMs;
 		},
 	};
 };
--- a/packages/gateway/test/support/fleet-model.ts
+++ b/packages/gateway/test/support/fleet-model.ts
@@ -86,6 +86,7 @@
 	const attempts = createAttempts(load, instances, behaviour, random);
 	const asked: Array<Request['record']> = [];
 	const lostAtMs = load.lostAtMs ?? Number.POSITIVE_INFINITY;
+
 	const createGateway = (dataCentre: string, index: number): Gateway => {
 		const id = `gateway-${index}`;
 		const catalogue = createCatalogue();
--- a/packages/gateway/test/support/floor-hunt.ts
+++ b/packages/gateway/test/support/floor-hunt.ts
@@ -27,6 +27,15 @@
 	},
 });
 
+const toCount = (option: 'seeds' | 'first' | 'workers', least: number): number => {
+	const count = Number(values[option]);
+	if (!Number.isSafeInteger(count) || count < least) {
+		throw new Error(`--${option}: expected a whole number from ${least}, got ${JSON.stringify(values[option])}`);
+	}
+
+	return count;
+};
+
 const play = async (seed: number): Promise<Played> => {
 	const {asked, unserved, windows} = await replayFleet(drawLoad(seed));
 	return {
@@ -43,8 +52,8 @@
 	`seed ${seed}: ${unserved} of ${asked} not served; worst window ${JSON.stringify({...worst, missed: undefined})}; ${drawLoad(seed).troubles.map(({type, fromMs}) => `${type} at ${Math.round(fromMs)}`).join(', ')}`;
 
 const lead = async (): Promise<void> => {
-	const first = Number(values.first);
-	const queue = Array.from({length: Number(values.seeds)}, (_, index) => first + index);
+	const first = toCount('first', 0);
+	const queue = Array.from({length: toCount('seeds', 1)}, (_, index) => first + index);
 	const played: Played[] = [];
 	const runWorker = async (): Promise<void> => new Promise((resolve, reject) => {
 		const worker = fork(fileURLToPath(import.meta.url));
@@ -73,7 +82,7 @@
 		next();
 	});
 
-	await Promise.all(Array.from({length: Number(values.workers)}, runWorker));
+	await Promise.all(Array.from({length: toCount('workers', 1)}, runWorker));
 	const broken = played.filter(({worst}) => worst !== undefined && reachedShare(worst) < floorShare).toSorted((left, right) => left.seed - right.seed);
 	for (const each of broken) {
 		console.log(describe(each));
--- a/packages/gateway/test/support/random-load.ts
+++ b/packages/gateway/test/support/random-load.ts
@@ -126,7 +126,7 @@
 	return {fromMs, untilMs: fromMs + between(random, minTroubleMs, maxTroubleMs)};
 };
 
-/** The same load for the same seed. */
+/** The same load for the same seed; kept cases name loads by their seed, so that another order of the draws changes them. */
 export const drawLoad = (seed: number): FleetLoad => {
 	const random = createRandom(seed);
 	const names = dataCentres.slice(0, 3 + Math.floor(random.next() * 2));
