feat(gateway): pipelined requests are answered in order, each whole, and none behind a closing answer is sent

Cause: each request of a connection was served on its own. Answers with a length of the instance's connection, or of a stop, closed connections on which later requests were at instances: these got no answer, and an at-most-once one would run twice, since callers send again what was behind a closing answer. A disconnected caller ended one of its requests, a malformed one cut those before it, and the closing of idle connections by Node.js cut answers that were not sent completely.

Change: `createRequestPipeline` (core, no I/O) decides what starts, what closes and when to read on; `trackCallerConnections` (node) applies it to a server; `deliver` sends a final result when it is due. Requests that may be repeated run concurrently, eight of a connection at most; one that may run once starts behind answered ones only and nothing starts behind it, as RFC 9112 9.3.2 asks.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -81,3 +81,7 @@
 } from './catalogue-sync/index.ts';
 export {gatewaysForCaller, placeCallers, toCallerGateways} from './placement/callers.ts';
 export type {CallerGateway} from './placement/callers.ts';
+export {
+	createRequestPipeline, maxConcurrentRequests, maxReadAheadBytes, maxReadAheadRequests,
+} from './pipelining/index.ts';
+export type {RequestEffect, RequestPipeline} from './pipelining/index.ts';
--- /dev/null
+++ b/packages/core/src/pipelining/constants.ts
@@ -0,0 +1,10 @@
+/** Limits on the requests of one caller's connection. */
+
+/** Maximum number of unanswered requests of a connection that are processed at the same time: twice what browsers sent where they pipelined. */
+export const maxConcurrentRequests = 8;
+
+/** Number of unanswered requests from which on a connection is not read any further: enough to keep all concurrent ones busy. */
+export const maxReadAheadRequests = 4 * maxConcurrentRequests;
+
+/** Size of the bodies of unanswered requests from which on a connection is not read any further, in bytes. */
+export const maxReadAheadBytes = 1_048_576;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -51,6 +51,9 @@
 /** Retry delay for callers of a process that shuts down: another gateway can take their request at once, over a new connection. */
 export const stoppingRetryMs = 50;
 
+/** Shortest retry delay of a refusal that was held behind earlier answers: it is due at once. */
+export const minRetryAfterMs = 50;
+
 /**
  * Time without an answer, in mean service times, after which an idempotent request is hedged: one answer in twenty-five takes
  * longer where service times are log-normal with a spread of 0.8.
--- /dev/null
+++ b/packages/gateway/src/deliver.ts
@@ -0,0 +1,180 @@
+/** Sends the final result of a request to its caller when the connection has answered all earlier requests. */
+
+import type http from 'node:http';
+import {createRefusal, type ErrorKind, type Refusal} from '@egretwing/core';
+import {forwardedHeaders, refuse, type CallerExchange} from '@egretwing/node';
+import {minRetryAfterMs, timerSlackMs} from './constants.ts';
+import type {GatewayMetrics} from './metrics.ts';
+import type {RequestLog} from './request-log.ts';
+import type {UpstreamAnswer} from './upstream.ts';
+
+/** Final result of a request, for its caller. */
+export type FinalResult
+	= | {readonly type: 'answer'; readonly answer: UpstreamAnswer; readonly instanceId: string}
+		| {
+			readonly type: 'refusal'; readonly refusal: Refusal; readonly reason: string; readonly retryAfterMs?: number;
+			/** Further fields of the log line. */
+			readonly logged?: Readonly<Record<string, unknown>>;
+		}
+		| {readonly type: 'caller-gone'}
+	/** An earlier answer closed the connection before the request was sent to an instance. */
+		| {readonly type: 'not-read'};
+
+/** Request whose result is delivered. */
+export type DeliveredRequest = {
+	readonly requestId: string;
+	/** Empty when the request was not routed. */
+	readonly service: string;
+	readonly arrivedAtMs: number;
+	/** When the rest of a streaming answer is cut off. */
+	readonly finalAtMs: number;
+};
+
+/** Sends the final result; resolves once it is handed over to the connection. */
+export type Deliver = (response: http.ServerResponse, exchange: CallerExchange, request: DeliveredRequest, final: FinalResult) => Promise<void>;
+
+/** Dependencies of the delivery. */
+export type DeliverDependencies = {
+	readonly nowMs: () => number;
+	/** Version of the configuration in force, for the log. */
+	readonly configVersion: () => number;
+	readonly isStopping: () => boolean;
+	readonly metrics: GatewayMetrics;
+	readonly log: RequestLog;
+};
+
+/** Creates the result of a request that the gateway refuses. */
+export const refuseWith = (kind: ErrorKind, reason: string, retryAfterMs?: number, ran?: Refusal['ran']): Extract<FinalResult, {type: 'refusal'}> => ({
+	type: 'refusal', refusal: createRefusal(kind, ran), reason, ...(retryAfterMs !== undefined && {retryAfterMs}),
+});
+
+/** Resets the connection, since an orderly close would make an answer without a length look complete. */
+const resetConnection = (response: http.ServerResponse): void => {
+	response.socket?.resetAndDestroy();
+};
+
+/** Whether only the close of the connection can mark the end of what is sent, as at the instance. */
+const needsClose = (final: FinalResult): boolean => final.type === 'answer' && !final.answer.isBounded;
+
+const writeAnswer = (response: http.ServerResponse, {
+	statusCode, headers, body, isBounded, rest, isRestWhole,
+}: UpstreamAnswer, closes: boolean): void => {
+	const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
+	if (closes && !isBounded) {
+		// The end of the answer can't be verified, so the caller must not get a length either.
+		response.removeHeader('transfer-encoding');
+		response.writeHead(statusCode, kept);
+	} else {
+		response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
+	}
+
+	if (rest === undefined) {
+		response.end(body);
+		return;
+	}
+
+	response.write(body);
+	rest.once('error', () => {
+		resetConnection(response);
+	});
+	rest.once('end', () => {
+		if (isRestWhole?.() === true) {
+			response.end();
+		} else {
+			resetConnection(response);
+		}
+	});
+	rest.pipe(response, {end: false});
+};
+
+/** Creates the delivery of final results. */
+export const createDeliver = ({
+	nowMs, configVersion, isStopping, metrics, log,
+}: DeliverDependencies): Deliver => {
+	/** Replaces a streaming answer by a refusal if it broke or timed out before its first byte was sent. */
+	const refuseIfCutOff = (final: FinalResult, finalAtMs: number): FinalResult => {
+		const rest = final.type === 'answer' ? final.answer.rest : undefined;
+		const isCutOff = rest !== undefined && (rest.destroyed || nowMs() + timerSlackMs >= finalAtMs);
+		if (!isCutOff) {
+			return final;
+		}
+
+		rest.destroy();
+		return refuseWith('outcome-unknown', 'answer cut off');
+	};
+
+	/** Waits until the answer may be sent; ends the attempt behind a streaming answer that nobody receives. */
+	const waitForTurn = async (exchange: CallerExchange, final: FinalResult): Promise<FinalResult> => {
+		if (final.type === 'not-read' || final.type === 'caller-gone' || await exchange.untilTurn()) {
+			return final;
+		}
+
+		if (final.type === 'answer') {
+			final.answer.rest?.destroy();
+		}
+
+		return {type: 'caller-gone'};
+	};
+
+	return async (response, exchange, {requestId, service, arrivedAtMs, finalAtMs}, ready) => {
+		const readyAtMs = nowMs();
+		const final = refuseIfCutOff(await waitForTurn(exchange, ready), finalAtMs);
+		const heldMs = nowMs() - readyAtMs;
+		const tookMs = Math.round(nowMs() - arrivedAtMs);
+		const pipelined = exchange.unansweredBefore === 0 ? {} : {unansweredBefore: exchange.unansweredBefore, heldMs: Math.round(heldMs)};
+		switch (final.type) {
+			case 'answer': {
+				const closes = exchange.decideClose(isStopping() || needsClose(final));
+				if (closes) {
+					response.setHeader('connection', 'close');
+				}
+
+				writeAnswer(response, final.answer, closes);
+				metrics.requests.inc({service, result: String(final.answer.statusCode)});
+				metrics.requestDurationMs.observe({service}, tookMs);
+				log('answered', {
+					requestId, service, instanceId: final.instanceId, statusCode: final.answer.statusCode, tookMs, ...pipelined,
+				});
+				break;
+			}
+
+			case 'refusal': {
+				const {refusal, reason, logged} = final;
+				// The caller counts the delay from the refusal, which may have waited for earlier answers.
+				const retryAfterMs = final.retryAfterMs === undefined ? undefined : Math.max(minRetryAfterMs, final.retryAfterMs - heldMs);
+				if (exchange.decideClose(isStopping())) {
+					response.setHeader('connection', 'close');
+				}
+
+				refuse(response, refusal, retryAfterMs);
+				metrics.requests.inc({service, result: refusal.kind});
+				metrics.refusals.inc({kind: refusal.kind, reason});
+				log('refused', {
+					requestId, service, kind: refusal.kind, ran: refusal.ran, reason, retryAfterMs, tookMs, configVersion: configVersion(), ...logged, ...pipelined,
+				});
+				break;
+			}
+
+			case 'caller-gone': {
+				response.destroy();
+				metrics.requests.inc({service, result: 'caller-gone'});
+				log('caller gone', {
+					requestId, service, tookMs, ...pipelined,
+				});
+				break;
+			}
+
+			case 'not-read': {
+				metrics.requests.inc({service, result: 'not-read'});
+				log('not read', {
+					requestId, service, reason: 'behind an answer that closed the connection', tookMs, ...pipelined,
+				});
+				break;
+			}
+		}
+
+		if (exchange.unansweredBefore > 0) {
+			metrics.heldDurationMs.observe(heldMs);
+		}
+	};
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,19 +24,20 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {
-	createOperatorServer, createProcessClock, listen, handleClientError, type Logger,
+	createOperatorServer, createProcessClock, listen, handleClientError, trackCallerConnections, type Logger,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
 	drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
 } from './constants.ts';
+import {createDeliver} from './deliver.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
 import {createHeadLimit} from './head.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
 import {createRequestLog} from './request-log.ts';
-import {createServe, type ConfigOrigin} from './serve.ts';
+import {createServe, isMissingHost, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
 import {createStoreReader} from './store-reader.ts';
 import type {
@@ -297,6 +298,9 @@
 	};
 
 	const log = createRequestLog(logger, nowMs);
+	const deliver = createDeliver({
+		nowMs, configVersion: () => catalogue.digest().configVersion, isStopping: () => shutdownPlan !== undefined, metrics, log,
+	});
 	const serve = createServe({
 		nowMs,
 		random,
@@ -313,6 +317,7 @@
 		headerNames,
 		metrics,
 		log,
+		deliver,
 		async waitUntilComplete(signal) {
 			const opened = catalogueReady.wait(signal);
 			for (const reader of readers) {
@@ -324,15 +329,13 @@
 	});
 
 	const handle = async (incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-		if (shutdownPlan !== undefined) {
-			response.setHeader('connection', 'close');
-		}
-
+		const exchange = callers.begin(incoming, response, isMissingHost(incoming));
 		try {
-			await serve(incoming, response);
+			await serve(incoming, response, exchange);
 		} catch (error) {
 			logger.error('request failed', {error: error instanceof Error ? error.stack : String(error)});
-			response.destroy();
+			await exchange.untilTurn();
+			incoming.socket.destroy();
 		}
 	};
 
@@ -345,16 +348,23 @@
 	server.maxHeadersCount = 0;
 	// The expect header concerns only the caller's connection to the gateway; an unknown expectation is ignored instead of answered by 417.
 	server.on('checkExpectation', handle);
-	server.on('clientError', (error, socket) => {
+	const callers = trackCallerConnections(server);
+	// The closing of idle connections by Node.js also closes one whose last answer is not sent completely, or that has pipelined requests.
+	server.closeIdleConnections = callers.closeIdle;
+	const endUnreadable = (error: Error, socket: net.Socket): void => {
 		const {
 			code, kind, isServing, isFromParser, readBytes,
-		} = handleClientError(error, socket as net.Socket);
+		} = handleClientError(error, socket);
 		metrics.unreadable.inc({code, kind: kind ?? 'none', serving: String(isServing)});
 		if (isFromParser) {
 			log('unreadable', {
 				code, kind, isServing, readBytes,
 			});
 		}
+	};
+
+	server.on('clientError', (error, socket) => {
+		callers.handleUnreadable(error, socket as net.Socket, endUnreadable);
 	});
 
 	const joinSeeds = (): void => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,7 +7,7 @@
 /** Metrics and the registry that exposes them. */
 export type GatewayMetrics = {
 	readonly registry: Registry;
-	/** Requests by service and final result: a status code, a kind of error or `caller-gone`. */
+	/** Requests by service and final result: a status code, a kind of error, `caller-gone` or `not-read`. */
 	readonly requests: Counter<'service' | 'result'>;
 	readonly refusals: Counter<'kind' | 'reason'>;
 	/** Errors while reading from a caller's connection, by error code and kind of the refusal; kind `none` where nothing was answered. */
@@ -23,6 +23,8 @@
 	readonly storeCalls: Counter<'topic' | 'result'>;
 	readonly requestDurationMs: Histogram<'service'>;
 	readonly waitDurationMs: Histogram<'service'>;
+	/** Time for which the answer to a request waited for the answers to earlier ones of its connection. */
+	readonly heldDurationMs: Histogram;
 	/** Instances by service and their state as this gateway sees it. */
 	readonly instances: Gauge<'service' | 'state'>;
 	readonly configVersion: Gauge;
@@ -68,6 +70,9 @@
 		waitDurationMs: new Histogram({
 			name: 'egretwing_wait_duration_ms', help: 'Time for which a request waited for an instance', labelNames: ['service'], buckets: durationBucketsMs, registers,
 		}),
+		heldDurationMs: new Histogram({
+			name: 'egretwing_held_duration_ms', help: 'Time for which the answer to a pipelined request waited for earlier answers', buckets: durationBucketsMs, registers,
+		}),
 		instances: new Gauge({
 			name: 'egretwing_instances', help: 'Instances by service and state at this gateway', labelNames: ['service', 'state'], registers,
 		}),
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -2,7 +2,6 @@
 
 import type http from 'node:http';
 import {
-	createRefusal,
 	pickService,
 	isAcceptedDuringShutdown,
 	type AttemptResult,
@@ -13,16 +12,18 @@
 	type PrefixRoute,
 	type PrefixRouteTable,
 	type Random,
-	type Refusal,
 	type RejectReason,
 	type RetryWindow,
 	type ShutdownPlan,
 } from '@egretwing/core';
-import {forwardedHeaders, refuse} from '@egretwing/node';
+import {forwardedHeaders, type CallerExchange} from '@egretwing/node';
 import {readBody} from './body.ts';
 import {
-	hedgeFactor, maxLoggedNameLength, maxConnectFailures, notReadyRetryMs, startupWaitMs, stoppingRetryMs, timerSlackMs,
+	hedgeFactor, maxLoggedNameLength, maxConnectFailures, notReadyRetryMs, startupWaitMs, stoppingRetryMs,
 } from './constants.ts';
+import {
+	refuseWith, type Deliver, type DeliveredRequest, type FinalResult,
+} from './deliver.ts';
 import type {Dispatchers, PlacementResult} from './dispatchers.ts';
 import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
 import {headBytesOf} from './head.ts';
@@ -61,6 +62,7 @@
 	readonly headerNames: HeaderNames;
 	readonly metrics: GatewayMetrics;
 	readonly log: RequestLog;
+	readonly deliver: Deliver;
 	/** Resolves with true once configuration and instances are known, with false when `signal` aborts before. */
 	readonly waitUntilComplete: (signal: AbortSignal) => Promise<boolean>;
 };
@@ -92,16 +94,6 @@
 	readonly path: string;
 };
 
-/** Final result of a request, for its caller. */
-type FinalResult
-	= | {readonly type: 'answer'; readonly answer: UpstreamAnswer; readonly instanceId: string}
-		| {
-			readonly type: 'refusal'; readonly refusal: Refusal; readonly reason: string; readonly retryAfterMs?: number;
-			/** Further fields of the log line. */
-			readonly logged?: Readonly<Record<string, unknown>>;
-		}
-		| {readonly type: 'caller-gone'};
-
 const kindOfReject: Readonly<Record<RejectReason, ErrorKind>> = {
 	'wait-too-long': 'overloaded',
 	'no-instance': 'no-capacity',
@@ -153,36 +145,17 @@
 };
 
 /** Whether the host header is missing, which HTTP/1.1 requires even with a target in absolute form. */
-const isMissingHost = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean =>
+export const isMissingHost = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean =>
 	headers.host === undefined && httpVersionMajor === 1 && httpVersionMinor >= 1;
 
-/** Resets the connection, since an orderly close would make an answer without a length look complete. */
-const resetConnection = (response: http.ServerResponse): void => {
-	if (response.destroyed) {
-		return;
-	}
-
-	if (response.socket === null) {
-		// An earlier answer still occupies the connection; nothing of this one has been sent.
-		response.destroy();
-		return;
-	}
-
-	response.socket.resetAndDestroy();
-};
-
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
-export const createServe = (dependencies: ServeDependencies): ((incoming: http.IncomingMessage, response: http.ServerResponse) => Promise<void>) => {
+export const createServe = (dependencies: ServeDependencies): ((incoming: http.IncomingMessage, response: http.ServerResponse, exchange: CallerExchange) => Promise<void>) => {
 	const {
-		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log,
+		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log, deliver,
 	} = dependencies;
 
-	const refuseWith = (kind: ErrorKind, reason: string, retryAfterMs?: number, ran?: Refusal['ran']): Extract<FinalResult, {type: 'refusal'}> => ({
-		type: 'refusal', refusal: createRefusal(kind, ran), reason, ...(retryAfterMs !== undefined && {retryAfterMs}),
-	});
-
 	const startAttempt = (context: RequestContext, placement: DispatchPlacement): RunningAttempt => {
 		const instance = catalogue.ready(context.service).find(({instanceId}) => instanceId === placement.instanceId);
 		if (instance === undefined) {
@@ -379,13 +352,6 @@
 		}
 	};
 
-	/** Replaces a streaming answer by a refusal if it broke or timed out while other instances were tried; nothing of it has been sent. */
-	const refuseIfCutOff = (final: FinalResult, finalAtMs: number): FinalResult => {
-		const rest = final.type === 'answer' ? final.answer.rest : undefined;
-		const isCutOff = rest !== undefined && (rest.destroyed || nowMs() + timerSlackMs >= finalAtMs);
-		return isCutOff ? refuseWith('outcome-unknown', 'answer cut off') : final;
-	};
-
 	/** Closes the connections of streaming answers that are not passed to the caller. */
 	const closeUnusedAnswers = ({streamingAnswers}: RequestContext, final: FinalResult): void => {
 		for (const answer of streamingAnswers) {
@@ -395,71 +361,6 @@
 		}
 	};
 
-	const writeAnswer = (response: http.ServerResponse, answer: UpstreamAnswer): void => {
-		const {statusCode, headers, body, isBounded, rest, isRestWhole} = answer;
-		const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
-		if (isBounded) {
-			response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
-		} else {
-			// The end of the answer can't be verified, so the caller must not get a length either.
-			response.removeHeader('transfer-encoding');
-			response.writeHead(statusCode, {...kept, connection: 'close'});
-		}
-
-		if (rest === undefined) {
-			response.end(body);
-			return;
-		}
-
-		response.write(body);
-		rest.once('error', () => {
-			resetConnection(response);
-		});
-		rest.once('end', () => {
-			if (isRestWhole?.() === true) {
-				response.end();
-			} else {
-				resetConnection(response);
-			}
-		});
-		rest.pipe(response, {end: false});
-	};
-
-	const sendFinalResult = (response: http.ServerResponse, context: Pick<RequestContext, 'requestId' | 'arrivedAtMs'> & {readonly service: string}, final: FinalResult): void => {
-		const {requestId, service, arrivedAtMs} = context;
-		const tookMs = Math.round(nowMs() - arrivedAtMs);
-		switch (final.type) {
-			case 'answer': {
-				writeAnswer(response, final.answer);
-				metrics.requests.inc({service, result: String(final.answer.statusCode)});
-				metrics.requestDurationMs.observe({service}, tookMs);
-				log('answered', {
-					requestId, service, instanceId: final.instanceId, statusCode: final.answer.statusCode, tookMs,
-				});
-				return;
-			}
-
-			case 'refusal': {
-				const {
-					refusal, reason, retryAfterMs, logged,
-				} = final;
-				refuse(response, refusal, retryAfterMs);
-				metrics.requests.inc({service, result: refusal.kind});
-				metrics.refusals.inc({kind: refusal.kind, reason});
-				log('refused', {
-					requestId, service, kind: refusal.kind, ran: refusal.ran, reason, retryAfterMs, tookMs, configVersion: catalogue.digest().configVersion, ...logged,
-				});
-				return;
-			}
-
-			case 'caller-gone': {
-				response.destroy();
-				metrics.requests.inc({service, result: 'caller-gone'});
-				log('caller gone', {requestId, service, tookMs});
-			}
-		}
-	};
-
 	const toLookup = ({host, target}: RequestTarget): Lookup => {
 		const [hostName = ''] = host.split(':');
 		const [path = ''] = target.split('?', 1);
@@ -483,57 +384,80 @@
 		};
 	};
 
-	return async (incoming, response) => {
+	/** Refuses a request that needs no instance, or returns its route. */
+	const findRoute = (incoming: http.IncomingMessage, target: RequestTarget): PrefixRoute | FinalResult => {
+		if (isMissingHost(incoming)) {
+			return refuseWith('malformed-request', 'no host');
+		}
+
+		if (headBytesOf(incoming) > dependencies.maxHeadBytes()) {
+			return refuseDisallowed('headers-too-large', 'headers');
+		}
+
+		const lookup = toLookup(target);
+		return dependencies.routes().match(lookup.hostName, lookup.path) ?? refuseUnrouted(lookup);
+	};
+
+	/** Time at which the request gets its final answer, counted from when it was read. */
+	const toFinalAtMs = ({headers}: http.IncomingMessage, {timeoutMs}: PrefixRoute, arrivedAtMs: number): number => {
+		const callerWaitsMs = Number(headers[headerNames.deadlineMs] ?? Number.NaN);
+		return arrivedAtMs + (Number.isFinite(callerWaitsMs) ? Math.min(callerWaitsMs, timeoutMs) : timeoutMs);
+	};
+
+	const serveRouted = async (context: RequestContext): Promise<FinalResult> => {
+		const {service, finalAtMs} = context;
+		const activeShutdown = dependencies.shutdownPlan();
+		if (activeShutdown !== undefined && !isAcceptedDuringShutdown(activeShutdown, finalAtMs, nowMs())) {
+			return refuseWith('draining', 'may outlast the shutdown', stoppingRetryMs);
+		}
+
+		const final = await runAttempts(context);
+		closeUnusedAnswers(context, final);
+		if (final.type !== 'caller-gone') {
+			dispatchers.recordOutcome(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
+		}
+
+		return final;
+	};
+
+	return async (incoming, response, exchange) => {
 		const arrivedAtMs = nowMs();
 		const idHeader = incoming.headers[headerNames.requestId];
 		const requestId = typeof idHeader === 'string' ? idHeader : '';
-		const unrouted = {requestId, service: '', arrivedAtMs};
+		const unrouted: DeliveredRequest = {
+			requestId, service: '', arrivedAtMs, finalAtMs: Number.POSITIVE_INFINITY,
+		};
 		// A process that has just started gets its catalogue sooner than the caller would find another gateway.
 		const isCatalogueComplete = catalogue.isComplete() || (dependencies.shutdownPlan() === undefined && await dependencies.waitUntilComplete(AbortSignal.timeout(startupWaitMs)));
 		const config = catalogue.config();
 		if (!isCatalogueComplete || config === undefined) {
-			sendFinalResult(response, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances', notReadyRetryMs));
-			return;
-		}
-
-		if (isMissingHost(incoming)) {
-			sendFinalResult(response, unrouted, refuseWith('malformed-request', 'no host'));
-			return;
-		}
-
-		if (headBytesOf(incoming) > dependencies.maxHeadBytes()) {
-			sendFinalResult(response, unrouted, refuseDisallowed('headers-too-large', 'headers'));
+			await deliver(response, exchange, unrouted, refuseWith('not-ready', config === undefined ? 'no configuration' : 'no instances', notReadyRetryMs));
 			return;
 		}
 
 		const requestTarget = toTarget(incoming);
-		const lookup = toLookup(requestTarget);
-		const route = dependencies.routes().match(lookup.hostName, lookup.path);
-		if (route === undefined) {
-			sendFinalResult(response, unrouted, refuseUnrouted(lookup));
+		const route = findRoute(incoming, requestTarget);
+		if ('type' in route) {
+			// What is left of the body must not keep the end of the connection from being noticed.
+			incoming.resume();
+			await deliver(response, exchange, unrouted, route);
 			return;
 		}
 
-		const callerGone = new AbortController();
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				callerGone.abort();
-			}
-		});
 		// A limit that is lowered while the body arrives does not apply to it; one that is raised does.
 		const read = await readBody(incoming, () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0));
 		if (read.type !== 'whole') {
-			sendFinalResult(response, unrouted, read.type === 'too-large' ? refuseDisallowed('request-too-large', 'body') : {type: 'caller-gone'});
+			incoming.resume();
+			await deliver(response, exchange, unrouted, read.type === 'too-large' ? refuseDisallowed('request-too-large', 'body') : {type: 'caller-gone'});
 			return;
 		}
 
 		const service = pickService(route.services, dependencies.random);
-		const callerWaitsMs = Number(incoming.headers[headerNames.deadlineMs] ?? Number.NaN);
-		const limitMs = Number.isFinite(callerWaitsMs) ? Math.min(callerWaitsMs, route.timeoutMs) : route.timeoutMs;
-		const finalAtMs = arrivedAtMs + limitMs;
-		const activeShutdown = dependencies.shutdownPlan();
-		if (activeShutdown !== undefined && !isAcceptedDuringShutdown(activeShutdown, finalAtMs, nowMs())) {
-			sendFinalResult(response, {...unrouted, service}, refuseWith('draining', 'may outlast the shutdown', stoppingRetryMs));
+		const isIdempotent = route.semantics === 'idempotent';
+		exchange.recordBody(read.body?.length ?? 0);
+		const started = await exchange.untilStart(isIdempotent ? 'repeatable' : 'at-most-once');
+		if (started !== 'start') {
+			await deliver(response, exchange, {...unrouted, service}, {type: started});
 			return;
 		}
 
@@ -542,7 +466,7 @@
 			route,
 			service,
 			arrivedAtMs,
-			finalAtMs,
+			finalAtMs: toFinalAtMs(incoming, route, arrivedAtMs),
 			isReturning: false,
 			upstreamRequest: {
 				requestId: requestId === '' ? undefined : requestId,
@@ -550,17 +474,11 @@
 				target: requestTarget.target,
 				headers: {...forwardedHeaders(incoming.headers, ownHeaders(headerNames)), host: requestTarget.host},
 				body: read.body,
-				isIdempotent: route.semantics === 'idempotent',
+				isIdempotent,
 			},
 			streamingAnswers: [],
-			signal: callerGone.signal,
+			signal: exchange.signal,
 		};
-		const final = refuseIfCutOff(await runAttempts(context), context.finalAtMs);
-		closeUnusedAnswers(context, final);
-		if (final.type !== 'caller-gone') {
-			dispatchers.recordOutcome(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
-		}
-
-		sendFinalResult(response, context, final);
+		await deliver(response, exchange, context, await serveRouted(context));
 	};
 };
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -148,6 +148,8 @@
 		for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
 			if (isSelected(socket)) {
 				socket.destroy();
+				// The agent may hand out a destroyed connection until it is told.
+				socket.emit('agentRemove');
 			}
 		}
 	}
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -1,11 +1,12 @@
+import http from 'node:http';
 import net from 'node:net';
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {defaultHeaderNames} from '@egretwing/gateway';
 import {maxBufferedAnswerBytes} from '../src/constants.ts';
 import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
+import {defaultHeaderNames} from '@egretwing/gateway';
 
 const address = '127.0.0.1';
 /** Exceeds the buffers of a loopback connection. */
@@ -84,6 +85,33 @@
 		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined,
 	});
 
+	it('repeats a request on another connection while those that carried it are idle', async () => {
+		const server = http.createServer((incoming, response) => {
+			const id = String(incoming.headers['egretwing-request-id']);
+			response.writeHead(200, {'egretwing-request-id': id, 'egretwing-signature': 's', 'content-length': id.length}).end(id);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, address, resolve);
+		});
+		const upstream = create();
+		const {port} = server.address() as net.AddressInfo;
+		const send = async (requestId: string): Promise<UpstreamOutcome> => {
+			const attempt = upstream.send({instanceId: 'i', address, port}, request({requestId, headers: {host: 'a.example', 'egretwing-request-id': requestId}}), 1000);
+			const outcome = await attempt.outcome;
+			await attempt.released;
+			return outcome;
+		};
+
+		const ids = ['r1', 'r2', 'r3'];
+		await Promise.all(ids.map(async id => send(id)));
+		for (const id of ids.toReversed()) {
+			expect(describeOutcome(await send(id))).to.equal(`answered 200 ${id}`);
+		}
+
+		upstream.close();
+		server.close();
+	});
+
 	const cases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly end?: 'end' | 'reset'; readonly outcome: string}> = [
 		{title: 'passes a complete answer', answer: completeAnswer('r1'), outcome: 'answered 200 ok'},
 		{title: 'refuses an answer to another request', answer: completeAnswer('r0'), outcome: 'broken'},
--- /dev/null
+++ b/packages/node/src/caller-connections.ts
@@ -0,0 +1,193 @@
+/** Callers' connections to an HTTP server: starts their requests and sends the answers in the order in which the requests arrived. */
+
+import type http from 'node:http';
+import type net from 'node:net';
+import {createRequestPipeline, type RequestEffect, type RequestPipeline} from '@egretwing/core';
+import {isParserError} from './client-error.ts';
+
+/** How the wait of a request for its start ended. */
+export type StartResult
+	/** It may be sent to an instance. */
+	= | 'start'
+	/** Its caller has disconnected. */
+		| 'caller-gone'
+	/** An earlier answer has closed the connection; the caller takes the request as not read. */
+		| 'not-read';
+
+/** A request on a caller's connection until its answer is sent. */
+export type CallerExchange = {
+	/** Number of earlier requests of the connection that were unanswered when it arrived. */
+	readonly unansweredBefore: number;
+	/** Aborts when the connection closes before the answer is sent. */
+	readonly signal: AbortSignal;
+	/** Counts the body of the request towards the limit of its connection. */
+	readonly recordBody: (bodyBytes: number) => void;
+	/** Waits until the request may be sent to an instance. */
+	readonly untilStart: (effect: Exclude<RequestEffect, 'none'>) => Promise<StartResult>;
+	/** Waits until the answer may be sent; resolves with false when it can't be sent any more. */
+	readonly untilTurn: () => Promise<boolean>;
+	/** Decides whether the answer closes the connection, which `isWanted` asks for; to be called right before it is sent. */
+	readonly decideClose: (isWanted: boolean) => boolean;
+};
+
+/** Handles an error of a connection that can't be read any further. */
+export type UnreadableHandler = (error: Error, socket: net.Socket) => void;
+
+/** The open connections of a server. */
+export type CallerConnections = {
+	/** Adds a request; `isLast` if its answer closes the connection, whatever it is. */
+	readonly begin: (incoming: http.IncomingMessage, response: http.ServerResponse, isLast: boolean) => CallerExchange;
+	/** Calls `handle` once the requests that were read before the error are answered. */
+	readonly handleUnreadable: (error: Error, socket: net.Socket, handle: UnreadableHandler) => void;
+	/** Closes the connections without an unanswered request. */
+	readonly closeIdle: () => void;
+};
+
+type Waiter<Value> = {
+	readonly settled: Promise<Value>;
+	readonly settle: (value: Value) => void;
+};
+
+const createWaiter = <Value>(): Waiter<Value> => {
+	let settle!: (value: Value) => void;
+	const settled = new Promise<Value>(resolve => {
+		settle = resolve;
+	});
+	return {settled, settle};
+};
+
+type Request = {
+	readonly incoming: http.IncomingMessage;
+	readonly gone: AbortController;
+	readonly start: Waiter<StartResult>;
+	readonly turn: Waiter<boolean>;
+	isAnswerKnown: boolean;
+};
+
+type Connection = {
+	readonly pipeline: RequestPipeline<Request>;
+	/** Bytes read when the last request was answered: more have arrived if the next one has begun. */
+	idleReadBytes: number;
+	isReadPaused: boolean;
+	unreadable?: () => void;
+};
+
+const isKeptAlive = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean => {
+	const options = new Set((headers.connection ?? '').toLowerCase().split(',').map(option => option.trim()));
+	return httpVersionMajor === 1 && httpVersionMinor === 0 ? options.has('keep-alive') : !options.has('close');
+};
+
+/** Tracks the connections of `server`. */
+export const trackCallerConnections = (server: http.Server): CallerConnections => {
+	const connections = new Map<net.Socket, Connection>();
+
+	const update = (socket: net.Socket, connection: Connection): void => {
+		const {pipeline} = connection;
+		for (const {start} of pipeline.takeStartable()) {
+			start.settle('start');
+		}
+
+		const current = pipeline.current();
+		current?.turn.settle(true);
+		// A request whose body became unreadable is never complete.
+		if (connection.unreadable !== undefined && (current === undefined || !(current.incoming.complete || current.isAnswerKnown))) {
+			connection.unreadable();
+			return;
+		}
+
+		if (pipeline.isReadAheadFull()) {
+			connection.isReadPaused = true;
+			socket.pause();
+		} else if (connection.isReadPaused) {
+			connection.isReadPaused = false;
+			socket.resume();
+		}
+	};
+
+	const track = (socket: net.Socket): Connection => {
+		const connection: Connection = {pipeline: createRequestPipeline<Request>(), idleReadBytes: 0, isReadPaused: false};
+		connections.set(socket, connection);
+		// Node.js resumes the connection when it reads or discards a request's body.
+		socket.on('resume', () => {
+			if (connection.pipeline.isReadAheadFull()) {
+				socket.pause();
+			}
+		});
+		socket.once('end', () => {
+			if (connection.unreadable !== undefined) {
+				socket.destroy();
+			}
+		});
+		socket.once('close', () => {
+			connections.delete(socket);
+			const result = connection.pipeline.isClosed() ? 'not-read' : 'caller-gone';
+			for (const {gone, start, turn} of connection.pipeline.unanswered()) {
+				gone.abort();
+				start.settle(result);
+				turn.settle(false);
+			}
+		});
+		return connection;
+	};
+
+	server.on('connection', track);
+	return {
+		begin(incoming, response, isLast) {
+			const {socket} = incoming;
+			const connection = connections.get(socket) ?? track(socket);
+			const {pipeline} = connection;
+			const request: Request = {
+				incoming, gone: new AbortController(), start: createWaiter(), turn: createWaiter(), isAnswerKnown: false,
+			};
+			const unansweredBefore = pipeline.unanswered().length;
+			pipeline.add(request, isLast || !isKeptAlive(incoming));
+			response.once('finish', () => {
+				pipeline.finishCurrent();
+				connection.idleReadBytes = socket.bytesRead;
+				update(socket, connection);
+			});
+			update(socket, connection);
+			return {
+				unansweredBefore,
+				signal: request.gone.signal,
+				recordBody(bodyBytes) {
+					pipeline.recordBody(request, bodyBytes);
+					update(socket, connection);
+				},
+				async untilStart(effect) {
+					// Older callers can't read an answer in chunks, which is needed to keep a connection open behind any answer.
+					pipeline.classify(request, incoming.httpVersion === '1.0' ? 'at-most-once' : effect);
+					update(socket, connection);
+					return request.start.settled;
+				},
+				async untilTurn() {
+					request.isAnswerKnown = true;
+					pipeline.classify(request, 'none');
+					update(socket, connection);
+					return request.turn.settled;
+				},
+				decideClose: isWanted => pipeline.decideClose(isWanted),
+			};
+		},
+		handleUnreadable(error, socket, handle) {
+			const connection = connections.get(socket);
+			if (connection === undefined || !isParserError(error)) {
+				handle(error, socket);
+				return;
+			}
+
+			connection.unreadable ??= () => {
+				handle(error, socket);
+			};
+
+			update(socket, connection);
+		},
+		closeIdle() {
+			for (const [socket, {pipeline, idleReadBytes}] of connections) {
+				if (pipeline.unanswered().length === 0 && socket.bytesRead === idleReadBytes) {
+					socket.destroy();
+				}
+			}
+		},
+	};
+};
--- a/packages/node/src/client-error.ts
+++ b/packages/node/src/client-error.ts
@@ -32,8 +32,13 @@
 
 const parserErrorCode = /^(?:HPE|ERR_HTTP)_/v;
 
+type CodedError = Error & {readonly code?: string};
+
+/** True if the bytes of a caller who is still connected could not be parsed. */
+export const isParserError = ({code = ''}: CodedError): boolean => parserErrorCode.test(code) && code !== unexpectedEndCode;
+
 /** Sends a refusal and closes; only closes a connection on which a request is being served, since that request may have run. */
-export const handleClientError = (error: Error & {readonly code?: string}, socket: ServingSocket): ClientErrorResult => {
+export const handleClientError = (error: CodedError, socket: ServingSocket): ClientErrorResult => {
 	const serving = socket._httpMessage;
 	const code = error.code ?? 'unknown';
 	const result: ClientErrorResult = {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -32,3 +32,5 @@
 export type {ClientErrorResult} from './client-error.ts';
 export {createBoundedWriter} from './bounded-writer.ts';
 export type {BoundedWriter} from './bounded-writer.ts';
+export {trackCallerConnections} from './caller-connections.ts';
+export type {CallerConnections, CallerExchange, StartResult} from './caller-connections.ts';
