--- a/packages/gateway/test/pipelining.test.ts
+++ b/packages/gateway/test/pipelining.test.ts
@@ -32,7 +32,7 @@
 const largeAnswerBytes = 1_000_000;
 
 /** How an instance treats a request: the first segment of its path. */
-type Treatment = 'fast' | 'slow' | 'slower' | 'hang' | 'reset' | 'shed' | 'undelimited' | 'large' | 'endless';
+type Treatment = 'fast' | 'slow' | 'slower' | 'hang' | 'reset' | 'shed' | 'undelimited' | 'large' | 'endless' | 'cut';
 
 type Arrival = {readonly id: string; readonly atMs: number; closedAtMs?: number};
 
@@ -100,6 +100,14 @@
 				break;
 			}
 
+			case 'cut': {
+				response.writeHead(200, {'content-length': 4 * largeAnswerBytes});
+				response.write('.'.repeat(3 * largeAnswerBytes));
+				await delay(slowMs);
+				request.socket.resetAndDestroy();
+				break;
+			}
+
 			case 'endless': {
 				response.writeHead(200);
 				while (!response.destroyed) {
@@ -127,7 +135,7 @@
 type Instance = Awaited<ReturnType<typeof startInstance>>;
 
 /** Each treatment has a service of its own, so that its failures do not affect the others. */
-const treatments: readonly Treatment[] = ['fast', 'slow', 'slower', 'hang', 'reset', 'shed', 'undelimited', 'large', 'endless'];
+const treatments: readonly Treatment[] = ['fast', 'slow', 'slower', 'hang', 'reset', 'shed', 'undelimited', 'large', 'endless', 'cut'];
 
 const config: FleetConfig = {
 	version: 1,
@@ -239,7 +247,7 @@
 
 		// An instance without a good answer so far gets one request at a time.
 		const warm = connect(port);
-		for (const [index, treatment] of treatments.filter(name => !['hang', 'reset', 'shed', 'endless', 'undelimited'].includes(name)).entries()) {
+		for (const [index, treatment] of treatments.filter(name => !['hang', 'reset', 'shed', 'endless', 'undelimited', 'cut'].includes(name)).entries()) {
 			warm.socket.write(read(treatment, `warm-${treatment}`));
 			await warm.receive(index + 1);
 		}
@@ -397,6 +405,13 @@
 				answers: ['200 r1', '200 r2'],
 				arrived: ['r1', 'r2'],
 			},
+			{
+				title: 'sends nothing behind an answer that breaks off halfway',
+				requests: [read('cut', 'r1'), read('fast', 'r2')],
+				answers: [],
+				arrived: ['r1', 'r2'],
+				isClosed: true,
+			},
 			{
 				title: 'counts the time of a request from when it was read, and sends none whose time is over',
 				requests: [read('slower', 'r1'), book('fast', 'b2', 'egretwing-deadline-ms: 300'), read('fast', 'r3')],
@@ -413,9 +428,9 @@
 		for (const {title, requests, answers, arrived, isClosed = false} of sequences) {
 			it(title, async () => {
 				const caller = callGateway(requests);
-				const received = await caller.receive(answers.length);
-				await delay(isClosed ? 100 : 20);
-				expect(received.map(answer => summary(answer))).to.deep.equal(answers);
+				await (isClosed ? Promise.race([caller.closed, delay(2 * routeTimeoutMs)]) : caller.receive(answers.length));
+				await delay(20);
+				expect(caller.answers().map(answer => summary(answer))).to.deep.equal(answers);
 				expect([...new Set(arrivedIds())].toSorted()).to.deep.equal(arrived.toSorted());
 				expect(caller.isClosed()).to.equal(isClosed);
 				caller.socket.destroy();
