--- a/xo.config.js
+++ b/xo.config.js
@@ -13,6 +13,10 @@
 			},
 		},
 	},
+	{
+		// A package that a test imports by name counts as external whether or not it has been built.
+		settings: {'import-x/external-module-folders': ['node_modules', 'dist']},
+	},
 	{
 		files: ['**/*.ts'],
 		rules: {
