fix(gateway): an answer without a length is never passed on as whole before requests in progress

Cause: such an answer was passed on in chunks, so that the connection could stay open.

Change: its request, which may be repeated, goes to another instance; if that is not possible it is refused (answer-unbounded) and the requests behind it are answered. Closing behind it was ruled out: all of these would be lost for one answer.

--- a/packages/core/src/pipelining/request-pipeline.ts
+++ b/packages/core/src/pipelining/request-pipeline.ts
@@ -31,10 +31,10 @@
 	/** The request whose answer is due. */
 	readonly current: () => Request | undefined;
 	/**
-	 * Decides whether the answer to the current request closes the connection, which `isWanted` asks for; to be called when the answer is
-	 * about to be sent. Nothing starts after a positive decision.
+	 * Decides whether the answer to a request closes the connection, which `isWanted` asks for; to be called before the answer is sent.
+	 * Nothing starts behind it after a positive decision.
 	 */
-	readonly decideClose: (isWanted: boolean) => boolean;
+	readonly decideClose: (request: Request, isWanted: boolean) => boolean;
 	/** Removes the current request after its answer was sent. */
 	readonly finishCurrent: () => void;
 	readonly unanswered: () => readonly Request[];
@@ -102,14 +102,14 @@
 			return found.map(({request}) => request);
 		},
 		current: () => isClosed ? undefined : entries[0]?.request,
-		decideClose(isWanted) {
-			const [current, ...later] = entries;
-			if (current === undefined || isClosed) {
+		decideClose(request, isWanted) {
+			const entry = find(request);
+			if (entry === undefined || isClosed) {
 				return true;
 			}
 
-			current.isLast ||= isWanted && !later.some(({isStarted}) => isStarted);
-			return current.isLast;
+			entry.isLast ||= isWanted && !entries.slice(entries.indexOf(entry) + 1).some(({isStarted}) => isStarted);
+			return entry.isLast;
 		},
 		finishCurrent() {
 			const [current, ...later] = entries;
--- a/packages/gateway/src/deliver.ts
+++ b/packages/gateway/src/deliver.ts
@@ -53,19 +53,16 @@
 	response.socket?.resetAndDestroy();
 };
 
-/** Whether only the close of the connection can mark the end of what is sent, as at the instance. */
-const needsClose = (final: FinalResult): boolean => final.type === 'answer' && !final.answer.isBounded;
-
 const writeAnswer = (response: http.ServerResponse, {
 	statusCode, headers, body, isBounded, rest, isRestWhole,
-}: UpstreamAnswer, closes: boolean): void => {
+}: UpstreamAnswer): void => {
 	const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
-	if (closes && !isBounded) {
+	if (isBounded) {
+		response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
+	} else {
 		// The end of the answer can't be verified, so the caller must not get a length either.
 		response.removeHeader('transfer-encoding');
 		response.writeHead(statusCode, kept);
-	} else {
-		response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
 	}
 
 	if (rest === undefined) {
@@ -103,6 +100,16 @@
 		return refuseWith('outcome-unknown', 'answer cut off');
 	};
 
+	/** Replaces an answer whose end only the close of the connection can mark, if later requests are in progress on the connection. */
+	const refuseIfUndeliverable = (exchange: CallerExchange, final: FinalResult): FinalResult => {
+		if (final.type !== 'answer' || final.answer.isBounded || exchange.decideClose(true)) {
+			return final;
+		}
+
+		final.answer.rest?.destroy();
+		return refuseWith('answer-unbounded', 'later requests in progress');
+	};
+
 	/** Waits until the answer may be sent; ends the attempt behind a streaming answer that nobody receives. */
 	const waitForTurn = async (exchange: CallerExchange, final: FinalResult): Promise<FinalResult> => {
 		if (final.type === 'not-read' || final.type === 'caller-gone' || await exchange.untilTurn()) {
@@ -116,20 +123,22 @@
 		return {type: 'caller-gone'};
 	};
 
+	const closeIfDecided = (response: http.ServerResponse, exchange: CallerExchange): void => {
+		if (exchange.decideClose(isStopping())) {
+			response.setHeader('connection', 'close');
+		}
+	};
+
 	return async (response, exchange, {requestId, service, arrivedAtMs, finalAtMs}, ready) => {
 		const readyAtMs = nowMs();
-		const final = refuseIfCutOff(await waitForTurn(exchange, ready), finalAtMs);
+		const final = refuseIfUndeliverable(exchange, refuseIfCutOff(await waitForTurn(exchange, ready), finalAtMs));
 		const heldMs = nowMs() - readyAtMs;
 		const tookMs = Math.round(nowMs() - arrivedAtMs);
 		const pipelined = exchange.unansweredBefore === 0 ? {} : {unansweredBefore: exchange.unansweredBefore, heldMs: Math.round(heldMs)};
 		switch (final.type) {
 			case 'answer': {
-				const closes = exchange.decideClose(isStopping() || needsClose(final));
-				if (closes) {
-					response.setHeader('connection', 'close');
-				}
-
-				writeAnswer(response, final.answer, closes);
+				closeIfDecided(response, exchange);
+				writeAnswer(response, final.answer);
 				metrics.requests.inc({service, result: String(final.answer.statusCode)});
 				metrics.requestDurationMs.observe({service}, tookMs);
 				log('answered', {
@@ -142,10 +151,7 @@
 				const {refusal, reason, logged} = final;
 				// The caller counts the delay from the refusal, which may have waited for earlier answers.
 				const retryAfterMs = final.retryAfterMs === undefined ? undefined : Math.max(minRetryAfterMs, final.retryAfterMs - heldMs);
-				if (exchange.decideClose(isStopping())) {
-					response.setHeader('connection', 'close');
-				}
-
+				closeIfDecided(response, exchange);
 				refuse(response, refusal, retryAfterMs);
 				metrics.requests.inc({service, result: refusal.kind});
 				metrics.refusals.inc({kind: refusal.kind, reason});
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -78,6 +78,7 @@
 	readonly upstreamRequest: UpstreamRequest;
 	/** Answers so far that were too large to buffer and whose rest is still to be read. */
 	readonly streamingAnswers: UpstreamAnswer[];
+	readonly exchange: CallerExchange;
 	readonly signal: AbortSignal;
 };
 
@@ -148,6 +149,10 @@
 export const isMissingHost = ({headers, httpVersionMajor, httpVersionMinor}: http.IncomingMessage): boolean =>
 	headers.host === undefined && httpVersionMajor === 1 && httpVersionMinor >= 1;
 
+/** Whether the answer can be passed on: one whose end is marked by the close of the connection can't before requests in progress. */
+const isDeliverable = ({exchange}: RequestContext, outcome: UpstreamOutcome): boolean =>
+	outcome.type !== 'answered' || outcome.answer.isBounded || exchange.decideClose(true);
+
 const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
 
 /** Creates the handler of callers' requests. */
@@ -328,7 +333,8 @@
 
 			const {placement: {instanceId, startedAtMs}, outcome} = ended.at(-1)!;
 			const result = toResult(outcome, signal.aborted);
-			if (result === 'good') {
+			const isUndelivered = result === 'good' && !isDeliverable(context, outcome);
+			if (result === 'good' && !isUndelivered) {
 				return toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
 			}
 
@@ -338,7 +344,7 @@
 
 			const decision = connectFailures >= maxConnectFailures ? 'attempts-spent' : decideRetry(context, outcome, sends);
 			log('attempt failed', {
-				requestId, service, instanceId, result, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
+				requestId, service, instanceId, result: isUndelivered ? 'no-length' : result, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
 			});
 			// An answer of an instance takes precedence over the failure of a later attempt.
 			const final = toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
@@ -348,7 +354,7 @@
 				return lastResult;
 			}
 
-			metrics.retries.inc({reason: result});
+			metrics.retries.inc({reason: isUndelivered ? 'no-length' : result});
 		}
 	};
 
@@ -477,6 +483,7 @@
 				isIdempotent,
 			},
 			streamingAnswers: [],
+			exchange,
 			signal: exchange.signal,
 		};
 		await deliver(response, exchange, context, await serveRouted(context));
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -7,6 +7,9 @@
 import type {FleetConfig, InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {Ok} from 'ts-results-es';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
+} from '@egretwing/gateway';
 import {networkOf} from '../../../test/support/network.ts';
 import {maxBufferedAnswerBytes} from '../src/constants.ts';
 import {watchReset} from '../src/reset.ts';
@@ -15,9 +18,6 @@
 } from '../../../test/support/endless-instance.ts';
 import {parseAnswers} from './support/raw-answers.ts';
 import {createTestSettings} from './support/settings.ts';
-import {
-	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
-} from '@egretwing/gateway';
 
 const address = `${networkOf(209)}.1`;
 /** Below the ephemeral ports, which the system assigns to connections and to the instances of these tests. */
--- a/packages/gateway/test/fleet-start.test.ts
+++ b/packages/gateway/test/fleet-start.test.ts
@@ -1,12 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createLogger} from '@egretwing/node';
-import {Err} from 'ts-results-es';
-import {networkOf} from '../../../test/support/network.ts';
-import {createTestSettings} from './support/settings.ts';
 import {
 	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
 } from '@egretwing/gateway';
+import {Err} from 'ts-results-es';
+import {networkOf} from '../../../test/support/network.ts';
+import {createTestSettings} from './support/settings.ts';
 
 const network = networkOf(207);
 const port = 21_500;
--- a/packages/gateway/test/gateway.test.ts
+++ b/packages/gateway/test/gateway.test.ts
@@ -6,13 +6,13 @@
 import {expect} from 'chai';
 import {electionWaitMs, type FleetConfig, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
+} from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
 import {watchReset} from '../src/reset.ts';
 import {createTestSettings} from './support/settings.ts';
-import {
-	defaultHeaderNames, startGateway, type Gateway, type GatewaySettings, type StoreClient,
-} from '@egretwing/gateway';
 
 const address = `${networkOf(206)}.1`;
 /** Below the ephemeral ports, which the system assigns to connections and to the instances of these tests. */
--- a/packages/gateway/test/refusals.test.ts
+++ b/packages/gateway/test/refusals.test.ts
@@ -6,14 +6,14 @@
 import {expect} from 'chai';
 import type {CallerLimits, FleetConfig, InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
+} from '@egretwing/gateway';
 import {Err, Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
 import {configStalenessWindowMs, maxReadHeadBytes} from '../src/constants.ts';
 import {encodeMessage} from '../src/mesh-message.ts';
 import {createTestSettings} from './support/settings.ts';
-import {
-	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
-} from '@egretwing/gateway';
 
 const address = `${networkOf(208)}.1`;
 /** Below the ephemeral ports, which the system assigns to connections and to the instances of these tests. */
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -2,11 +2,11 @@
 import {createManualClock, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {createGatewayMetrics} from '../src/metrics.ts';
-import {createStoreReader} from '../src/store-reader.ts';
 import type {
 	StoreClient, StoreFailure, StoreRead, StoreTopic,
 } from '@egretwing/gateway';
+import {createGatewayMetrics} from '../src/metrics.ts';
+import {createStoreReader} from '../src/store-reader.ts';
 
 const read = (asOf: number, entries: readonly InstanceEntry[] = []): Result<StoreRead, StoreFailure> => Ok({entries, refused: [], asOf});
 
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -4,9 +4,9 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
+import {defaultHeaderNames} from '@egretwing/gateway';
 import {maxBufferedAnswerBytes} from '../src/constants.ts';
 import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
-import {defaultHeaderNames} from '@egretwing/gateway';
 
 const address = '127.0.0.1';
 /** Exceeds the buffers of a loopback connection. */
--- a/packages/node/src/caller-connections.ts
+++ b/packages/node/src/caller-connections.ts
@@ -26,7 +26,7 @@
 	readonly untilStart: (effect: Exclude<RequestEffect, 'none'>) => Promise<StartResult>;
 	/** Waits until the answer may be sent; resolves with false when it can't be sent any more. */
 	readonly untilTurn: () => Promise<boolean>;
-	/** Decides whether the answer closes the connection, which `isWanted` asks for; to be called right before it is sent. */
+	/** Decides whether the answer closes the connection, which `isWanted` asks for; to be called before it is sent. */
 	readonly decideClose: (isWanted: boolean) => boolean;
 };
 
@@ -166,7 +166,7 @@
 					update(socket, connection);
 					return request.turn.settled;
 				},
-				decideClose: isWanted => pipeline.decideClose(isWanted),
+				decideClose: isWanted => pipeline.decideClose(request, isWanted),
 			};
 		},
 		handleUnreadable(error, socket, handle) {
--- a/packages/node/test/peer-streams.test.ts
+++ b/packages/node/test/peer-streams.test.ts
@@ -3,8 +3,8 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {networkOf} from '../../../test/support/network.ts';
 import {createPeerStreams, encodeFrame, type PeerStreams} from '@egretwing/node';
+import {networkOf} from '../../../test/support/network.ts';
 
 const network = networkOf(211);
 const peerPort = 21_700;
