feat(core): idempotent requests are hedged while a second answer can still meet the objective

Cause: an instance that holds a request is left after three mean service times of its service.

Change: `hedgeDelayMs` hedges early enough for an answer within the objective, after 1.5 mean service times at the earliest; after three, as before, once half of the retry budget is used.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -150,3 +150,15 @@
 
 /** Share of a shutdown in which requests are accepted although their time ends after it: most take a fraction of their time, and at least three service times are left. */
 export const lateAcceptShare = 0.5;
+
+/**
+ * Time without an answer, in mean service times, after which an idempotent request is hedged in any case: one answer in twenty-five takes
+ * longer where service times are log-normal with a spread of 0.8.
+ */
+export const lateHedgeFactor = 3;
+
+/** Shortest such time, in mean service times: one answer in six takes longer where service times are log-normal with a spread of 0.8. */
+export const minHedgeFactor = 1.5;
+
+/** Share of the retry budget beyond which requests are hedged late only; the rest is left to requests that failed. */
+export const earlyHedgeBudgetShare = 0.5;
--- a/packages/core/src/dispatch/retry-window.ts
+++ b/packages/core/src/dispatch/retry-window.ts
@@ -20,6 +20,8 @@
 	readonly recordRequest: (nowMs: number) => void;
 	/** Takes one repeated send from the budget; false when it is spent. `slackShare` is this gateway's share of the slack, from 0 to 1. */
 	readonly tryAcquire: (slackShare: number, nowMs: number) => boolean;
+	/** Used part of the budget, from 0 to 1; 1 where there is none. */
+	readonly usedShare: (slackShare: number, nowMs: number) => number;
 };
 
 /** Share of the slack for the gateways that callers are sent to, divided evenly. */
@@ -54,20 +56,26 @@
 		return bucket;
 	};
 
+	const allowedRetries = (slackShare: number): number => (ratio * buckets.reduce((sum, {requests}) => sum + requests, 0)) + (slack * slackShare);
+	const usedRetries = (): number => buckets.reduce((sum, {retries}) => sum + retries, 0);
+
 	return {
 		recordRequest(nowMs) {
 			current(nowMs).requests++;
 		},
 		tryAcquire(slackShare, nowMs) {
 			const bucket = current(nowMs);
-			const requests = buckets.reduce((sum, {requests}) => sum + requests, 0);
-			const retries = buckets.reduce((sum, {retries}) => sum + retries, 0);
-			if (retries + 1 > (ratio * requests) + (slack * slackShare)) {
+			if (usedRetries() + 1 > allowedRetries(slackShare)) {
 				return false;
 			}
 
 			bucket.retries++;
 			return true;
 		},
+		usedShare(slackShare, nowMs) {
+			current(nowMs);
+			const allowed = allowedRetries(slackShare);
+			return allowed === 0 ? 1 : Math.min(1, usedRetries() / allowed);
+		},
 	};
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,12 +54,6 @@
 /** Shortest retry delay of a refusal that was held behind earlier answers: it is due at once. */
 export const minRetryAfterMs = 50;
 
-/**
- * Time without an answer, in mean service times, after which an idempotent request is hedged: one answer in twenty-five takes
- * longer where service times are log-normal with a spread of 0.8.
- */
-export const hedgeFactor = 3;
-
 /** Number of failed connects after which a request is rejected. */
 export const maxConnectFailures = 3;
 
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -2,6 +2,7 @@
 
 import type http from 'node:http';
 import {
+	hedgeDelayMs,
 	pickService,
 	isAcceptedDuringShutdown,
 	type AttemptResult,
@@ -19,7 +20,7 @@
 import {forwardedHeaders, type CallerExchange} from '@egretwing/node';
 import {readBody} from './body.ts';
 import {
-	hedgeFactor, maxLoggedNameLength, maxConnectFailures, notReadyRetryMs, startupWaitMs, stoppingRetryMs,
+	maxLoggedNameLength, maxConnectFailures, notReadyRetryMs, startupWaitMs, stoppingRetryMs,
 } from './constants.ts';
 import {
 	refuseWith, type Deliver, type DeliveredRequest, type FinalResult,
@@ -290,7 +291,12 @@
 		}
 
 		return runHedged(first, {
-			afterMs: hedgeFactor * dispatchers.serviceMs(context.service),
+			afterMs: hedgeDelayMs({
+				nowMs: nowMs(),
+				serviceMs: dispatchers.serviceMs(context.service),
+				objectiveAtMs: context.arrivedAtMs + context.route.latencyObjectiveMs,
+				usedBudgetShare: dependencies.retryWindow(context.service).usedShare(dependencies.retrySlackShare(), nowMs()),
+			}),
 			startSecond: () => startHedge(context, [...attemptedIds, placement.instanceId], sends + 2),
 			isGood: outcome => toResult(outcome, false) === 'good',
 		});
