--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -6,6 +6,7 @@
 export type {RetryLimits, RetryWindow} from './retry-window.ts';
 export {fromReportRows, toReportRows} from './report-rows.ts';
 export type {ReportRow} from './report-rows.ts';
+export {minRetryAfterMs} from './constants.ts';
 export {hedgeDelayMs} from './hedge-delay.ts';
 export type {HedgeSituation} from './hedge-delay.ts';
 export {isAcceptedDuringShutdown} from './shutdown-plan.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,7 +67,7 @@
 	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
 } from './catalogue/index.ts';
 export {
-	createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, isAcceptedDuringShutdown, slackShareOf, toReportRows,
+	createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
 } from './dispatch/index.ts';
 export type {ReportScheduler, ReportRow, ShutdownPlan} from './dispatch/index.ts';
 export type {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -51,9 +51,6 @@
 /** Retry delay for callers of a process that shuts down: another gateway can take their request at once, over a new connection. */
 export const stoppingRetryMs = 50;
 
-/** Shortest retry delay of a refusal that was held behind earlier answers: it is due at once. */
-export const minRetryAfterMs = 50;
-
 /** Number of failed connects after which a request is rejected. */
 export const maxConnectFailures = 3;
 
--- a/packages/gateway/src/deliver.ts
+++ b/packages/gateway/src/deliver.ts
@@ -1,9 +1,11 @@
 /** Sends the final result of a request to its caller when the connection has answered all earlier requests. */
 
 import type http from 'node:http';
-import {createRefusal, type ErrorKind, type Refusal} from '@egretwing/core';
+import {
+	createRefusal, minRetryAfterMs, type ErrorKind, type Refusal,
+} from '@egretwing/core';
 import {forwardedHeaders, refuse, type CallerExchange} from '@egretwing/node';
-import {minRetryAfterMs, timerSlackMs} from './constants.ts';
+import {timerSlackMs} from './constants.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
 import type {UpstreamAnswer} from './upstream.ts';
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -80,7 +80,6 @@
 	/** Answers so far that were too large to buffer and whose rest is still to be read. */
 	readonly streamingAnswers: UpstreamAnswer[];
 	readonly exchange: CallerExchange;
-	readonly signal: AbortSignal;
 };
 
 /** Host and path that a request names. */
@@ -171,11 +170,12 @@
 		const leftMs = context.finalAtMs - nowMs();
 		const {outcome, released, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
-		context.signal.addEventListener('abort', abort, {once: true});
+		const {signal} = context.exchange;
+		signal.addEventListener('abort', abort, {once: true});
 		// The time limit and the caller's abort also apply to the rest of an answer, which is streamed after the outcome is known.
 		void released.then(() => {
 			clearTimeout(timer);
-			context.signal.removeEventListener('abort', abort);
+			signal.removeEventListener('abort', abort);
 		});
 		return {placement, ended: outcome, abort};
 	};
@@ -303,7 +303,7 @@
 	};
 
 	const runAttempts = async (context: RequestContext): Promise<FinalResult> => {
-		const {requestId, service, signal} = context;
+		const {requestId, service, exchange: {signal}} = context;
 		const attemptedIds: string[] = [];
 		let mayHaveRun = false;
 		let sends = 0;
@@ -339,8 +339,8 @@
 
 			const {placement: {instanceId, startedAtMs}, outcome} = ended.at(-1)!;
 			const result = toResult(outcome, signal.aborted);
-			const isUndelivered = result === 'good' && !isDeliverable(context, outcome);
-			if (result === 'good' && !isUndelivered) {
+			const end = result === 'good' && !isDeliverable(context, outcome) ? 'no-length' : result;
+			if (end === 'good') {
 				return toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
 			}
 
@@ -350,7 +350,7 @@
 
 			const decision = connectFailures >= maxConnectFailures ? 'attempts-spent' : decideRetry(context, outcome, sends);
 			log('attempt failed', {
-				requestId, service, instanceId, result: isUndelivered ? 'no-length' : result, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
+				requestId, service, instanceId, result: end, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
 			});
 			// An answer of an instance takes precedence over the failure of a later attempt.
 			const final = toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
@@ -360,7 +360,7 @@
 				return lastResult;
 			}
 
-			metrics.retries.inc({reason: isUndelivered ? 'no-length' : result});
+			metrics.retries.inc({reason: end});
 		}
 	};
 
@@ -490,7 +490,6 @@
 			},
 			streamingAnswers: [],
 			exchange,
-			signal: exchange.signal,
 		};
 		await deliver(response, exchange, context, await serveRouted(context));
 	};
