fix(gateway): store readers keep reading through their shutdown, and are replaced at its beginning

Where both readers shut down together nobody read for the rest of the shutdown. Change: a draining member keeps reading until it leaves; the others elect among the members that don't drain.

--- a/packages/core/src/catalogue-sync/readers.ts
+++ b/packages/core/src/catalogue-sync/readers.ts
@@ -3,7 +3,8 @@
  * one causes no delay. Members with high capacity are preferred: a reader decodes each configuration and is the first
  * that peers ask for it.
  *
- * A member that the store rejects, or does not answer, reports this and is excluded for a while. A gateway without a
+ * A member that the store rejects, or does not answer, reports this and is excluded for a while. A reader that shuts down
+ * keeps reading until it leaves, and the others elect its successor as soon as they hear of the shutdown. A gateway without a
  * catalogue at which requests wait reads at once, and again after `awaitedRetryMs`: after a loss of all gateways no peer
  * could send it the catalogue sooner.
  */
@@ -19,6 +20,8 @@
 	readonly dataCentre: string;
 	/** Capacity relative to other gateways; 1 when absent. */
 	readonly capacity?: number;
+	/** True while it shuts down. */
+	readonly isDraining?: boolean;
 };
 
 /** Election of the readers from one gateway's view. */
@@ -72,9 +75,11 @@
 				return false;
 			}
 
-			const reachable = members.filter(({hostId}) => isReachable(hostId, nowMs));
-			// When no member can reach the store, the highest ranked ones keep trying.
-			return selectReaders(reachable.length === 0 ? members : reachable).includes(selfId);
+			const isSelfDraining = members.some(({hostId, isDraining}) => hostId === selfId && isDraining);
+			const candidates = isSelfDraining ? members : members.filter(({isDraining}) => !isDraining);
+			const reachable = candidates.filter(({hostId}) => isReachable(hostId, nowMs));
+			// When no candidate can reach the store, the highest ranked ones keep trying.
+			return selectReaders(reachable.length === 0 ? candidates : reachable).includes(selfId);
 		},
 	};
 };
--- a/packages/core/test/catalogue-sync.test.ts
+++ b/packages/core/test/catalogue-sync.test.ts
@@ -329,6 +329,30 @@
 		expect(withFailure(5000)).to.include(first);
 	});
 
+	const drainingCases: ReadonlyArray<{readonly title: string; readonly draining: (readers: readonly string[], others: readonly string[]) => readonly string[]; readonly successors: number}> = [
+		{title: 'one reader shuts down', draining: ([first = '']) => [first], successors: 1},
+		{title: 'both readers shut down', draining: readers => readers, successors: 2},
+		{title: 'a member that does not read shuts down', draining: (_readers, [first = '']) => [first], successors: 0},
+		{title: 'all members shut down', draining: (readers, others) => [...readers, ...others], successors: 0},
+	];
+	for (const {title, draining, successors} of drainingCases) {
+		it(`keep reading until they leave, while the others elect their successors: ${title}`, () => {
+			const before = readersAt(1000);
+			const drainingIds = draining(before, members.map(({hostId}) => hostId).filter(id => !before.includes(id)));
+			const views = members.map(member => ({...member, isDraining: drainingIds.includes(member.hostId)}));
+			const readers = members.map(({hostId}) => hostId).filter(id => createReaderElection(0).isReader(id, views, 1000));
+			expect(readers).to.include.members([...before]);
+			expect(readers).to.have.length(before.length + successors);
+		});
+
+		it(`are elected in the same way by members that have not heard of it yet: ${title}`, () => {
+			const before = readersAt(1000);
+			const drainingIds = draining(before, members.map(({hostId}) => hostId).filter(id => !before.includes(id)));
+			const ownView = (selfId: string) => members.map(member => ({...member, isDraining: member.hostId === selfId && drainingIds.includes(selfId)}));
+			expect(members.map(({hostId}) => hostId).filter(id => createReaderElection(0).isReader(id, ownView(id), 1000))).to.deep.equal(before);
+		});
+	}
+
 	it('keep trying when the store answers no member', () => {
 		expect(readersAt(1500, election => {
 			for (const {hostId} of members) {
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -1,7 +1,7 @@
 /** One gateway's view of the fleet: the members that are present, and those among them that callers are directed to. */
 
 import {
-	gatewaysForCaller, isPresent, placeCallers, toCallerGateways, type CallerGateway, type EntryHost, type Membership,
+	gatewaysForCaller, isPresent, placeCallers, toCallerGateways, type CallerGateway, type EntryHost, type Membership, type ReaderCandidate,
 } from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {locateKeepMs, reportingWindowMs, untrustedLocateKeepMs} from './constants.ts';
@@ -21,6 +21,8 @@
 	readonly peerIds: () => readonly string[];
 	/** Peers in this gateway's data centre. */
 	readonly localPeerIds: () => readonly string[];
+	/** Present members as candidates of the store readers' election. */
+	readonly readerCandidates: () => readonly ReaderCandidate[];
 	/** Gateways that callers are directed to. */
 	readonly placedIds: () => readonly string[];
 	/** Peers that callers are directed to, or were within `reportingWindowMs`; the others get next to no requests. */
@@ -47,6 +49,7 @@
 }: FleetViewOptions): FleetView => {
 	const placedAtMsById = new Map<string, number>();
 	let hosts: ReadonlyMap<string, EntryHost> = new Map();
+	let readerCandidates: readonly ReaderCandidate[] = [];
 	let placed: ReadonlyMap<string, readonly CallerGateway[]> = new Map();
 	let placedIds: readonly string[] = [];
 	let appliedVersion = -1;
@@ -60,6 +63,9 @@
 		const members = membership.members();
 		const present = members.filter(member => isPresent(member));
 		hosts = new Map(present.map(({host}) => [host.hostId, host]));
+		readerCandidates = present.map(({host: {hostId, dataCentre, capacity}, entryState}) => ({
+			hostId, dataCentre, capacity, isDraining: entryState === 'draining',
+		}));
 		onPresent(present.length);
 		placed = placeCallers(toCallerGateways(members), {membersPerNamed});
 		const gateways = [...placed.values()].flat().map(gateway => gateway.hostId);
@@ -94,6 +100,7 @@
 		hosts: () => hosts,
 		peerIds,
 		localPeerIds: () => peerIds().filter(id => hosts.get(id)?.dataCentre === self.dataCentre),
+		readerCandidates: () => readerCandidates,
 		placedIds: () => placedIds,
 		recentlyPlacedPeerIds: () => [...placedAtMsById.keys()].filter(id => id !== self.hostId),
 		isUnplaced: () => placedIds.length > 0 && !placedAtMsById.has(self.hostId),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -252,7 +252,7 @@
 		}
 	};
 
-	const isReader = (): boolean => shutdownPlan === undefined && election.isReader(hostId, [...fleet.hosts().values()], nowMs(), catalogueReady.hasWaiters());
+	const isReader = (): boolean => election.isReader(hostId, fleet.readerCandidates(), nowMs(), catalogueReady.hasWaiters());
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), false) : entries;
