--- a/packages/gateway/test/shutdown-readers.test.ts
+++ b/packages/gateway/test/shutdown-readers.test.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createLogger} from '@egretwing/node';
@@ -23,6 +24,13 @@
 const createStore = () => {
 	const callers: string[] = [];
 	let version = 1;
+	const waitForChange = async (afterRevision: number, endsAtMs: number): Promise<void> => {
+		if (version <= afterRevision && performance.now() < endsAtMs) {
+			await delay(pollMs);
+			await waitForChange(afterRevision, endsAtMs);
+		}
+	};
+
 	const read = (afterVersion: number): Result<StoreRead, never> => Ok({
 		...(version > afterVersion && {
 			config: {
@@ -44,17 +52,13 @@
 			},
 			async watch(topic, afterRevision, waitMs) {
 				callers.push(hostId);
-				for (let waitedMs = 0; waitedMs < waitMs && version <= afterRevision; waitedMs += pollMs) {
-					await delay(pollMs);
-				}
-
+				await waitForChange(afterRevision, performance.now() + waitMs);
 				return topic === 'config' ? read(afterRevision) : Ok({entries: [], refused: [], asOf: version});
 			},
 			close: () => undefined,
 		}),
-		publish() {
-			version++;
-		},
+		/** Changes the configuration and returns its version. */
+		publish: () => ++version,
 	};
 };
 
@@ -64,6 +68,13 @@
 	return digest.configVersion;
 };
 
+/** Waits until the gateway at this address has applied `version` of the configuration. */
+const waitForVersion = async (address: string, operatorPort: number, version: number): Promise<void> => {
+	while (await versionAt(address, operatorPort) < version) {
+		await delay(pollMs);
+	}
+};
+
 describe('store readers that shut down', () => {
 	const running = new Map<string, Gateway>();
 
@@ -102,16 +113,11 @@
 				return running.get(hostId)!.shutdown();
 			});
 			const lateMs: number[] = [];
-			let version = 1;
 			for (const changeMs of changes) {
 				await delay(Math.max(0, beganAtMs + changeMs - performance.now()));
-				store.publish();
-				version++;
+				const version = store.publish();
 				const publishedAtMs = performance.now();
-				while (!(await Promise.all(others.map(async ({address, operatorPort}) => versionAt(address, operatorPort)))).every(known => known >= version)) {
-					await delay(pollMs);
-				}
-
+				await Promise.all(others.map(async ({address, operatorPort}) => waitForVersion(address, operatorPort, version)));
 				lateMs.push(performance.now() - publishedAtMs);
 			}
 
