fix(core): an entry whose share is held by long requests borrows slots that are free

Where uploads of seconds hold its equal share nothing ends, all other requests wait for 500 ms and are refused, while the instances have free slots. It also took the time in which a caller sends an upload for the instance's latency. Change: while requests wait and nothing has ended for four usual latencies, a step is borrowed; latency counts from the end of the body.

--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -33,6 +33,9 @@
 /** Share of attempts shed by the backend servers above which an entry reduces its borrowed share. */
 export const shedTolerance = 0.7;
 
+/** Number of usual latencies without an answer after which what is in flight counts as long, so that an entry borrows more. */
+export const silenceLatencies = 4;
+
 /** Borrowed share of a new entry. */
 export const initialBorrowedShare = 0;
 
--- a/packages/core/src/load/limit.ts
+++ b/packages/core/src/load/limit.ts
@@ -3,7 +3,8 @@
  *
  * The slots of the instances are shared by all entries that serve them. Each entry may always use an equal share. It
  * borrows from the rest while the latency and the shed answers that it sees show that the others leave slots idle.
- * Entries need to know only their number for this.
+ * Entries need to know only their number for this. An entry whose share is held by long requests sees no answers; it
+ * borrows step by step, until an answer shows whether the instances are overloaded.
  */
 
 import {
@@ -16,6 +17,7 @@
 	limitWindowAttempts,
 	limitWindowMs,
 	shedTolerance,
+	silenceLatencies,
 	minBorrowedShare,
 } from './constants.ts';
 
@@ -27,8 +29,8 @@
 	readonly observeAnswer: (latencyMs: number, nowMs: number) => void;
 	/** Records a request that the backend server shed. */
 	readonly observeShed: (nowMs: number) => void;
-	/** Records that a request had to wait because of the limit. */
-	readonly observeSaturation: () => void;
+	/** Records that a request has to wait because of the limit; to be called regularly while one does. */
+	readonly observeSaturation: (nowMs: number) => void;
 	/** Share of the other entries' slots that is borrowed, from 0 to 1. */
 	readonly borrowedShare: () => number;
 };
@@ -63,6 +65,15 @@
 	let borrowedShare = initialBorrowedShare;
 	let baselineMs: number | undefined;
 	let current = createWindow(0);
+	/** When the last attempt ended, or more was borrowed because none did. */
+	let lastEndedAtMs = 0;
+
+	/** The baseline, or the mean of this window when it is higher. */
+	const usualLatencyMs = (): number => Math.max(baselineMs ?? 0, current.answers === 0 ? 0 : current.latencySumMs / current.answers);
+
+	const borrowMore = (): void => {
+		borrowedShare = Math.min(1, borrowedShare + borrowedShareStep);
+	};
 
 	const adjust = (closed: Window): void => {
 		const attempts = closed.answers + closed.sheds;
@@ -80,11 +91,12 @@
 		}
 
 		if (closed.isSaturated) {
-			borrowedShare = Math.min(1, borrowedShare + borrowedShareStep);
+			borrowMore();
 		}
 	};
 
 	const closeWindow = (nowMs: number): void => {
+		lastEndedAtMs = nowMs;
 		const isLongEnough = nowMs - current.startedAtMs >= limitWindowMs;
 		if (!isLongEnough || current.answers + current.sheds < limitWindowAttempts) {
 			return;
@@ -108,8 +120,12 @@
 			current.sheds++;
 			closeWindow(nowMs);
 		},
-		observeSaturation() {
+		observeSaturation(nowMs) {
 			current.isSaturated = true;
+			if (nowMs - lastEndedAtMs >= Math.max(limitWindowMs, usualLatencyMs() * silenceLatencies)) {
+				borrowMore();
+				lastEndedAtMs = nowMs;
+			}
 		},
 		borrowedShare: () => borrowedShare,
 	};
--- a/packages/core/src/load/service-admission.ts
+++ b/packages/core/src/load/service-admission.ts
@@ -24,8 +24,8 @@
 	/**
 	 * Releases a permit. Call `dispatch` afterwards.
 	 *
-	 * The latency of the instance is measured from `sentWholeAtMs`, or else from the start: the time before that depends
-	 * on the caller.
+	 * The latency that the choice of an instance and the limit depend on is measured from `sentWholeAtMs`, or else from the
+	 * start: the time before that depends on the caller.
 	 */
 	readonly release: (permit: Permit, end: AttemptEnd, nowMs: number, sentWholeAtMs?: number) => void;
 	/** Decides about waiting requests; to be called after a release, after a change of the instances, and regularly. */
@@ -102,7 +102,7 @@
 			return true;
 		}
 
-		limit.observeSaturation();
+		limit.observeSaturation(nowMs);
 		return false;
 	};
 
@@ -241,7 +241,7 @@
 
 			if (end === 'answered' || end === 'timed-out') {
 				latency.observe(nowMs - permit.startedAtMs, nowMs);
-				limit.observeAnswer(nowMs - permit.startedAtMs, nowMs);
+				limit.observeAnswer(nowMs - sentWholeAtMs, nowMs);
 			}
 		},
 		dispatch(nowMs) {
