--- a/packages/agent/src/envelope.ts
+++ b/packages/agent/src/envelope.ts
@@ -2,7 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	decodeValue, encodeValue, type PeerEndpoint, type Sealer,
 } from '@egretwing/node';
--- a/packages/agent/src/platform-feed.ts
+++ b/packages/agent/src/platform-feed.ts
@@ -2,7 +2,7 @@
 
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {
 	configPageSchema, hostListSchema, type ConfigPage, type HostList,
 } from '@egretwing/core';
--- a/packages/client/src/locate.ts
+++ b/packages/client/src/locate.ts
@@ -1,7 +1,7 @@
 /** Asks agents which entry hosts to use and caches their answers for as long as they are valid. */
 
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	Clock, LocateAnswer, LocatedEntry, LocatedKey,
 } from '@egretwing/core';
--- a/packages/core/src/config/schemas.ts
+++ b/packages/core/src/config/schemas.ts
@@ -1,7 +1,7 @@
 /** Schemas of all versions of the configuration records, and the conversion of older versions to the current shape. */
 
 import {Err, Ok, type Result} from 'ts-results-es';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	ConfigRecord, RecordIssue, RouteRecord, ServiceRecord,
 } from './types.ts';
--- a/packages/core/src/platform/schemas.ts
+++ b/packages/core/src/platform/schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas of the platform's answers. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ConfigPage, HostList} from './types.ts';
 
 const maxPort = 65_535;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the gateway. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 const port = z.int().min(1).max(65_535);
 
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,7 +1,7 @@
 /** Starts a daemon with the settings file given on its command line. */
 
 import process from 'node:process';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {loadSettings} from './settings.ts';
 
 const usageExitCode = 2;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -2,7 +2,7 @@
 
 import {readFileSync} from 'node:fs';
 import {Err, Ok, type Result} from 'ts-results-es';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** Why settings are invalid. */
 export type SettingsIssue = {
--- a/packages/standin/src/backend/faults.ts
+++ b/packages/standin/src/backend/faults.ts
@@ -1,7 +1,7 @@
 /** Faults that are active at one instance. */
 
 import type {Random} from '@egretwing/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {InstanceFault, InstanceFaultType} from './types.ts';
 
 const share = z.number().min(0).max(1).default(1);
--- a/packages/standin/src/backend/server.ts
+++ b/packages/standin/src/backend/server.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRandom, hashText} from '@egretwing/core';
 import {listen, readJson, sendJson} from '@egretwing/node';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createOperatorListener, maxCommandBytes, requestUrl} from '../http.ts';
 import type {BackendSettings} from '../settings.ts';
 import {instanceFaultSchema} from './faults.ts';
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -3,7 +3,7 @@
 
 import process from 'node:process';
 import {loadSettings, onShutdownSignal} from '@egretwing/node';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {startBackend} from './backend/server.ts';
 import {startPlatform} from './platform/server.ts';
 import {
--- a/packages/standin/src/platform/server.ts
+++ b/packages/standin/src/platform/server.ts
@@ -2,7 +2,7 @@
 
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {hostListSchema} from '@egretwing/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {listen, readJson, sendJson} from '@egretwing/node';
 import {
 	createOperatorListener, maxCommandBytes, requestUrl, sleep,
--- a/packages/standin/src/settings.ts
+++ b/packages/standin/src/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of both stand-ins, read from a JSON file. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxPort = 65_535;
 const port = z.int().min(0).max(maxPort);
