feat(core): while work is spread, avoided instances are tried early only when the others are too few for the floor

Cause: from 7 unserved requests in 100 on work is spread, and the spread tried avoided instances 3.5 s after their last failure, most of them still in the episode; at this size these trials alone keep the loss above the 7 in 100 that started the spread. Change: the spread leaves them out while 85 in 100 of the other instances are at least 70 in 100 of both.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -133,6 +133,12 @@
 /** Replaces `spreadCost` in another data centre. */
 export const remoteSpreadCost = -0.25;
 
+/**
+ * Avoided instances that may have recovered, relative to those that are not avoided, below which the spread leaves them out: while
+ * `minCoverageShare` of the others get requests, that is still `minSpreadUsedShare` of both.
+ */
+export const maxSparedRecoveredRatio = (minCoverageShare / minSpreadUsedShare) - 1;
+
 /** Time since the last failure from which the spread may use an avoided instance: it may be sound again after 2 s and has to get a request within the 2 s that follow, less half a second for the request to arrive. */
 export const recoveryDelayMs = 3500;
 
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -7,7 +7,7 @@
 
 import type {Random} from '../random.ts';
 import {
-	utilisationCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxCoverageRequestShare, minCoverageShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, preferredWaitFactor, waitRiskThreshold, pendingSpreadIdleMs, coverageWindowMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
+	utilisationCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxCoverageRequestShare, maxSparedRecoveredRatio, minCoverageShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, preferredWaitFactor, waitRiskThreshold, pendingSpreadIdleMs, coverageWindowMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
 } from './constants.ts';
 import {createInstanceReliability, type InstanceReliability} from './instance-reliability.ts';
 import type {
@@ -27,6 +27,11 @@
 	readonly isUnplaced: boolean;
 };
 
+type SpreadContext = ChoiceContext & {
+	/** True when avoided instances that may have recovered are used while work is spread. */
+	readonly usesRecovered: boolean;
+};
+
 /** Number of instances of a service by their state at this gateway. */
 export type InstanceCounts = {
 	readonly known: number;
@@ -136,11 +141,23 @@
 		instance, reliability: createInstanceReliability(), placements: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY, peerUsedAtMs: Number.NEGATIVE_INFINITY,
 	});
 
-	/** True when the instance is avoided; while work is spread, those that may have recovered are used again. */
-	const isExcluded = ({reliability}: InstanceState, {nowMs, isSpread}: ChoiceContext): boolean => reliability.isAvoided(nowMs) && !(isSpread && reliability.mayHaveRecovered(nowMs));
+	/** A trial may cost a request, so that avoided instances are tried early only when the others are too few for the spread to reach most sound ones. */
+	const decideUseOfRecovered = (context: ChoiceContext): SpreadContext => {
+		let usable = 0;
+		let recovered = 0;
+		for (const {reliability} of states.values()) {
+			usable += Number(!reliability.isAvoided(context.nowMs));
+			recovered += Number(reliability.mayHaveRecovered(context.nowMs));
+		}
+
+		return {...context, usesRecovered: recovered >= Math.floor(usable * maxSparedRecoveredRatio)};
+	};
+
+	const isExcluded = ({reliability}: InstanceState, {nowMs, isSpread, usesRecovered}: SpreadContext): boolean =>
+		reliability.isAvoided(nowMs) && !(isSpread && usesRecovered && reliability.mayHaveRecovered(nowMs));
 
 	/** Instances that may be used. Avoidance leaves a minimum share of the slots: the avoidances that end first are ignored. */
-	const usableStates = (context: ChoiceContext): readonly InstanceState[] => {
+	const usableStates = (context: SpreadContext): readonly InstanceState[] => {
 		const {isSpread} = context;
 		const all = [...states.values()];
 		const usable = all.filter(state => !isExcluded(state, context));
@@ -194,7 +211,7 @@
 	};
 
 	/** True when it has been idle long enough for the spread to select it next, whether or not it needs a trial. */
-	const isSpreadTarget = (state: InstanceState, context: ChoiceContext): boolean => {
+	const isSpreadTarget = (state: InstanceState, context: SpreadContext): boolean => {
 		const inFlight = inFlightAt(state, context.nowMs);
 		return context.isSpread
 			&& context.nowMs - lastUseMs(state) > requiredIdleMs(state, inFlight)
@@ -204,7 +221,7 @@
 	};
 
 	/** Also spreads work while coverage is low: requests may turn out unserved only later, when it is too late to reach other instances. */
-	const spreadWhenCoverageIsLow = (usable: readonly InstanceState[], context: ChoiceContext): ChoiceContext => {
+	const spreadWhenCoverageIsLow = (usable: readonly InstanceState[], context: SpreadContext): SpreadContext => {
 		const {nowMs, serviceMs} = context;
 		const required = minCoverageShare * usable.length;
 		const covered = usable.filter(state => nowMs - lastUseMs(state) <= coverageWindowMs).length;
@@ -214,7 +231,7 @@
 		return covered < required && required <= maxCoverageRequestShare * (startedAtMs.length + peerRequests) ? {...context, isSpread: true} : context;
 	};
 
-	const costOf = (state: InstanceState, request: DispatchRequest, context: ChoiceContext): number => {
+	const costOf = (state: InstanceState, request: DispatchRequest, context: SpreadContext): number => {
 		const {
 			nowMs, isUnplaced,
 		} = context;
@@ -288,8 +305,9 @@
 				state.instance = instance;
 			}
 		},
-		acquire(request, baseContext, isWaitPreferred) {
-			const {nowMs} = baseContext;
+		acquire(request, choiceContext, isWaitPreferred) {
+			const {nowMs} = choiceContext;
+			const baseContext = decideUseOfRecovered(choiceContext);
 			const usable = usableStates(baseContext);
 			const context = spreadWhenCoverageIsLow(usable, baseContext);
 			const avoidsRisk = isWaitPreferred && !context.isUnplaced && !canRepeat(request) && isWorthWaiting(usable, request, nowMs);
@@ -339,9 +357,9 @@
 				.map(({instance}) => instance.instanceId);
 		},
 		hasOther: attemptedIds => [...states.keys()].some(id => !attemptedIds.includes(id)),
-		usableSlots: context => usableStates(context).reduce((sum, state) => sum + slotsFor(state, context), 0),
+		usableSlots: context => usableStates(decideUseOfRecovered(context)).reduce((sum, state) => sum + slotsFor(state, context), 0),
 		ownInFlight: () => [...states.values()].reduce((sum, {placements}) => sum + placements.size, 0),
-		inFlight: context => usableStates(context).reduce((sum, state) => sum + inFlightAt(state, context.nowMs), 0),
+		inFlight: context => usableStates(decideUseOfRecovered(context)).reduce((sum, state) => sum + inFlightAt(state, context.nowMs), 0),
 		report: nowMs => ({
 			instances: [...states.values()].flatMap(({instance, reliability, placements}) => {
 				const goodAtMs = reliability.ownGoodAtMs();
