fix(core): the spread leaves out avoided instances only where enough others gave good answers lately

Cause: by the number of instances that are not avoided, many that hang or are silent counted as reached, and the ratio among the few sound ones varies; missing these would break the floor. Change: only instances with a good answer within 4 s count, and two standard deviations are allowed for.

--- a/packages/core/src/dispatch/constants.ts
+++ b/packages/core/src/dispatch/constants.ts
@@ -134,11 +134,17 @@
 export const remoteSpreadCost = -0.25;
 
 /**
- * Avoided instances that may have recovered, relative to those that are not avoided, below which the spread leaves them out: while
+ * Avoided instances that may have recovered, relative to those that work, below which the spread leaves them out: while
  * `minCoverageShare` of the others get requests, that is still `minSpreadUsedShare` of both.
  */
 export const maxSparedRecoveredRatio = (minCoverageShare / minSpreadUsedShare) - 1;
 
+/** Standard deviations of the number of instances that may have recovered that are allowed for: the sound instances are only a part of all, with a ratio that varies. */
+export const recoveredDeviations = 2;
+
+/** Age of the last good answer up to which an instance counts as one that works: more than twice the time in which most instances get a request. */
+export const workingAgeMs = 4000;
+
 /** Time since the last failure from which the spread may use an avoided instance: it may be sound again after 2 s and has to get a request within the 2 s that follow, less half a second for the request to arrive. */
 export const recoveryDelayMs = 3500;
 
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -7,7 +7,7 @@
 
 import type {Random} from '../random.ts';
 import {
-	utilisationCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxCoverageRequestShare, maxSparedRecoveredRatio, minCoverageShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, preferredWaitFactor, waitRiskThreshold, pendingSpreadIdleMs, coverageWindowMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
+	utilisationCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxCoverageRequestShare, maxSparedRecoveredRatio, minCoverageShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, preferredWaitFactor, recoveredDeviations, waitRiskThreshold, workingAgeMs, pendingSpreadIdleMs, coverageWindowMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
 } from './constants.ts';
 import {createInstanceReliability, type InstanceReliability} from './instance-reliability.ts';
 import type {
@@ -143,14 +143,15 @@
 
 	/** A trial may cost a request, so that avoided instances are tried early only when the others are too few for the spread to reach most sound ones. */
 	const decideUseOfRecovered = (context: ChoiceContext): SpreadContext => {
-		let usable = 0;
+		const {nowMs} = context;
+		let working = 0;
 		let recovered = 0;
 		for (const {reliability} of states.values()) {
-			usable += Number(!reliability.isAvoided(context.nowMs));
-			recovered += Number(reliability.mayHaveRecovered(context.nowMs));
+			working += Number(!reliability.isAvoided(nowMs) && reliability.goodAgeMs(nowMs) <= workingAgeMs);
+			recovered += Number(reliability.mayHaveRecovered(nowMs));
 		}
 
-		return {...context, usesRecovered: recovered >= Math.floor(usable * maxSparedRecoveredRatio)};
+		return {...context, usesRecovered: recovered + (recoveredDeviations * Math.sqrt(recovered)) >= working * maxSparedRecoveredRatio};
 	};
 
 	const isExcluded = ({reliability}: InstanceState, {nowMs, isSpread, usesRecovered}: SpreadContext): boolean =>
--- a/packages/core/src/dispatch/instance-reliability.ts
+++ b/packages/core/src/dispatch/instance-reliability.ts
@@ -26,6 +26,8 @@
 	/** Probability that the next request fails, from 0 to 1. */
 	readonly risk: (nowMs: number) => number;
 	readonly avoidUntilMs: () => number;
+	/** Age of the last good answer to any gateway; infinite when there was none since the last avoidance. */
+	readonly goodAgeMs: (nowMs: number) => number;
 	/** Time of the last good answer to this gateway itself; undefined before the first. */
 	readonly ownGoodAtMs: () => number | undefined;
 	/** End of the avoidance to report to peers: from this gateway's own evidence about the instance rather than its network path. */
@@ -46,6 +48,8 @@
 	let failuresInRow = 0;
 	let shedsInRow = 0;
 
+	const goodAgeMs = (nowMs: number): number => goodAtMs === undefined || goodAtMs < avoidedAtMs ? Number.POSITIVE_INFINITY : nowMs - goodAtMs;
+
 	const suspicionAt = (nowMs: number): number => suspicion * (0.5 ** (Math.max(0, nowMs - suspicionAtMs) / suspicionHalfLifeMs));
 
 	const setSuspicion = (value: number, nowMs: number): void => {
@@ -161,11 +165,11 @@
 		mayHaveRecovered: nowMs => nowMs < avoidUntilMs && nowMs >= persistentUntilMs && nowMs - avoidedAtMs >= recoveryDelayMs,
 		needsTrial: () => goodAtMs === undefined || goodAtMs < avoidedAtMs,
 		risk(nowMs) {
-			const goodAgeMs = goodAtMs === undefined || goodAtMs < avoidedAtMs ? Number.POSITIVE_INFINITY : nowMs - goodAtMs;
-			const staleRisk = untestedRisk * (1 - Math.exp(-Math.max(0, goodAgeMs) / goodAnswerDecayMs));
+			const staleRisk = untestedRisk * (1 - Math.exp(-Math.max(0, goodAgeMs(nowMs)) / goodAnswerDecayMs));
 			return Math.min(1, staleRisk + (suspicionAt(nowMs) * untestedRisk));
 		},
 		avoidUntilMs: () => avoidUntilMs,
+		goodAgeMs,
 		ownGoodAtMs: () => ownGoodAtMs,
 		reportedAvoidUntilMs: () => reportedAvoidUntilMs,
 	};
