--- a/packages/core/test/catalogue-sync.test.ts
+++ b/packages/core/test/catalogue-sync.test.ts
@@ -359,7 +359,7 @@
 			elapsedMs: fc.integer({min: 0, max: 3000}), member: fc.integer({min: 0, max: members.length - 1}), type: fc.constantFrom('reachable', 'unreachable', 'draining', 'back'),
 		});
 		fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
-			const election = createReaderElection(0);
+			const elections = members.map(({hostId}) => ({hostId, election: createReaderElection(0)}));
 			const marks = new Map<string, number>();
 			let views: ReadonlyArray<typeof members[number] & {readonly isDraining?: boolean}> = members;
 			let nowMs = 1000;
@@ -367,10 +367,16 @@
 				nowMs += elapsedMs;
 				const {hostId} = members[member]!;
 				if (type === 'reachable') {
-					election.markReachable(hostId);
+					for (const {election} of elections) {
+						election.markReachable(hostId);
+					}
+
 					marks.delete(hostId);
 				} else if (type === 'unreachable') {
-					election.markUnreachable(hostId, nowMs);
+					for (const {election} of elections) {
+						election.markUnreachable(hostId, nowMs);
+					}
+
 					marks.set(hostId, nowMs);
 				} else {
 					views = views.map(view => view.hostId === hostId ? {...view, isDraining: type === 'draining'} : view);
@@ -381,7 +387,7 @@
 					anew.markUnreachable(id, atMs);
 				}
 
-				for (const {hostId: id} of members) {
+				for (const {hostId: id, election} of elections) {
 					expect(election.isReader(id, views, nowMs)).to.equal(anew.isReader(id, views, nowMs));
 				}
 			}
