fix(gateway): a removal counts as an expired registration only after an outage of the store, not of one reader

Before: two of four new cases fail. After: all pass, and removals just after an outage of all readers are kept as before. Ruled out: taking the last change of others as the end of the outage (a second reader would drop expired registrations just after one).

--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -56,6 +56,27 @@
 	let failingSinceMs: number | undefined;
 	let recoveredAtMs = Number.NEGATIVE_INFINITY;
 	let nextCallMs = 0;
+	let knownAsOf = -1;
+	/** When any reader last brought a change, and since when changes have come without a gap in which registrations may have expired. */
+	let changedAtMs = Number.NEGATIVE_INFINITY;
+	let changingSinceMs = Number.NEGATIVE_INFINITY;
+
+	const observeKnown = (): void => {
+		const known = options.knownAsOf();
+		if (known <= knownAsOf) {
+			return;
+		}
+
+		knownAsOf = known;
+		if (nowMs() - changedAtMs >= minLapsingOutageMs) {
+			changingSinceMs = nowMs();
+		}
+
+		changedAtMs = nowMs();
+	};
+
+	/** When the store returned after a failure here; earlier than now where other readers have read since. */
+	const returnedAtMs = (): number => nowMs() - changedAtMs < minLapsingOutageMs ? changingSinceMs : nowMs();
 
 	const recordSuccess = (): void => {
 		lastSuccessMs = nowMs();
@@ -65,7 +86,7 @@
 
 		logger.info('store regained', {topic, failedForMs: Math.round(lastSuccessMs - failingSinceMs)});
 		if (lastSuccessMs - failingSinceMs >= minLapsingOutageMs) {
-			recoveredAtMs = lastSuccessMs;
+			recoveredAtMs = returnedAtMs();
 		}
 
 		failingSinceMs = undefined;
@@ -133,6 +154,7 @@
 
 	return {
 		tick() {
+			observeKnown();
 			if (!isRunning && mayRead()) {
 				void run();
 			}
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -14,9 +14,14 @@
 
 type Step = {readonly answer: Result<StoreRead, StoreFailure>; readonly tookMs?: number; /** Time after it during which reading is not wanted. */ readonly pauseMs?: number};
 
+/** Revision up to which other readers have read, constant or by the time. */
+type KnownAsOf = number | ((nowMs: number) => number);
+
+const startMs = 1000;
+
 /** Runs a reader against scripted answers of the store; returns its calls and what it reported. */
-const play = async (steps: readonly Step[], knownAsOf = -1, topic: StoreTopic = 'instances') => {
-	const clock = createManualClock(1000);
+const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances') => {
+	const clock = createManualClock(startMs);
 	const calls: string[] = [];
 	const callsAtMs: number[] = [];
 	const reported: string[] = [];
@@ -42,7 +47,7 @@
 		nowMs: clock.nowMs,
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
-		knownAsOf: () => knownAsOf,
+		knownAsOf: () => typeof knownAsOf === 'number' ? knownAsOf : knownAsOf(clock.nowMs()),
 		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
 		onRead(_topic, {entries, asOf}, isFull) {
 			reported.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}`);
@@ -115,6 +120,26 @@
 		});
 	}
 
+	/** Other readers get a change each 400 ms, but for a time without one. */
+	const readByOthers = (gapFromMs: number, gapUntilMs: number) => (nowMs: number): number => {
+		const readMs = nowMs < gapUntilMs ? Math.min(nowMs, gapFromMs) : nowMs;
+		return 8 + Math.floor((readMs - startMs) / 400);
+	};
+
+	const turnedAwayFor5s: readonly Step[] = [{answer: read(8)}, {answer: Err('turned-away'), pauseMs: 5000}, {answer: read(60, [removal(60)])}];
+	const replaced: ReadonlyArray<{readonly title: string; readonly knownAsOf: KnownAsOf; readonly isLapsed: boolean}> = [
+		{title: 'does not mark a removal when other readers have read all the time', knownAsOf: readByOthers(0, 0), isLapsed: false},
+		{title: 'does not mark a removal when other readers have read again for long enough for registrations to be renewed', knownAsOf: readByOthers(1500, 3000), isLapsed: false},
+		{title: 'marks a removal when other readers have only just begun to read again', knownAsOf: readByOthers(1500, 5000), isLapsed: true},
+		{title: 'marks a removal when other readers have not read for a while', knownAsOf: readByOthers(4000, 20_000), isLapsed: true},
+	];
+	for (const {title, knownAsOf, isLapsed} of replaced) {
+		it(`${title} since the store turned this one away`, async () => {
+			const {reported} = await play(turnedAwayFor5s, knownAsOf);
+			expect(reported).to.deep.equal(['changes 8', 'turned-away', 'reachable', `changes 60${isLapsed ? ' lapsed' : ''}`]);
+		});
+	}
+
 	const resumed: ReadonlyArray<{readonly title: string; readonly topic: StoreTopic; readonly steps: readonly Step[]; readonly calls: readonly string[]}> = [
 		{
 			title: 'reads the configuration in full after a pause, since a watch would return each version since then',
