--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -63,6 +63,9 @@
 /** Maximum time spent on reading a discarded answer: half of the time for which an instance may work on a request that nobody waits for. */
 export const maxDiscardMs = 250;
 
+/** Longest pause that an instance may ask for: beyond it, a faulty value would keep the instance idle for the life of the process. */
+export const maxPauseMs = 86_400_000;
+
 /** How much too early a timer may fire: timers count whole milliseconds of the event loop's clock, which lags behind. */
 export const timerSlackMs = 2;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,6 +282,7 @@
 		knownAsOf: () => topic === 'instances' ? catalogue.digest().instancesAsOf : -1,
 	}));
 
+	const log = createRequestLog(logger, nowMs);
 	const upstream = createUpstream({
 		nowMs,
 		localAddress: settings.address,
@@ -289,6 +290,9 @@
 		onConnect() {
 			metrics.connections.inc();
 		},
+		onNotice({instanceId}, notice, answer) {
+			log('instance notice', {...answer, instanceId, ...notice});
+		},
 	});
 
 	const retryWindowOf = (service: string): RetryWindow => {
@@ -297,7 +301,6 @@
 		return window;
 	};
 
-	const log = createRequestLog(logger, nowMs);
 	const deliver = createDeliver({
 		nowMs, configVersion: () => catalogue.digest().configVersion, isStopping: () => shutdownPlan !== undefined, metrics, log,
 	});
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -56,6 +56,8 @@
 	readonly notExecuted: string;
 	/** In an answer: proves that the instance produced it. */
 	readonly signature: string;
+	/** In an answer: `1` when the instance is leaving and wants no new requests. */
+	readonly leaving: string;
 };
 
 /** Default header names, for platforms without names of their own. */
@@ -65,4 +67,5 @@
 	targetInstance: 'egretwing-target-instance',
 	notExecuted: 'egretwing-not-executed',
 	signature: 'egretwing-signature',
+	leaving: 'egretwing-leaving',
 };
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -13,6 +13,7 @@
 import {
 	connectTimeoutMs, maxBufferedAnswerBytes, idleCloseMarginMs, maxDiscardedAnswerBytes, maxDiscardMs, maxIdleConnectionMs, maxReadHeadBytes, maxRequestsPerConnection,
 } from './constants.ts';
+import {readNotice, type InstanceNotice} from './instance-notice.ts';
 import {watchReset} from './reset.ts';
 import {firstServerErrorStatusCode, misdirectedStatusCode, unavailableStatusCode} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
@@ -84,6 +85,8 @@
 	readonly localAddress: string;
 	readonly headerNames: HeaderNames;
 	readonly onConnect: () => void;
+	/** Called when an answer says something of its instance, before the attempt ends. */
+	readonly onNotice: (target: UpstreamTarget, notice: InstanceNotice, answer: {readonly requestId: string | undefined; readonly statusCode: number}) => void;
 };
 
 const msPerSecond = 1000;
@@ -186,18 +189,22 @@
 const isNotExecuted = (answer: http.IncomingMessage, names: HeaderNames): boolean =>
 	answer.statusCode === misdirectedStatusCode || answer.headers[names.notExecuted] !== undefined;
 
-/** Why an answer can't belong to the request or be trusted; undefined when it is acceptable. */
-const findFault = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames, isReused: boolean): string | undefined => {
-	const isRefused = isNotExecuted(answer, names);
+/** Why an answer can't belong to the request; undefined when it does. */
+const findForeign = (answer: http.IncomingMessage, request: UpstreamRequest, names: HeaderNames, isReused: boolean): string | undefined => {
 	const echoedId = answer.headers[names.requestId];
 	const isNamed = echoedId !== undefined && echoedId !== '';
 	// A refusal may come from a component that does not know the request id; on a reused connection it may be a repeated earlier one.
-	const isOwn = isNamed ? echoedId === request.requestId : request.requestId === undefined || (isRefused && !isReused);
-	if (!isOwn) {
-		return isNamed ? `answer to another request: ${String(echoedId)}` : 'answer that names no request';
+	const isOwn = isNamed ? echoedId === request.requestId : request.requestId === undefined || (isNotExecuted(answer, names) && !isReused);
+	if (isOwn) {
+		return undefined;
 	}
 
-	if (isRefused) {
+	return isNamed ? `answer to another request: ${String(echoedId)}` : 'answer that names no request';
+};
+
+/** Why an answer to the request can't be trusted; undefined when it is acceptable. */
+const findFault = (answer: http.IncomingMessage, names: HeaderNames): string | undefined => {
+	if (isNotExecuted(answer, names)) {
 		return undefined;
 	}
 
@@ -213,7 +220,7 @@
 
 /** Creates the client of the instances. */
 export const createUpstream = ({
-	nowMs, localAddress, headerNames, onConnect,
+	nowMs, localAddress, headerNames, onConnect, onNotice,
 }: UpstreamOptions): Upstream => {
 	const idleLimit = createIdleLimit();
 	const agents = new Map<string, GuardedAgent>();
@@ -354,7 +361,15 @@
 				outgoing.shouldKeepAlive = false;
 			}
 
-			const fault = findFault(answer, request, headerNames, outgoing.reusedSocket);
+			const foreign = findForeign(answer, request, headerNames, outgoing.reusedSocket);
+			const statusCode = answer.statusCode!;
+			// Where the address belongs to another instance, it speaks of itself and not of the target.
+			const notice = foreign === undefined && statusCode !== misdirectedStatusCode ? readNotice(answer, headerNames) : undefined;
+			if (notice !== undefined) {
+				onNotice(target, notice, {requestId, statusCode});
+			}
+
+			const fault = foreign ?? findFault(answer, headerNames);
 			if (fault !== undefined) {
 				answer.destroy();
 				fail(fault);
@@ -363,7 +378,7 @@
 
 			if (isNotExecuted(answer, headerNames)) {
 				discardBody(answer);
-				settle({type: 'not-executed', statusCode: answer.statusCode!});
+				settle({type: 'not-executed', statusCode});
 				return;
 			}
 
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -82,7 +82,7 @@
 
 describe('upstream', () => {
 	const create = () => createUpstream({
-		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined,
+		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined, onNotice: () => undefined,
 	});
 
 	it('repeats a request on another connection while those that carried it are idle', async () => {
