fix(gateway): an instance that says in an answer that it leaves gets no new request

Cause: the gateway read nothing of what an instance says of itself in its answers; only the host list counted. Class: news on the data path is dropped, so that the slower way through the store decides.

The catalogue now holds the runs that announced their leaving beside the registrations and leaves them out of what is ready, so that placement, waiting, retries and hedges see it alike. A run is an instance id with its time of birth and address: only another run ends the mark, not a newer registration of the same one, not one that lapsed and is back, not an older entry; another instance at the address is not affected. A 421 speaks of another instance than the one asked, and an answer to another request is not trusted; both say nothing. Gateways that callers are sent to are told by a datagram. The test for that fails when it is not sent.

--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -7,8 +7,9 @@
 
 import {hashText} from '../random.ts';
 import {lapsedRetentionMs, removedRetentionMs} from './constants.ts';
+import {createLeavingRuns, toRunKey} from './leaving-runs.ts';
 import type {
-	FleetConfig, InstanceEntry, InstanceRecord, LiveInstance,
+	FleetConfig, InstanceEntry, InstanceRun, LiveInstance,
 } from './types.ts';
 
 /** Summary of a catalogue. Catalogues with equal digests hold the same content. */
@@ -27,6 +28,8 @@
 	readonly mergeConfig: (config: FleetConfig) => boolean;
 	/** Merges instance entries, read at the store revision `asOf`, and returns those that changed the catalogue. */
 	readonly mergeInstances: (entries: readonly InstanceEntry[], asOf: number, nowMs: number) => readonly InstanceEntry[];
+	/** Records that a run of an instance has announced that it leaves; returns false when that is known. Only the registration of another run ends it. */
+	readonly markLeaving: (run: InstanceRun, nowMs: number) => boolean;
 	readonly config: () => FleetConfig | undefined;
 	/** Instances of a service that take new requests. */
 	readonly ready: (service: string) => readonly LiveInstance[];
@@ -48,15 +51,13 @@
 	readonly keptUntilMs?: number;
 };
 
-/** Distinguishes successive runs of an instance under one id. */
-const runOf = ({bornAtMs, address, port}: InstanceRecord): string => `${bornAtMs} ${address}:${port}`;
-
 const digestOf = ({instanceId, revision}: InstanceEntry): number => hashText(`${instanceId}\n${revision}`);
 
 /** Creates an empty catalogue. */
 export const createCatalogue = (): Catalogue => {
 	const known = new Map<string, KnownInstance>();
 	const readyByService = new Map<string, readonly LiveInstance[]>();
+	const leavingRuns = createLeavingRuns();
 	let config: FleetConfig | undefined;
 	let digestSum = 0;
 	let asOfRevision = -1;
@@ -68,9 +69,14 @@
 	};
 
 	const toKnownInstance = (entry: InstanceEntry, previous: KnownInstance | undefined, nowMs: number): KnownInstance => {
-		const {record} = entry;
+		const {record, instanceId} = entry;
 		const live = previous?.live;
 		if (record === null) {
+			if (live?.bornAtMs === 0 && entry.isLapsed !== true) {
+				// Without a time of birth, only its removal tells the next run from this one.
+				leavingRuns.forget(live);
+			}
+
 			return entry.isLapsed === true && live !== undefined
 				? {
 					entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + lapsedRetentionMs,
@@ -83,8 +89,8 @@
 			return {...previous, entry, receivedAtMs: nowMs};
 		}
 
-		const knownSinceMs = live !== undefined && runOf(live) === runOf(record) ? live.knownSinceMs : nowMs;
-		return {entry, receivedAtMs: nowMs, live: {...record, instanceId: entry.instanceId, knownSinceMs}};
+		const knownSinceMs = live !== undefined && toRunKey(live) === toRunKey({...record, instanceId}) ? live.knownSinceMs : nowMs;
+		return {entry, receivedAtMs: nowMs, live: {...record, instanceId, knownSinceMs}};
 	};
 
 	const merge = (entry: InstanceEntry, nowMs: number): boolean => {
@@ -103,7 +109,7 @@
 
 	const computeReady = (service: string): readonly LiveInstance[] => [...known.values()]
 		.flatMap(({live}) => live ?? [])
-		.filter(live => live.service === service && live.state === 'ready')
+		.filter(live => live.service === service && live.state === 'ready' && !leavingRuns.has(live))
 		.toSorted((left, right) => left.instanceId < right.instanceId ? -1 : 1);
 
 	const expire = (id: string, {entry, receivedAtMs, live, keptUntilMs}: KnownInstance, nowMs: number): void => {
@@ -137,6 +143,14 @@
 			asOfRevision = Math.max(asOfRevision, asOf);
 			return changed;
 		},
+		markLeaving(run, nowMs) {
+			const isNew = leavingRuns.add(run, nowMs);
+			if (isNew) {
+				markChanged();
+			}
+
+			return isNew;
+		},
 		config: () => config,
 		ready(service) {
 			const instances = readyByService.get(service) ?? computeReady(service);
@@ -151,6 +165,11 @@
 			for (const [id, value] of known) {
 				expire(id, value, nowMs);
 			}
+
+			leavingRuns.expire(nowMs, run => {
+				const live = known.get(run.instanceId)?.live;
+				return live !== undefined && toRunKey(live) === toRunKey(run);
+			});
 		},
 	};
 };
--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -78,6 +78,11 @@
 	readonly isLapsed?: boolean;
 };
 
+/** Identifies one run of an instance, since instances start again under the same id and addresses are reused by others. */
+export type InstanceRun = Pick<InstanceRecord, 'address' | 'port' | 'bornAtMs'> & {
+	readonly instanceId: string;
+};
+
 /** An instance that takes requests. */
 export type LiveInstance = InstanceRecord & {
 	readonly instanceId: string;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -64,7 +64,7 @@
 	createCatalogue, createPrefixRouteTable, pickService, reconcileFullRead,
 } from './catalogue/index.ts';
 export type {
-	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
+	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
 } from './catalogue/index.ts';
 export {
 	createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
--- a/packages/core/test/catalogue.test.ts
+++ b/packages/core/test/catalogue.test.ts
@@ -44,6 +44,73 @@
 		});
 	}
 
+	const run = ({bornAtMs, address, port}: InstanceRecord) => ({
+		instanceId: 'i-1', bornAtMs, address, port,
+	});
+	const leavingCases: ReadonlyArray<{
+		readonly title: string; readonly first?: Partial<InstanceRecord>; readonly entries?: readonly InstanceEntry[]; readonly ready: readonly number[];
+	}> = [
+		{title: 'does not use an instance that announced that it leaves', ready: []},
+		{title: 'does not use it when the same run is registered once more', entries: [entry(6)], ready: []},
+		{title: 'does not use it when the same run has been removed and is registered again', entries: [entry(6, null), entry(7)], ready: []},
+		{title: 'does not use it when its registration has lapsed and is back', entries: [{...entry(6, null), isLapsed: true}, entry(7)], ready: []},
+		{title: 'does not use it when an older entry arrives late', entries: [entry(4, {port: 81})], ready: []},
+		{title: 'does not use it when a delayed write of an earlier run arrives', entries: [entry(6, {bornAtMs: 50, port: 81})], ready: []},
+		{title: 'uses a later run under its id', entries: [entry(6, {bornAtMs: 200})], ready: [80]},
+		{title: 'uses a later run under its id after a removal', entries: [entry(6, null), entry(7, {bornAtMs: 200, port: 81})], ready: [81]},
+		{title: 'uses another instance at its address', entries: [entry(6, {bornAtMs: 100}, 'i-2')], ready: [80]},
+		{
+			title: 'uses a later run after a removal where no run gives its time of birth', first: {bornAtMs: 0}, entries: [entry(6, null), entry(7, {bornAtMs: 0})], ready: [80],
+		},
+		{
+			title: 'does not use a lapsed run that is back where no run gives its time of birth',
+			first: {bornAtMs: 0},
+			entries: [{...entry(6, null), isLapsed: true}, entry(7, {bornAtMs: 0})],
+			ready: [],
+		},
+	];
+	for (const {title, first = {}, entries = [], ready} of leavingCases) {
+		it(title, () => {
+			const catalogue = createCatalogue();
+			catalogue.mergeInstances([entry(5, first)], 5, 0);
+			expect(catalogue.markLeaving(run(record(first)), 0)).to.equal(true);
+			expect(catalogue.markLeaving(run(record(first)), 0)).to.equal(false);
+			for (const each of entries) {
+				catalogue.mergeInstances([each], each.revision, 0);
+			}
+
+			expect(catalogue.ready('settle').map(({port}) => port)).to.deep.equal(ready);
+		});
+	}
+
+	it('does not use a run that a peer announced as leaving before its registration arrived', () => {
+		const catalogue = createCatalogue();
+		catalogue.markLeaving(run(record()), 0);
+		catalogue.mergeInstances([entry(5)], 5, 0);
+		expect(catalogue.ready('settle')).to.deep.equal([]);
+	});
+
+	it('forgets a leaving run only when it has not been registered for two minutes', () => {
+		const catalogue = createCatalogue();
+		catalogue.mergeInstances([entry(5)], 5, 0);
+		catalogue.markLeaving(run(record()), 0);
+		catalogue.tick(200_000);
+		catalogue.mergeInstances([entry(6, null)], 6, 200_000);
+		catalogue.tick(319_000);
+		expect(catalogue.markLeaving(run(record()), 319_000)).to.equal(false);
+		catalogue.tick(321_000);
+		expect(catalogue.markLeaving(run(record()), 321_000)).to.equal(true);
+	});
+
+	it('changes its version with an announcement, and its digest, which compares what the store holds, does not', () => {
+		const catalogue = createCatalogue();
+		catalogue.mergeInstances([entry(5)], 5, 0);
+		const [version, digest] = [catalogue.version(), catalogue.digest()];
+		catalogue.markLeaving(run(record()), 0);
+		expect(catalogue.version()).to.be.above(version);
+		expect(catalogue.digest()).to.deep.equal(digest);
+	});
+
 	it('drops a lapsed instance that has not registered again within 2 s', () => {
 		const catalogue = createCatalogue();
 		catalogue.mergeInstances([entry(5)], 5, 0);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 	toReportRows,
 	type DispatchReport,
 	type EntryHost,
+	type InstanceRun,
 	type MemberSend,
 	type RetryWindow,
 	type CatalogueSend,
@@ -183,6 +184,16 @@
 		},
 	});
 
+	/** Returns false when it is known that the instance leaves. */
+	const markLeaving = (run: InstanceRun, source: string): boolean => {
+		const isNew = catalogue.markLeaving(run, nowMs());
+		if (isNew) {
+			logger.info('instance leaving', {...run, source});
+		}
+
+		return isNew;
+	};
+
 	const addKnownHosts = (hosts: readonly EntryHost[]): void => {
 		const isNew = hosts.some(host => host.hostId !== hostId && !knownHosts.has(host.hostId));
 		for (const host of hosts) {
@@ -224,6 +235,11 @@
 				return;
 			}
 
+			case 'leaving': {
+				markLeaving(message.run, from.hostId);
+				return;
+			}
+
 			case 'store': {
 				if (message.isReachable) {
 					election.markReachable(from.hostId);
@@ -234,6 +250,13 @@
 		}
 	};
 
+	/** Spares the gateways with requests the question; one that the message does not reach asks the instance itself. */
+	const tellLeaving = (run: InstanceRun): void => {
+		for (const id of fleet.recentlyPlacedPeerIds()) {
+			sendTo(id, {type: 'leaving', run}, 'datagram');
+		}
+	};
+
 	const mesh = await createMesh({
 		hostId,
 		address: settings.address,
@@ -290,8 +313,11 @@
 		onConnect() {
 			metrics.connections.inc();
 		},
-		onNotice({instanceId}, notice, answer) {
-			log('instance notice', {...answer, instanceId, ...notice});
+		onNotice(run, notice, answer) {
+			log('instance notice', {...answer, instanceId: run.instanceId, ...notice});
+			if (notice.isLeaving && markLeaving(run, 'answer')) {
+				tellLeaving(run);
+			}
 		},
 	});
 
--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -2,7 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type {
-	EntryHost, MemberMessage, ReportRow, CatalogueMessage,
+	EntryHost, InstanceRun, MemberMessage, ReportRow, CatalogueMessage,
 } from '@egretwing/core';
 import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
 import type {Result} from 'ts-results-es';
@@ -22,7 +22,9 @@
 		| {readonly type: 'join'; readonly host: EntryHost}
 		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
 	/** Whether the store answers the sender, which is one of its readers. */
-		| {readonly type: 'store'; readonly isReachable: boolean};
+		| {readonly type: 'store'; readonly isReachable: boolean}
+	/** An instance has told the sender that it leaves. */
+		| {readonly type: 'leaving'; readonly run: InstanceRun};
 
 /** Sender of a message. */
 export type MeshPeer = PeerEndpoint & {readonly hostId: string};
@@ -91,7 +93,8 @@
 		}
 
 		case 'load':
-		case 'store': {
+		case 'store':
+		case 'leaving': {
 			return message;
 		}
 	}
@@ -116,7 +119,8 @@
 		}
 
 		case 'load':
-		case 'store': {
+		case 'store':
+		case 'leaving': {
 			return message;
 		}
 	}
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -168,7 +168,10 @@
 		}
 
 		const leftMs = context.finalAtMs - nowMs();
-		const {outcome, released, abort} = upstream.send(instance, context.upstreamRequest, leftMs);
+		const {instanceId, address, port, bornAtMs} = instance;
+		const {outcome, released, abort} = upstream.send({
+			instanceId, address, port, bornAtMs,
+		}, context.upstreamRequest, leftMs);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
 		const {signal} = context.exchange;
 		signal.addEventListener('abort', abort, {once: true});
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -8,7 +8,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
-import {createIdleLimit} from '@egretwing/core';
+import {createIdleLimit, type InstanceRun} from '@egretwing/core';
 import {isSelfDelimited, maxInformationalResponses} from '@egretwing/node';
 import {
 	connectTimeoutMs, maxBufferedAnswerBytes, idleCloseMarginMs, maxDiscardedAnswerBytes, maxDiscardMs, maxIdleConnectionMs, maxReadHeadBytes, maxRequestsPerConnection,
@@ -19,11 +19,7 @@
 import type {HeaderNames} from './types.ts';
 
 /** Destination of an attempt. */
-export type UpstreamTarget = {
-	readonly instanceId: string;
-	readonly address: string;
-	readonly port: number;
-};
+export type UpstreamTarget = InstanceRun;
 
 /** Request as it is sent to an instance. */
 export type UpstreamRequest = {
--- a/packages/gateway/test/instance-notices.test.ts
+++ b/packages/gateway/test/instance-notices.test.ts
@@ -15,6 +15,8 @@
 import {createTestSettings} from './support/settings.ts';
 
 const address = `${networkOf(214)}.1`;
+/** A second gateway, in another data centre, so that callers are sent to both. */
+const peerAddress = `${networkOf(214)}.2`;
 /** Below the ephemeral ports, which the system assigns to connections and to the instances of these tests. */
 const entryPort = 22_900;
 
@@ -177,12 +179,12 @@
 
 let counter = 0;
 
-const call = async (index: number): Promise<Answer> => {
+const call = async (index: number, host = address): Promise<Answer> => {
 	const requestId = `r${counter++}`;
 	const sentAtMs = performance.now();
 	return new Promise((resolve, reject) => {
 		const request = http.request({
-			host: address, port: entryPort, path: pathOf(index), agent: false, headers: {
+			host, port: entryPort, path: pathOf(index), agent: false, headers: {
 				host: 'a.example', 'egretwing-request-id': requestId, 'egretwing-deadline-ms': String(timeoutMs), [sentAtHeader]: String(sentAtMs),
 			},
 		}, response => {
@@ -212,7 +214,7 @@
 describe('what an instance says of itself in its answers', function () {
 	this.timeout(20_000);
 	const store = createStore();
-	let gateway: Gateway;
+	const gateways: Gateway[] = [];
 	const services: Array<readonly NoticingInstance[]> = [];
 	const answers: Array<readonly Answer[]> = [];
 
@@ -224,10 +226,14 @@
 			}
 		}
 
-		gateway = await startGateway(createTestSettings('g', address, entryPort, {retryLimits: {ratio: 1, slack: 100, windowMs: 10_000}}), {
-			store: store.client, headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0),
-		});
-		while (!gateway.isReady()) {
+		const retryLimits = {ratio: 1, slack: 100, windowMs: 10_000};
+		for (const [own, dataCentre] of [[address, 'a'], [peerAddress, 'b']] as const) {
+			gateways.push(await startGateway(createTestSettings(`g-${dataCentre}`, own, entryPort, {dataCentre, seedAddresses: [address], retryLimits}), {
+				store: store.client, headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0),
+			}));
+		}
+
+		while (!gateways.every(gateway => gateway.isReady() && new Set(['a', 'b'].flatMap(dataCentre => gateway.locate(dataCentre).addresses).map(each => each.address)).size === 2)) {
 			await delay(20);
 		}
 
@@ -235,7 +241,7 @@
 	});
 
 	after(async () => {
-		await gateway.shutdown();
+		await Promise.all(gateways.map(async gateway => gateway.shutdown()));
 		for (const instance of services.flat()) {
 			instance.close();
 		}
@@ -250,6 +256,15 @@
 		});
 	}
 
+	it('is passed on to the gateways that callers are sent to, which need not ask an instance that leaves', async () => {
+		const index = leavingCases.findIndex(({title}) => title === 'in a refusal, alone in its service');
+		const [first] = services[index]!;
+		const before = first!.arrivals.length;
+		const {statusCode} = await call(index, peerAddress);
+		expect(statusCode).to.equal(503);
+		expect(first!.arrivals.length).to.equal(before);
+	});
+
 	/** What is registered after the instance has said that it leaves, and whether the instance at the same port gets the next request. */
 	const registrations: ReadonlyArray<{readonly title: string; readonly instanceId: (index: number) => string; readonly bornAtMs: number; readonly isUsed: boolean}> = [
 		{
@@ -284,8 +299,8 @@
 		if (title.endsWith('alone in its service')) {
 			it(`gets no waiting request to an instance that says it leaves ${title}`, () => {
 				const [first] = services[index]!;
-				const arrivalsMs = first!.arrivals.map(({atMs}) => Math.round(atMs - first!.noticedAtMs())).filter(afterMs => afterMs > atOnceMs);
-				expect(arrivalsMs, 'milliseconds after the first such answer').to.deep.equal([]);
+				const waited = first!.arrivals.filter(({sentAtMs, atMs}) => sentAtMs < first!.noticedAtMs() && atMs > first!.noticedAtMs());
+				expect(waited.map(({atMs}) => Math.round(atMs - first!.noticedAtMs())), 'milliseconds after the first such answer').to.deep.equal([]);
 			});
 
 			it(`gets callers of an instance that says it leaves ${title}, rejected at once and asked to come back`, () => {
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -45,6 +45,16 @@
 };
 
 describe('message of a gateway', () => {
+	it('carries that an instance leaves', () => {
+		const message: MeshMessage = {
+			type: 'leaving', run: {
+				instanceId: 'i-1', bornAtMs: 1_800_000_000_000, address: '10.0.0.1', port: 80,
+			},
+		};
+		expect(carry(message)).to.deep.equal(message);
+		expect(encodeMessage(sender, message).length).to.be.below(maxDatagramBytes);
+	});
+
 	const config = createLargeConfig(3);
 	const messages: ReadonlyArray<readonly [title: string, message: Extract<MeshMessage, {type: 'spread'}>['message']]> = [
 		['a configuration of 1,440 routes', {type: 'state', instancesAsOf: -1, config}],
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -6,7 +6,10 @@
 import {expect} from 'chai';
 import {defaultHeaderNames} from '@egretwing/gateway';
 import {maxBufferedAnswerBytes} from '../src/constants.ts';
-import {createUpstream, type UpstreamOutcome, type UpstreamRequest} from '../src/upstream.ts';
+import type {InstanceNotice} from '../src/instance-notice.ts';
+import {
+	createUpstream, type UpstreamOptions, type UpstreamOutcome, type UpstreamRequest,
+} from '../src/upstream.ts';
 
 const address = '127.0.0.1';
 /** Exceeds the buffers of a loopback connection. */
@@ -81,10 +84,56 @@
 };
 
 describe('upstream', () => {
-	const create = () => createUpstream({
-		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined, onNotice: () => undefined,
+	const create = (onNotice: UpstreamOptions['onNotice'] = () => undefined) => createUpstream({
+		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined, onNotice,
 	});
 
+	const noticeCases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly notice: InstanceNotice | undefined}> = [
+		{title: 'reports that an instance leaves', answer: completeAnswer('r1', 'ok', 'egretwing-leaving: 1\r\n'), notice: {isLeaving: true}},
+		{title: 'reports it when the header is repeated', answer: completeAnswer('r1', 'ok', 'egretwing-leaving: 1\r\negretwing-leaving: 1\r\n'), notice: {isLeaving: true}},
+		{
+			title: 'reports it although the answer is cut off',
+			answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-leaving: 1\r\ncontent-length: 9\r\n\r\npart',
+			notice: {isLeaving: true},
+		},
+		{
+			title: 'reports it although the answer is not signed',
+			answer: 'HTTP/1.1 200 OK\r\negretwing-request-id: r1\r\negretwing-leaving: 1\r\ncontent-length: 0\r\n\r\n',
+			notice: {isLeaving: true},
+		},
+		{title: 'reports nothing of an instance that denies it', answer: completeAnswer('r1', 'ok', 'egretwing-leaving: 0\r\n'), notice: undefined},
+		{title: 'reports nothing from an answer to another request', answer: completeAnswer('r0', 'ok', 'egretwing-leaving: 1\r\n'), notice: undefined},
+		{title: 'reports nothing from another instance at the address', answer: 'HTTP/1.1 421 No\r\negretwing-leaving: 1\r\ncontent-length: 0\r\n\r\n', notice: undefined},
+		{
+			title: 'reports a pause and that the instance leaves',
+			answer: 'HTTP/1.1 503 No\r\negretwing-not-executed: 1\r\nretry-after: 1.5\r\negretwing-leaving: 1\r\ncontent-length: 0\r\n\r\n',
+			notice: {isLeaving: true, pauseMs: 1500},
+		},
+		{
+			title: 'limits an absurd pause to a day',
+			answer: 'HTTP/1.1 503 No\r\negretwing-not-executed: 1\r\nretry-after: 999999999999\r\ncontent-length: 0\r\n\r\n',
+			notice: {isLeaving: false, pauseMs: 86_400_000},
+		},
+		{title: 'reports no pause from another status', answer: 'HTTP/1.1 429 No\r\negretwing-not-executed: 1\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n', notice: undefined},
+	];
+	for (const {title, answer, notice} of noticeCases) {
+		it(title, async () => {
+			const instance = await startInstance([answer], 'end');
+			const notices: InstanceNotice[] = [];
+			const upstream = create((run, each) => {
+				expect(run).to.deep.equal(target);
+				notices.push(each);
+			});
+			const target = {
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			};
+			await upstream.send(target, request(), 1000).outcome;
+			expect(notices).to.deep.equal(notice === undefined ? [] : [notice]);
+			upstream.close();
+			instance.close();
+		});
+	}
+
 	it('repeats a request on another connection while those that carried it are idle', async () => {
 		const server = http.createServer((incoming, response) => {
 			const id = String(incoming.headers['egretwing-request-id']);
@@ -96,7 +145,9 @@
 		const upstream = create();
 		const {port} = server.address() as net.AddressInfo;
 		const send = async (requestId: string): Promise<UpstreamOutcome> => {
-			const attempt = upstream.send({instanceId: 'i', address, port}, request({requestId, headers: {host: 'a.example', 'egretwing-request-id': requestId}}), 1000);
+			const attempt = upstream.send({
+				instanceId: 'i', address, port, bornAtMs: 1,
+			}, request({requestId, headers: {host: 'a.example', 'egretwing-request-id': requestId}}), 1000);
 			const outcome = await attempt.outcome;
 			await attempt.released;
 			return outcome;
@@ -171,7 +222,9 @@
 		it(title, async () => {
 			const instance = await startInstance([answer], end);
 			const upstream = create();
-			const attempt = upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000);
+			const attempt = upstream.send({
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			}, request(), 1000);
 			expect(describeOutcome(await attempt.outcome)).to.equal(outcome);
 			upstream.close();
 			instance.close();
@@ -182,7 +235,9 @@
 		const instance = await startInstance([completeAnswer('r1'), '', completeAnswer('r3'), '', completeAnswer('r5'), '', completeAnswer('r7'), completeAnswer('r8')]);
 		const upstream = create();
 		const send = async (isIdempotent: boolean, requestId: string): Promise<UpstreamOutcome> => {
-			const {outcome} = upstream.send({instanceId: 'i', address, port: instance.port}, request({isIdempotent, requestId}), 1000);
+			const {outcome} = upstream.send({
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			}, request({isIdempotent, requestId}), 1000);
 			const ended = await outcome;
 			await delay(150);
 			return ended;
@@ -205,14 +260,18 @@
 		const instance = await startInstance([]);
 		instance.close();
 		const upstream = create();
-		expect(describeOutcome(await upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000).outcome)).to.equal('unreachable');
+		expect(describeOutcome(await upstream.send({
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+		}, request(), 1000).outcome)).to.equal('unreachable');
 		upstream.close();
 	});
 
 	it('sends the target instance and the remaining time in headers', async () => {
 		const instance = await startInstance([completeAnswer('r1')]);
 		const upstream = create();
-		await upstream.send({instanceId: 'i-7', address, port: instance.port}, request({method: 'POST', body: Buffer.from('body')}), 812.6).outcome;
+		await upstream.send({
+			instanceId: 'i-7', address, port: instance.port, bornAtMs: 1,
+		}, request({method: 'POST', body: Buffer.from('body')}), 812.6).outcome;
 		expect(instance.seen[0]).to.match(/egretwing-target-instance: i-7\r\n/v).and.match(/egretwing-deadline-ms: 812\r\n/v).and.match(/content-length: 4\r\n/v);
 		upstream.close();
 		instance.close();
@@ -228,7 +287,9 @@
 		it(title, async () => {
 			const instance = await startInstance([first, completeAnswer('r2', 'second')]);
 			const upstream = create();
-			const target = {instanceId: 'i', address, port: instance.port};
+			const target = {
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			};
 			await upstream.send(target, request(), 1000).outcome;
 			await delay(20);
 			const second = await upstream.send(target, request({requestId: 'r2'}), 1000).outcome;
@@ -257,7 +318,9 @@
 		const body = Buffer.alloc(longBodyBytes);
 		const outcomes: string[] = [];
 		for (let count = 0; count < 2; count++) {
-			const {outcome} = upstream.send({instanceId: 'i', address, port}, request({method: 'POST', body}), 1000);
+			const {outcome} = upstream.send({
+				instanceId: 'i', address, port, bornAtMs: 1,
+			}, request({method: 'POST', body}), 1000);
 			outcomes.push(describeOutcome(await outcome));
 			await delay(20);
 		}
@@ -273,7 +336,9 @@
 	it('closes the connection when an attempt is aborted', async () => {
 		const instance = await startInstance([]);
 		const upstream = create();
-		const attempt = upstream.send({instanceId: 'i', address, port: instance.port}, request(), 1000);
+		const attempt = upstream.send({
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+		}, request(), 1000);
 		await delay(50);
 		attempt.abort();
 		expect(describeOutcome(await attempt.outcome)).to.equal('aborted sent');
@@ -299,7 +364,9 @@
 			server.listen(0, address, resolve);
 		});
 		const upstream = create();
-		const attempt = upstream.send({instanceId: 'i', address, port: (server.address() as net.AddressInfo).port}, request(), 1000);
+		const attempt = upstream.send({
+			instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1,
+		}, request(), 1000);
 		const outcome = await attempt.outcome;
 		const rest = outcome.type === 'answered' ? outcome.answer.rest : undefined;
 		const events: string[] = [];
@@ -357,7 +424,9 @@
 			const upstream = create();
 			const seen: string[] = [];
 			for (const requestId of ids) {
-				seen.push(describeOutcome(await upstream.send({instanceId: 'i', address, port: instance.port}, request({requestId}), 1000).outcome));
+				seen.push(describeOutcome(await upstream.send({
+					instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				}, request({requestId}), 1000).outcome));
 				await delay(20);
 			}
 
@@ -377,7 +446,9 @@
 		it(`sends ${title} to the same instance again on another connection, so that an earlier answer is not mistaken for the new one`, async () => {
 			const instance = await startInstance([first, completeAnswer('r1', 'second').replace('egretwing-request-id: r1\r\n', requestId === undefined ? '' : 'egretwing-request-id: r1\r\n')]);
 			const upstream = create();
-			const target = {instanceId: 'i', address, port: instance.port};
+			const target = {
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			};
 			await upstream.send(target, request({requestId}), 1000).outcome;
 			await delay(20);
 			expect(describeOutcome(await upstream.send(target, request({requestId}), 1000).outcome)).to.equal('answered 200 second');
@@ -390,7 +461,9 @@
 	it('does not accept an answer to another request for one without an id', async () => {
 		const instance = await startInstance([completeAnswer('r0')]);
 		const upstream = create();
-		expect(describeOutcome(await upstream.send({instanceId: 'i', address, port: instance.port}, request({requestId: undefined}), 1000).outcome)).to.equal('broken');
+		expect(describeOutcome(await upstream.send({
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+		}, request({requestId: undefined}), 1000).outcome)).to.equal('broken');
 		upstream.close();
 		instance.close();
 	});
@@ -403,7 +476,9 @@
 			const outcomes = await Promise.all(cut.map(async answer => {
 				const instance = await startInstance([answer], end);
 				const upstream = create();
-				const outcome = await upstream.send({instanceId: 'i', address, port: instance.port}, request(), 5000).outcome;
+				const outcome = await upstream.send({
+					instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				}, request(), 5000).outcome;
 				upstream.close();
 				instance.close();
 				return describeOutcome(outcome);
@@ -432,7 +507,9 @@
 				server.listen(0, address, resolve);
 			});
 			const upstream = create();
-			const target = {instanceId: 'i', address, port: (server.address() as net.AddressInfo).port};
+			const target = {
+				instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1,
+			};
 			const send = (id: string) => upstream.send(target, request({requestId: id, headers: {host: 'a.example', 'egretwing-request-id': id}}), 1000);
 			await send('r1').outcome;
 			await delay(20);
