fix(gateway): an instance that answers 503 with Retry-After gets nothing from that gateway for so long

An instance that turned a request away and asked for two seconds got 9 to 15 requests between half a second after that and the end of it, also by repeats and hedges: `Retry-After` of an instance was read nowhere, and a rejection kept it from use for 100 to 800 ms. Same class as the mark of leaving: what an instance says of itself on the data path was dropped.

The dispatcher keeps the pauses by run of the instance, so that they outlive a registration that expires and is back. A pause is never ignored: not for the least share of slots, not while work is spread, not for a good answer that a peer got. It stays with the gateway that was told. After it, one request at a time until a good answer. A request that can't start after the first pause to end is rejected at once as not run, and told to come back after it; what waits when the last instance leaves or pauses is rejected at once as well, with its own reason.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -2,7 +2,8 @@
  * Decides for each request to a service whether to send it now, queue it, or reject it.
  *
  * Handles bursts (a short queue; a request that would wait beyond its objective is rejected), sustained overload (what
- * can't be served in time is rejected at once with a retry time), and partial failures (see `instance-pool.ts`).
+ * can't be served in time is rejected at once with a retry time), partial failures (see `instance-pool.ts`), and instances
+ * that ask for a pause (a request that can't start after the first pause to end is rejected at once).
  */
 
 import type {Random} from '../random.ts';
@@ -12,6 +13,7 @@
 import {
 	createInstancePool, type ChoiceContext, type InstanceCounts, type InstancePool,
 } from './instance-pool.ts';
+import type {PausedRun} from './instance-pauses.ts';
 import type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, DeferredDecision, Placement, RejectReason,
 } from './types.ts';
@@ -29,6 +31,10 @@
 	readonly stop: (nowMs: number) => ReadonlyArray<DeferredDecision<Request>>;
 	/** Removes a waiting request whose caller disconnected. */
 	readonly cancel: (request: Request) => void;
+	/** Keeps requests from a run of an instance that wants none for `pauseMs`. Call `poll` afterwards. */
+	readonly pause: (run: PausedRun, pauseMs: number, nowMs: number) => void;
+	/** Time until an instance is out of its pause, `maxRetryAfterMs` at most; 0 when one is. */
+	readonly pausedMs: (nowMs: number) => number;
 	/** Records a final answer to a caller. */
 	readonly recordOutcome: (isServed: boolean, nowMs: number) => void;
 	/** Ids of the instances found stalled since the last call. */
@@ -91,6 +97,24 @@
 		return (ahead + 1) * serviceMs / ownSlots;
 	};
 
+	/** Expected start behind `ahead` other requests. Instances have free slots when their pauses end, but get one request at a time at first. */
+	const expectedStartMs = (availableAtMs: number, ahead: number, context: ChoiceContext): number =>
+		availableAtMs > context.nowMs ? availableAtMs + (ahead * serviceMs) : context.nowMs + expectedWaitMs(ahead, context);
+
+	const pausedMs = (nowMs: number): number => {
+		const availableAtMs = pool.availableAtMs([], nowMs);
+		return availableAtMs === Number.POSITIVE_INFINITY ? 0 : Math.min(maxRetryAfterMs, availableAtMs - nowMs);
+	};
+
+	/** Why a request that can't be sent now has to be rejected. */
+	const reasonAt = (availableAtMs: number, nowMs: number): RejectReason => {
+		if (availableAtMs === Number.POSITIVE_INFINITY) {
+			return 'no-instance';
+		}
+
+		return availableAtMs > nowMs ? 'instances-paused' : 'wait-too-long';
+	};
+
 	const reject = (reason: RejectReason, context: ChoiceContext): Extract<DispatchDecision, {type: 'reject'}> => {
 		if (reason === 'stopping') {
 			// Another gateway can accept it at once.
@@ -99,7 +123,7 @@
 
 		const waitMs = expectedWaitMs(queue.length(), context);
 		// Jitter, so that rejected callers don't retry at the same time.
-		const jitteredMs = waitMs * (0.5 + random.next());
+		const jitteredMs = pausedMs(context.nowMs) + (waitMs * (0.5 + random.next()));
 		return {type: 'reject', reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, jitteredMs)))};
 	};
 
@@ -128,7 +152,8 @@
 				return reject('expired', context);
 			}
 
-			if (!pool.hasOther(request.attemptedIds)) {
+			const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
+			if (availableAtMs === Number.POSITIVE_INFINITY) {
 				return reject('no-instance', context);
 			}
 
@@ -139,9 +164,9 @@
 				return {type: 'send', placement, waitedMs: 0};
 			}
 
-			if (nowMs + expectedWaitMs(queue.countBefore(request), context) > latestStartMs(request, nowMs)) {
+			if (expectedStartMs(availableAtMs, queue.countBefore(request), context) > latestStartMs(request, nowMs)) {
 				const lastChance = isFirst ? pool.acquire(request, context, false) : undefined;
-				return lastChance === undefined ? reject('wait-too-long', context) : {type: 'send', placement: lastChance, waitedMs: 0};
+				return lastChance === undefined ? reject(reasonAt(availableAtMs, nowMs), context) : {type: 'send', placement: lastChance, waitedMs: 0};
 			}
 
 			queue.add(request, nowMs);
@@ -173,9 +198,10 @@
 				}
 
 				isFull ||= !isWaitPreferred && request.attemptedIds.length === 0;
-				if (nowMs + (serviceMs / 2) >= request.finalAtMs || !pool.hasOther(request.attemptedIds)) {
+				const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
+				if (availableAtMs + (serviceMs / 2) >= request.finalAtMs) {
 					queue.remove(request);
-					decisions.push({request, decision: reject('wait-too-long', context)});
+					decisions.push({request, decision: reject(reasonAt(availableAtMs, nowMs), context)});
 				}
 			}
 
@@ -189,6 +215,10 @@
 				return {request, decision: reject('stopping', context)};
 			});
 		},
+		pause(run, pauseMs, nowMs) {
+			pool.pause(run, nowMs + pauseMs, nowMs);
+		},
+		pausedMs,
 		cancel(request) {
 			queue.remove(request);
 		},
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -9,6 +9,7 @@
 import {
 	utilisationCost, idempotentRiskFactor, introductionDelayMs, maxPendingAtTarget, maxCoverageRequestShare, maxSparedRecoveredRatio, minCoverageShare, minSpreadUsedShare, minStalledMs, minUsedShare, overdueFactor, overdueRisk, preferredWaitFactor, recoveredDeviations, waitRiskThreshold, workingAgeMs, pendingSpreadIdleMs, coverageWindowMs, remoteCost, remoteCostPerMegabyte, remoteSpreadCost, remoteSpreadIdleMs, reportLifetimeMs, spreadCost, spreadIdleMs, stalledFactor,
 } from './constants.ts';
+import {createInstancePauses, type PausedRun} from './instance-pauses.ts';
 import {createInstanceReliability, type InstanceReliability} from './instance-reliability.ts';
 import type {
 	AttemptResult, DispatchInstance, DispatchReport, DispatchRequest, Placement,
@@ -40,6 +41,8 @@
 	readonly awaitingTrial: number;
 	/** Not avoided, but without a request of this gateway for `spreadIdleMs`. */
 	readonly rested: number;
+	/** In a pause that it asked this gateway for. */
+	readonly paused: number;
 };
 
 /** The instances of one service at one gateway. */
@@ -51,8 +54,10 @@
 	readonly finish: (placement: Placement, result: AttemptResult, context: ChoiceContext) => boolean;
 	/** Ids of the instances found stalled since the last call. */
 	readonly findStalled: (context: ChoiceContext) => readonly string[];
-	/** True when there is an instance besides `attemptedIds`. */
-	readonly hasOther: (attemptedIds: readonly string[]) => boolean;
+	/** Keeps requests from a run of an instance until `untilMs`. */
+	readonly pause: (run: PausedRun, untilMs: number, nowMs: number) => void;
+	/** When an instance besides `attemptedIds` is out of its pause, `nowMs` at the earliest; infinite when there is no such instance. */
+	readonly availableAtMs: (attemptedIds: readonly string[], nowMs: number) => number;
 	/** Slots that all gateways together may use. */
 	readonly usableSlots: (context: ChoiceContext) => number;
 	readonly ownInFlight: () => number;
@@ -80,6 +85,8 @@
 	usedAtMs: number;
 	/** When a peer last sent it a request, as far as reports show. */
 	peerUsedAtMs: number;
+	/** End of its pause. */
+	pausedUntilMs: number;
 };
 
 const peerInFlight = (state: InstanceState, nowMs: number): number => {
@@ -123,6 +130,8 @@
 const compareLastUse = (left: InstanceState, right: InstanceState | undefined): number =>
 	right === undefined || lastUseMs(left) === lastUseMs(right) ? 0 : lastUseMs(left) - lastUseMs(right);
 
+const isPaused = ({pausedUntilMs}: InstanceState, nowMs: number): boolean => nowMs < pausedUntilMs;
+
 const isOverdue = (state: InstanceState, {nowMs, serviceMs}: ChoiceContext): boolean => oldestAgeMs(state, nowMs) > overdueFactor * serviceMs;
 
 /** True when a failed attempt can be repeated on another instance. */
@@ -134,19 +143,28 @@
 	/** When the first instances became known; only instances known later count as new. */
 	let firstKnownMs = Number.POSITIVE_INFINITY;
 	const removedStates = new Map<string, InstanceState>();
+	const pauses = createInstancePauses();
 	/** When requests were sent, in the last `coverageWindowMs`. */
 	let startedAtMs: number[] = [];
 
 	const createInstanceState = (instance: DispatchInstance): InstanceState => ({
-		instance, reliability: createInstanceReliability(), placements: new Set(), peers: new Map(), usedAtMs: Number.NEGATIVE_INFINITY, peerUsedAtMs: Number.NEGATIVE_INFINITY,
+		instance,
+		reliability: createInstanceReliability(),
+		placements: new Set(),
+		peers: new Map(),
+		usedAtMs: Number.NEGATIVE_INFINITY,
+		peerUsedAtMs: Number.NEGATIVE_INFINITY,
+		pausedUntilMs: pauses.untilMs(instance),
 	});
 
+	const unpausedStates = (nowMs: number): readonly InstanceState[] => [...states.values()].filter(state => !isPaused(state, nowMs));
+
 	/** A trial may cost a request, so that avoided instances are tried early only when the others are too few for the spread to reach most sound ones. */
 	const decideUseOfRecovered = (context: ChoiceContext): SpreadContext => {
 		const {nowMs} = context;
 		let working = 0;
 		let recovered = 0;
-		for (const {reliability} of states.values()) {
+		for (const {reliability} of unpausedStates(nowMs)) {
 			working += Number(!reliability.isAvoided(nowMs) && reliability.goodAgeMs(nowMs) <= workingAgeMs);
 			recovered += Number(reliability.mayHaveRecovered(nowMs));
 		}
@@ -157,10 +175,10 @@
 	const isExcluded = ({reliability}: InstanceState, {nowMs, isSpread, usesRecovered}: SpreadContext): boolean =>
 		reliability.isAvoided(nowMs) && !(isSpread && usesRecovered && reliability.mayHaveRecovered(nowMs));
 
-	/** Instances that may be used. Avoidance leaves a minimum share of the slots: the avoidances that end first are ignored. */
+	/** Instances that may be used. Avoidance leaves a minimum share of the slots: the avoidances that end first are ignored. A pause is never ignored. */
 	const usableStates = (context: SpreadContext): readonly InstanceState[] => {
-		const {isSpread} = context;
-		const all = [...states.values()];
+		const {isSpread, nowMs} = context;
+		const all = unpausedStates(nowMs);
 		const usable = all.filter(state => !isExcluded(state, context));
 		const wantedSlots = (isSpread ? minSpreadUsedShare : minUsedShare) * all.reduce((sum, {instance}) => sum + instance.slots, 0);
 		let slots = usable.reduce((sum, {instance}) => sum + instance.slots, 0);
@@ -301,6 +319,7 @@
 
 				if (state.instance.bornAtMs !== instance.bornAtMs) {
 					state.reliability = createInstanceReliability();
+					state.pausedUntilMs = pauses.untilMs(instance);
 				}
 
 				state.instance = instance;
@@ -357,7 +376,18 @@
 				.filter(state => oldestAgeMs(state, nowMs) > limitMs && state.reliability.observeStall(nowMs))
 				.map(({instance}) => instance.instanceId);
 		},
-		hasOther: attemptedIds => [...states.keys()].some(id => !attemptedIds.includes(id)),
+		pause(run, untilMs, nowMs) {
+			pauses.add(run, untilMs, nowMs);
+			const state = states.get(run.instanceId);
+			if (state?.instance.bornAtMs === run.bornAtMs) {
+				state.pausedUntilMs = pauses.untilMs(run);
+				state.reliability.requireTrial(nowMs);
+			}
+		},
+		availableAtMs(attemptedIds, nowMs) {
+			const others = [...states.values()].filter(({instance}) => !attemptedIds.includes(instance.instanceId));
+			return Math.max(nowMs, Math.min(...others.map(({pausedUntilMs}) => pausedUntilMs)));
+		},
 		usableSlots: context => usableStates(decideUseOfRecovered(context)).reduce((sum, state) => sum + slotsFor(state, context), 0),
 		ownInFlight: () => [...states.values()].reduce((sum, {placements}) => sum + placements.size, 0),
 		inFlight: context => usableStates(decideUseOfRecovered(context)).reduce((sum, state) => sum + inFlightAt(state, context.nowMs), 0),
@@ -404,6 +434,7 @@
 				avoided: all.length - usable.length,
 				awaitingTrial: usable.filter(({reliability}) => reliability.needsTrial()).length,
 				rested: usable.filter(({usedAtMs}) => nowMs - usedAtMs > spreadIdleMs).length,
+				paused: all.filter(state => isPaused(state, nowMs)).length,
 			};
 		},
 		explain(instanceId, nowMs) {
@@ -417,6 +448,7 @@
 				own: state.placements.size,
 				peers: peerInFlight(state, nowMs),
 				slots: state.instance.slots,
+				...(isPaused(state, nowMs) && {pausedMs: Math.round(state.pausedUntilMs - nowMs)}),
 				risk: Number(state.reliability.risk(nowMs).toFixed(3)),
 			};
 		},
--- a/packages/core/src/dispatch/instance-reliability.ts
+++ b/packages/core/src/dispatch/instance-reliability.ts
@@ -16,6 +16,8 @@
 	readonly observe: (result: AttemptResult, startedAtMs: number, nowMs: number) => boolean;
 	/** Records that a request has been in flight for too long; returns true when the instance is avoided from now on. */
 	readonly observeStall: (nowMs: number) => boolean;
+	/** Lets the instance get one request at a time until it gives a good answer. */
+	readonly requireTrial: (nowMs: number) => void;
 	/** Records that a peer got a good answer, or avoids the instance. */
 	readonly receiveReport: (goodAtMs: number | undefined, avoidUntilMs: number | undefined, nowMs: number) => void;
 	readonly isAvoided: (nowMs: number) => boolean;
@@ -141,6 +143,9 @@
 			}
 		},
 		observeStall: nowMs => nowMs >= avoidUntilMs && avoidPersistently(recordFailure(nowMs, nowMs), nowMs),
+		requireTrial(nowMs) {
+			avoid(0, nowMs);
+		},
 		receiveReport(peerGoodAtMs, peerAvoidUntilMs, nowMs) {
 			if (peerGoodAtMs !== undefined && peerGoodAtMs > (goodAtMs ?? Number.NEGATIVE_INFINITY) && peerGoodAtMs > avoidedAtMs) {
 				goodAtMs = peerGoodAtMs;
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -36,6 +36,8 @@
 	= | 'wait-too-long'
 	/** The service has no instance besides those attempted. */
 		| 'no-instance'
+	/** All instances besides those attempted want no requests for too long. */
+		| 'instances-paused'
 	/** Its final deadline has passed. */
 		| 'expired'
 	/** The gateway is shutting down. */
--- a/packages/core/test/dispatch/decisions.test.ts
+++ b/packages/core/test/dispatch/decisions.test.ts
@@ -376,6 +376,130 @@
 	});
 });
 
+describe('dispatch decisions about instances that ask for a pause', () => {
+	const runOf = (index: number) => ({instanceId: `i-${index}`, bornAtMs: 1});
+
+	const pauseAll = (dispatcher: Dispatcher<DispatchRequest>, count: number, pauseMs: number, nowMs: number): void => {
+		for (let index = 0; index < count; index++) {
+			dispatcher.pause(runOf(index), pauseMs, nowMs);
+		}
+	};
+
+	const instancesOfSends = (dispatcher: Dispatcher<DispatchRequest>, count: number, nowMs: number): ReadonlySet<string> =>
+		new Set(Array.from({length: count}, () => sentTo(dispatcher.submit(request({objectiveAtMs: nowMs + 800, finalAtMs: nowMs + 1200}), nowMs))));
+
+	it('send nothing to it before the end of the pause, though it gave the last good answer and the others are avoided', () => {
+		const dispatcher = createJoined(3);
+		const lastGood = sendFirstRequests(dispatcher, 3);
+		dispatcher.pause({instanceId: lastGood, bornAtMs: 1}, 3000, 9000);
+		dispatcher.receiveReport('peer', {instances: ['i-0', 'i-1', 'i-2'].filter(id => id !== lastGood).map(instanceId => ({instanceId, inFlight: 0, avoidMs: 5000}))}, 9000);
+		dispatcher.receiveReport('peer', {instances: [{instanceId: lastGood, inFlight: 0, goodAgeMs: 1}]}, 9100);
+		for (const nowMs of [9001, 10_500, 11_999]) {
+			expect([...instancesOfSends(dispatcher, 4, nowMs)]).to.not.include(lastGood);
+		}
+	});
+
+	it('send nothing to it while work is spread', () => {
+		const dispatcher = create(4, 4);
+		for (let index = 0; index < 20; index++) {
+			dispatcher.recordOutcome(index % 2 === 0, 9900);
+		}
+
+		dispatcher.pause(runOf(3), 3000, 9900);
+		expect([...instancesOfSends(dispatcher, 12, 11_900)]).to.not.include('i-3');
+	});
+
+	const pauses: ReadonlyArray<{readonly title: string; readonly pauseMs: number; readonly decision: string; readonly retryAfterMs?: readonly [least: number, most: number]}> = [
+		{title: 'let a request wait that can start after the pause', pauseMs: 200, decision: 'wait'},
+		{
+			title: 'reject at once a request that can not, and ask its caller to come back after the pause', pauseMs: 900, decision: 'instances-paused', retryAfterMs: [900, 1400],
+		},
+		{
+			title: 'ask callers to come back in two seconds at the latest, since other gateways may not be asked to pause', pauseMs: 60_000, decision: 'instances-paused', retryAfterMs: [2000, 2000],
+		},
+	];
+	for (const {title, pauseMs, decision: expected, retryAfterMs} of pauses) {
+		it(`${title}, where all instances ask for ${pauseMs} ms`, () => {
+			const dispatcher = create(3);
+			pauseAll(dispatcher, 3, pauseMs, 10_000);
+			const decision = dispatcher.submit(request(), 10_000);
+			expect(decision.type === 'reject' ? decision.reason : decision.type).to.equal(expected);
+			if (retryAfterMs !== undefined && decision.type === 'reject') {
+				expect(decision.retryAfterMs).to.be.within(...retryAfterMs);
+			}
+		});
+	}
+
+	const lastGone: ReadonlyArray<readonly [title: string, lose: (dispatcher: Dispatcher<DispatchRequest>) => void, reason: string]> = [
+		['the last instance asks for a long pause', dispatcher => {
+			pauseAll(dispatcher, 1, 5000, 10_000);
+		}, 'instances-paused'],
+		['the last instance leaves', dispatcher => {
+			dispatcher.setInstances([]);
+		}, 'no-instance'],
+	];
+	for (const [title, lose, reason] of lastGone) {
+		it(`reject at once the requests that wait when ${title}`, () => {
+			const dispatcher = create(1);
+			const [first, second] = [0, 1].map(index => dispatcher.submit(request({requestId: String(index)}), 10_000));
+			expect([first?.type, second?.type]).to.deep.equal(['send', 'wait']);
+			lose(dispatcher);
+			expect(dispatcher.poll(10_001).map(({decision}) => decision.type === 'reject' && decision.reason)).to.deep.equal([reason]);
+		});
+	}
+
+	it('send one request at a time after the pause, until it gives a good answer', () => {
+		const dispatcher = create(1, 4);
+		run(dispatcher, 'good', 9000, 100);
+		dispatcher.pause(runOf(0), 1000, 9200);
+		const [first, second] = [0, 1].map(() => dispatcher.submit(request({objectiveAtMs: 12_000, finalAtMs: 13_000}), 10_300));
+		expect([first?.type, second?.type]).to.deep.equal(['send', 'wait']);
+		dispatcher.finish((first as Extract<DispatchDecision, {type: 'send'}>).placement, 'good', 10_400);
+		expect(dispatcher.poll(10_400).map(({decision}) => decision.type)).to.deep.equal(['send']);
+		expect(dispatcher.submit(request({objectiveAtMs: 12_000, finalAtMs: 13_000}), 10_400).type).to.equal('send');
+	});
+
+	const ends: ReadonlyArray<{readonly title: string; readonly change: (dispatcher: Dispatcher<DispatchRequest>) => void; readonly isSent: boolean}> = [
+		{
+			title: 'keep to the pause when the instance asks for a shorter one',
+			change(dispatcher) {
+				dispatcher.pause(runOf(0), 100, 10_100);
+			},
+			isSent: false,
+		},
+		{
+			title: 'keep to the pause when the registration expires and is renewed',
+			change(dispatcher) {
+				dispatcher.setInstances([]);
+				dispatcher.setInstances(createInstances(1, 1));
+			},
+			isSent: false,
+		},
+		{
+			title: 'keep to the pause when a peer gets good answers',
+			change(dispatcher) {
+				dispatcher.receiveReport('peer', {instances: [{instanceId: 'i-0', inFlight: 0, goodAgeMs: 0}]}, 10_300);
+			},
+			isSent: false,
+		},
+		{
+			title: 'end the pause with another run of the instance',
+			change(dispatcher) {
+				dispatcher.setInstances(createInstances(1, 1).map(instance => ({...instance, bornAtMs: 2})));
+			},
+			isSent: true,
+		},
+	];
+	for (const {title, change, isSent} of ends) {
+		it(title, () => {
+			const dispatcher = create(1);
+			dispatcher.pause(runOf(0), 5000, 10_000);
+			change(dispatcher);
+			expect(dispatcher.submit(request(), 10_400).type === 'send').to.equal(isSent);
+		});
+	}
+});
+
 describe('report rows', () => {
 	it('carry a report without loss', () => {
 		const report = {instances: [{instanceId: 'i-1', inFlight: 2, goodAgeMs: 30}, {instanceId: 'i-2', inFlight: 0, avoidMs: 900}]};
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -11,6 +11,7 @@
 	type DispatchRequest,
 	type Dispatcher,
 	type DispatcherState,
+	type InstanceRun,
 	type LiveInstance,
 	type Random,
 	type ReportScheduler,
@@ -33,6 +34,10 @@
 	readonly placeNow: (service: string, request: DispatchRequest) => DispatchPlacement | undefined;
 	readonly finish: (service: string, placement: DispatchPlacement, result: AttemptResult) => void;
 	readonly recordOutcome: (service: string, isServed: boolean) => void;
+	/** Keeps requests from a run of an instance that wants none for `pauseMs`. */
+	readonly pause: (service: string, run: InstanceRun, pauseMs: number) => void;
+	/** Time until an instance of the service is out of its pause; 0 when one is. */
+	readonly pausedMs: (service: string) => number;
 	readonly serviceMs: (service: string) => number;
 	readonly receiveReport: (service: string, peerId: string, report: DispatchReport) => void;
 	/** State of the dispatcher, and of one instance, for logs. */
@@ -208,6 +213,15 @@
 		recordOutcome(name, isServed) {
 			serviceOf(name).dispatcher.recordOutcome(isServed, nowMs());
 		},
+		pause(name, run, pauseMs) {
+			const service = serviceOf(name);
+			service.dispatcher.pause(run, pauseMs, nowMs());
+			logger.info('instance paused', {
+				service: name, instanceId: run.instanceId, bornAtMs: run.bornAtMs, pauseMs,
+			});
+			settleWaiting(service);
+		},
+		pausedMs: name => serviceOf(name).dispatcher.pausedMs(nowMs()),
 		serviceMs: name => serviceOf(name).dispatcher.serviceMs(),
 		receiveReport(name, peerId, peerReport) {
 			const service = serviceOf(name);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -175,9 +175,9 @@
 
 	const dispatchers = createDispatchers({
 		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, sendReport: sendReportToPeers,
-		onState(service, {known, avoided, awaitingTrial, rested}) {
+		onState(service, {known, avoided, awaitingTrial, rested, paused}) {
 			for (const [state, count] of Object.entries({
-				known, avoided, awaitingTrial, rested,
+				known, avoided, awaitingTrial, rested, paused,
 			})) {
 				metrics.instances.set({service, state}, count);
 			}
@@ -313,11 +313,15 @@
 		onConnect() {
 			metrics.connections.inc();
 		},
-		onNotice(run, notice, answer) {
+		onNotice({service, ...run}, notice, answer) {
 			log('instance notice', {...answer, instanceId: run.instanceId, ...notice});
 			if (notice.isLeaving && markLeaving(run, 'answer')) {
 				tellLeaving(run);
 			}
+
+			if (notice.pauseMs !== undefined) {
+				dispatchers.pause(service, run, notice.pauseMs);
+			}
 		},
 	});
 
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -98,6 +98,7 @@
 const kindOfReject: Readonly<Record<RejectReason, ErrorKind>> = {
 	'wait-too-long': 'overloaded',
 	'no-instance': 'no-capacity',
+	'instances-paused': 'overloaded',
 	expired: 'queue-timeout',
 	stopping: 'draining',
 };
@@ -168,9 +169,9 @@
 		}
 
 		const leftMs = context.finalAtMs - nowMs();
-		const {instanceId, address, port, bornAtMs} = instance;
+		const {service, instanceId, address, port, bornAtMs} = instance;
 		const {outcome, released, abort} = upstream.send({
-			instanceId, address, port, bornAtMs,
+			service, instanceId, address, port, bornAtMs,
 		}, context.upstreamRequest, leftMs);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
 		const {signal} = context.exchange;
@@ -202,7 +203,7 @@
 	};
 
 	/** Result for the caller when no further attempt is made. */
-	const toFinalResult = (outcome: UpstreamOutcome, instanceId: string, mayHaveRun: boolean, serviceMs: number): FinalResult => {
+	const toFinalResult = (outcome: UpstreamOutcome, instanceId: string, mayHaveRun: boolean, service: string): FinalResult => {
 		const ran = mayHaveRun ? 'unknown' : 'not-run';
 		switch (outcome.type) {
 			case 'answered': {
@@ -210,7 +211,7 @@
 			}
 
 			case 'not-executed': {
-				return mayHaveRun ? refuseWith('outcome-unknown', 'earlier attempt broken') : refuseWith('shed-by-backend', 'shed', serviceMs / 2);
+				return mayHaveRun ? refuseWith('outcome-unknown', 'earlier attempt broken') : refuseWith('shed-by-backend', 'shed', Math.max(dispatchers.serviceMs(service) / 2, dispatchers.pausedMs(service)));
 			}
 
 			case 'unreachable': {
@@ -344,7 +345,7 @@
 			const result = toResult(outcome, signal.aborted);
 			const end = result === 'good' && !isDeliverable(context, outcome) ? 'no-length' : result;
 			if (end === 'good') {
-				return toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
+				return toFinalResult(outcome, instanceId, mayHaveRun, service);
 			}
 
 			if (signal.aborted) {
@@ -356,7 +357,7 @@
 				requestId, service, instanceId, result: end, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
 			});
 			// An answer of an instance takes precedence over the failure of a later attempt.
-			const final = toFinalResult(outcome, instanceId, mayHaveRun, dispatchers.serviceMs(service));
+			const final = toFinalResult(outcome, instanceId, mayHaveRun, service);
 			lastResult = lastResult?.type === 'answer' ? lastResult : final;
 			if (decision !== 'retry') {
 				metrics.retriesRefused.inc({reason: decision});
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -19,7 +19,7 @@
 import type {HeaderNames} from './types.ts';
 
 /** Destination of an attempt. */
-export type UpstreamTarget = InstanceRun;
+export type UpstreamTarget = InstanceRun & {readonly service: string};
 
 /** Request as it is sent to an instance. */
 export type UpstreamRequest = {
--- a/packages/gateway/test/support/fleet-load.ts
+++ b/packages/gateway/test/support/fleet-load.ts
@@ -63,6 +63,13 @@
 	readonly isDrawnAnew?: boolean;
 };
 
+/** Instances say in their answers that they leave, and ask for a pause when they reject a request. */
+export type Notices = {
+	readonly pauseMs: number;
+	/** Share of the leaving instances that say so in their answers only, and are removed when they end. */
+	readonly unregisteredShare: number;
+};
+
 /** A load to replay; requests are at-most-once, so they are not repeated once they may have run. */
 export type FleetLoad = {
 	readonly seed: number;
@@ -87,6 +94,8 @@
 	readonly stale?: StaleGateways;
 	readonly repeating?: RepeatingCallers;
 	readonly burst?: Burst;
+	/** What instances say of themselves in their answers; nothing where it is absent. */
+	readonly notices?: Notices;
 	/** When all gateways fail and lose their requests in flight; no request is sent afterwards. */
 	readonly lostAtMs?: number;
 };
--- a/packages/gateway/test/support/fleet-model.ts
+++ b/packages/gateway/test/support/fleet-model.ts
@@ -12,6 +12,7 @@
 	createBehaviour, createInstances, drawFor, warmupMs, type FleetInstance,
 } from './fleet-instances.ts';
 import type {FleetLoad} from './fleet-load.ts';
+import {findIgnoredNotices, type SaidNotice} from './fleet-notices.ts';
 import {findFloorWindows, type FloorWindow} from './floor-windows.ts';
 
 const service = 'seatledger';
@@ -29,6 +30,8 @@
 	readonly asked: number;
 	readonly unserved: number;
 	readonly windows: readonly FloorWindow[];
+	/** Requests that a gateway sent against what the instance had told it. */
+	readonly ignoredNotices: readonly string[];
 };
 
 type Request = {
@@ -58,19 +61,26 @@
 	};
 };
 
+const runOf = (instanceId: string, index: number) => ({
+	instanceId, address: '10.0.0.1', port: index + 1, bornAtMs: 1,
+});
+
 /** Entries of an instance in the store over time. */
-const entriesOf = ({slots}: FleetLoad, instance: FleetInstance, index: number): ReadonlyArray<{readonly atMs: number; readonly entry: InstanceEntry}> => {
+const entriesOf = ({slots, notices, seed}: FleetLoad, instance: FleetInstance, index: number): ReadonlyArray<{readonly atMs: number; readonly entry: InstanceEntry}> => {
 	const {
-		instanceId, dataCentre, joinsAtMs, leavesAtMs, unlistedAtMs,
+		instanceId, dataCentre, joinsAtMs, leavesAtMs, unlistedAtMs, endsAtMs,
 	} = instance;
+	const isUnregistered = drawFor(instanceId, 'unregistered', seed) < (notices?.unregisteredShare ?? 0);
 	const isFirst = joinsAtMs === Number.NEGATIVE_INFINITY;
 	const record = {
-		service, address: '10.0.0.1', port: index + 1, dataCentre, slots, state: 'ready' as const, warmupLeftMs: isFirst ? 0 : warmupMs, bornAtMs: 1,
+		...runOf(instanceId, index), service, dataCentre, slots, state: 'ready' as const, warmupLeftMs: isFirst ? 0 : warmupMs,
 	};
 	const revision = 3 * index;
 	return [
 		{atMs: isFirst ? 0 : joinsAtMs, entry: {instanceId, revision: revision + 1, record}},
-		{atMs: leavesAtMs, entry: {instanceId, revision: revision + 2, record: {...record, state: 'draining' as const}}},
+		isUnregistered
+			? {atMs: endsAtMs, entry: {instanceId, revision: revision + 2, record: null}}
+			: {atMs: leavesAtMs, entry: {instanceId, revision: revision + 2, record: {...record, state: 'draining' as const}}},
 		{atMs: unlistedAtMs, entry: {instanceId, revision: revision + 3, record: null}},
 	].filter(({atMs}) => Number.isFinite(atMs));
 };
@@ -84,6 +94,8 @@
 	const behaviour = createBehaviour(load);
 	const attempts = createAttempts(load, instances, behaviour, random);
 	const asked: Array<Request['record']> = [];
+	const said: SaidNotice[] = [];
+	const instanceIndexes = new Map(instances.map(({instanceId}, index) => [instanceId, index]));
 	const lostAtMs = load.lostAtMs ?? Number.POSITIVE_INFINITY;
 
 	const createGateway = (dataCentre: string, index: number): Gateway => {
@@ -154,8 +166,39 @@
 		}
 	};
 
+	/** Applies what the answer of an instance says of it. */
+	const notice = (gateway: Gateway, instanceId: string, result: AttemptResult): void => {
+		const {notices} = load;
+		const isAnswered = result === 'good' || result === 'server-error' || result === 'shed';
+		if (notices === undefined || !isAnswered) {
+			return;
+		}
+
+		const nowMs = clock.nowMs();
+		const index = instanceIndexes.get(instanceId)!;
+		const run = runOf(instanceId, index);
+		if (nowMs >= instances[index]!.leavesAtMs) {
+			said.push({instanceId, gatewayId: gateway.id, atMs: nowMs});
+			if (gateway.catalogue.markLeaving(run, nowMs)) {
+				schedule.at(nowMs + reportDelayMs, () => {
+					for (const peer of gateways) {
+						peer.catalogue.markLeaving(run, clock.nowMs());
+					}
+				});
+			}
+		}
+
+		if (result === 'shed') {
+			said.push({
+				instanceId, gatewayId: gateway.id, atMs: nowMs, pauseMs: notices.pauseMs,
+			});
+			gateway.dispatchers.pause(service, run, notices.pauseMs);
+		}
+	};
+
 	const end = (gateway: Gateway, request: Request, placement: DispatchPlacement, result: AttemptResult): void => {
 		const {instanceId} = placement;
+		notice(gateway, instanceId, result);
 		gateway.dispatchers.finish(service, placement, result);
 		attempts.recordEnd(instanceId, gateway.id, result, clock.nowMs());
 		const attemptedIds = [...request.attemptedIds, instanceId];
@@ -254,5 +297,6 @@
 		asked: asked.length,
 		unserved: asked.filter(({isServed}) => !isServed).length,
 		windows: findFloorWindows(load.lengthMs, asked, attempts.logs(), behaviour),
+		ignoredNotices: findIgnoredNotices(said, attempts.logs()),
 	};
 };
--- a/packages/gateway/test/support/floor-hunt.ts
+++ b/packages/gateway/test/support/floor-hunt.ts
@@ -16,6 +16,7 @@
 	readonly asked: number;
 	readonly unserved: number;
 	readonly worst?: FloorWindow;
+	readonly ignoredNotices: readonly string[];
 };
 
 const {values} = parseArgs({
@@ -37,9 +38,9 @@
 };
 
 const play = async (seed: number): Promise<LoadResult> => {
-	const {asked, unserved, windows} = await replayFleet(drawLoad(seed));
+	const {asked, unserved, windows, ignoredNotices} = await replayFleet(drawLoad(seed));
 	return {
-		seed, asked, unserved, worst: worstOf(windows),
+		seed, asked, unserved, worst: worstOf(windows), ignoredNotices,
 	};
 };
 
@@ -84,6 +85,11 @@
 
 	await Promise.all(Array.from({length: toCount('workers', 1)}, runWorker));
 	const broken = played.filter(({worst}) => worst !== undefined && reachedShare(worst) < floorShare).toSorted((left, right) => left.seed - right.seed);
+	const ignoring = played.filter(({ignoredNotices}) => ignoredNotices.length > 0);
+	for (const {seed, ignoredNotices} of ignoring) {
+		console.log(`seed ${seed}: requests against what an instance had said: ${ignoredNotices.join('; ')}`);
+	}
+
 	for (const each of broken) {
 		console.log(describe(each));
 		if (values.explain) {
@@ -94,8 +100,8 @@
 	const asked = played.reduce((sum, each) => sum + each.asked, 0);
 	const unserved = played.reduce((sum, each) => sum + each.unserved, 0);
 	const withFloorWindow = played.filter(({worst}) => worst !== undefined).length;
-	console.log(`${played.length} loads from seed ${first}, ${withFloorWindow} with a window in which the floor holds: ${broken.length} broke it; ${(100 * unserved / asked).toFixed(2)} in 100 requests not served`);
-	process.exitCode = broken.length > 0 ? 1 : 0;
+	console.log(`${played.length} loads from seed ${first}, ${withFloorWindow} with a window in which the floor holds: ${broken.length} broke it, ${ignoring.length} ignored what an instance had said; ${(100 * unserved / asked).toFixed(2)} in 100 requests not served`);
+	process.exitCode = broken.length + ignoring.length > 0 ? 1 : 0;
 };
 
 if (process.send === undefined) {
--- a/packages/gateway/test/support/random-load.ts
+++ b/packages/gateway/test/support/random-load.ts
@@ -162,5 +162,6 @@
 		...(random.next() < 0.2 && {repeating: {...drawSpan(random), requestShare: 0.3, times: 3}}),
 		...(random.next() < 0.2 && {burst: {...drawSpan(random), factor: between(random, 1.3, 1.7)}}),
 		...(random.next() < 0.15 && {lostAtMs: lengthMs}),
+		...(random.next() < 0.5 && {notices: {pauseMs: between(random, 600, 4000), unregisteredShare: 0.5}}),
 	};
 };
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -125,7 +125,7 @@
 				notices.push(each);
 			});
 			const target = {
-				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 			};
 			await upstream.send(target, request(), 1000).outcome;
 			expect(notices).to.deep.equal(notice === undefined ? [] : [notice]);
@@ -146,7 +146,7 @@
 		const {port} = server.address() as net.AddressInfo;
 		const send = async (requestId: string): Promise<UpstreamOutcome> => {
 			const attempt = upstream.send({
-				instanceId: 'i', address, port, bornAtMs: 1,
+				instanceId: 'i', address, port, bornAtMs: 1, service: 's',
 			}, request({requestId, headers: {host: 'a.example', 'egretwing-request-id': requestId}}), 1000);
 			const outcome = await attempt.outcome;
 			await attempt.released;
@@ -223,7 +223,7 @@
 			const instance = await startInstance([answer], end);
 			const upstream = create();
 			const attempt = upstream.send({
-				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 			}, request(), 1000);
 			expect(describeOutcome(await attempt.outcome)).to.equal(outcome);
 			upstream.close();
@@ -236,7 +236,7 @@
 		const upstream = create();
 		const send = async (isIdempotent: boolean, requestId: string): Promise<UpstreamOutcome> => {
 			const {outcome} = upstream.send({
-				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 			}, request({isIdempotent, requestId}), 1000);
 			const ended = await outcome;
 			await delay(150);
@@ -261,7 +261,7 @@
 		instance.close();
 		const upstream = create();
 		expect(describeOutcome(await upstream.send({
-			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 		}, request(), 1000).outcome)).to.equal('unreachable');
 		upstream.close();
 	});
@@ -270,7 +270,7 @@
 		const instance = await startInstance([completeAnswer('r1')]);
 		const upstream = create();
 		await upstream.send({
-			instanceId: 'i-7', address, port: instance.port, bornAtMs: 1,
+			instanceId: 'i-7', address, port: instance.port, bornAtMs: 1, service: 's',
 		}, request({method: 'POST', body: Buffer.from('body')}), 812.6).outcome;
 		expect(instance.seen[0]).to.match(/egretwing-target-instance: i-7\r\n/v).and.match(/egretwing-deadline-ms: 812\r\n/v).and.match(/content-length: 4\r\n/v);
 		upstream.close();
@@ -288,7 +288,7 @@
 			const instance = await startInstance([first, completeAnswer('r2', 'second')]);
 			const upstream = create();
 			const target = {
-				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 			};
 			await upstream.send(target, request(), 1000).outcome;
 			await delay(20);
@@ -319,7 +319,7 @@
 		const outcomes: string[] = [];
 		for (let count = 0; count < 2; count++) {
 			const {outcome} = upstream.send({
-				instanceId: 'i', address, port, bornAtMs: 1,
+				instanceId: 'i', address, port, bornAtMs: 1, service: 's',
 			}, request({method: 'POST', body}), 1000);
 			outcomes.push(describeOutcome(await outcome));
 			await delay(20);
@@ -337,7 +337,7 @@
 		const instance = await startInstance([]);
 		const upstream = create();
 		const attempt = upstream.send({
-			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 		}, request(), 1000);
 		await delay(50);
 		attempt.abort();
@@ -365,7 +365,7 @@
 		});
 		const upstream = create();
 		const attempt = upstream.send({
-			instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1,
+			instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1, service: 's',
 		}, request(), 1000);
 		const outcome = await attempt.outcome;
 		const rest = outcome.type === 'answered' ? outcome.answer.rest : undefined;
@@ -425,7 +425,7 @@
 			const seen: string[] = [];
 			for (const requestId of ids) {
 				seen.push(describeOutcome(await upstream.send({
-					instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+					instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 				}, request({requestId}), 1000).outcome));
 				await delay(20);
 			}
@@ -447,7 +447,7 @@
 			const instance = await startInstance([first, completeAnswer('r1', 'second').replace('egretwing-request-id: r1\r\n', requestId === undefined ? '' : 'egretwing-request-id: r1\r\n')]);
 			const upstream = create();
 			const target = {
-				instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+				instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 			};
 			await upstream.send(target, request({requestId}), 1000).outcome;
 			await delay(20);
@@ -462,7 +462,7 @@
 		const instance = await startInstance([completeAnswer('r0')]);
 		const upstream = create();
 		expect(describeOutcome(await upstream.send({
-			instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+			instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 		}, request({requestId: undefined}), 1000).outcome)).to.equal('broken');
 		upstream.close();
 		instance.close();
@@ -477,7 +477,7 @@
 				const instance = await startInstance([answer], end);
 				const upstream = create();
 				const outcome = await upstream.send({
-					instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+					instanceId: 'i', address, port: instance.port, bornAtMs: 1, service: 's',
 				}, request(), 5000).outcome;
 				upstream.close();
 				instance.close();
@@ -508,7 +508,7 @@
 			});
 			const upstream = create();
 			const target = {
-				instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1,
+				instanceId: 'i', address, port: (server.address() as net.AddressInfo).port, bornAtMs: 1, service: 's',
 			};
 			const send = (id: string) => upstream.send(target, request({requestId: id, headers: {host: 'a.example', 'egretwing-request-id': id}}), 1000);
 			await send('r1').outcome;
