fix(gateway): a reader that the store answers again is told by the others for how long they have read

Now it says that it reads again, as before, and each gateway that read until then answers for how long it has done so without a gap. If that is longer than registrations take to be renewed, the removals reported so far are reported once more without the mark, which overrides it everywhere.

Three new tests; with the former reader the case of a quiet time could not be told apart (it keeps the mark, as the existing case without the answer still shows).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,7 +40,7 @@
 import {createRequestLog} from './request-log.ts';
 import {createServe, isMissingHost, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
-import {createStoreReader} from './store-reader.ts';
+import {createStoreReader, type StoreReader} from './store-reader.ts';
 import type {
 	HeaderNames, StoreClient, StoreFailure, StoreRead, StoreTopic,
 } from './types.ts';
@@ -205,6 +205,24 @@
 		}
 	};
 
+	const receiveStoreState = (from: string, {isReachable, readingForMs}: Extract<MeshMessage, {type: 'store'}>): void => {
+		if (!isReachable) {
+			election.markUnreachable(from, nowMs());
+			return;
+		}
+
+		election.markReachable(from);
+		if (readingForMs !== undefined) {
+			instancesReader.observeOther(readingForMs);
+			return;
+		}
+
+		const ownReadingForMs = instancesReader.readingForMs();
+		if (ownReadingForMs !== undefined) {
+			sendTo(from, {type: 'store', isReachable: true, readingForMs: ownReadingForMs}, 'datagram');
+		}
+	};
+
 	const receive = (from: MeshPeer, message: MeshMessage): void => {
 		switch (message.type) {
 			case 'member': {
@@ -241,11 +259,7 @@
 			}
 
 			case 'store': {
-				if (message.isReachable) {
-					election.markReachable(from.hostId);
-				} else {
-					election.markUnreachable(from.hostId, nowMs());
-				}
+				receiveStoreState(from.hostId, message);
 			}
 		}
 	};
@@ -300,10 +314,12 @@
 		broadcastStoreState(true);
 	};
 
-	const readers = (['config', 'instances'] as const).map(topic => createStoreReader({
-		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable,
-		knownAsOf: () => topic === 'instances' ? catalogue.digest().instancesAsOf : -1,
-	}));
+	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
+		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
+	});
+
+	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
+	const readers = [createReader('config', () => -1), instancesReader];
 
 	const log = createRequestLog(logger, nowMs);
 	const upstream = createUpstream({
--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -21,8 +21,11 @@
 	/** Introduces the sender and asks for the hosts that the receiver knows. */
 		| {readonly type: 'join'; readonly host: EntryHost}
 		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
-	/** Whether the store answers the sender, which is one of its readers. */
-		| {readonly type: 'store'; readonly isReachable: boolean}
+	/**
+	 * Whether the store answers the sender, which is one of its readers. A reader whom it answers again is told by the others for how
+	 * long it has answered them.
+	 */
+		| {readonly type: 'store'; readonly isReachable: boolean; readonly readingForMs?: number}
 	/** An instance has told the sender that it leaves. */
 		| {readonly type: 'leaving'; readonly run: InstanceRun};
 
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -38,6 +38,10 @@
 export type StoreReader = {
 	/** Starts reading if it is wanted; to be called on each tick. */
 	readonly tick: () => void;
+	/** For how long the store has answered this reader without a gap in which registrations may have expired; undefined when it has not answered lately. */
+	readonly readingForMs: () => number | undefined;
+	/** Records for how long another reader has read, so that a failure that concerned this one alone is not taken for an outage of the store. */
+	readonly observeOther: (readingForMs: number) => void;
 	readonly stop: () => void;
 };
 
@@ -53,8 +57,11 @@
 	let asOf = -1;
 	let needsFullRead = false;
 	let lastSuccessMs = Number.NaN;
+	let readingSinceMs = Number.NaN;
 	let failingSinceMs: number | undefined;
 	let recoveredAtMs = Number.NEGATIVE_INFINITY;
+	/** Entries that were marked as lapsed since `recoveredAtMs`, without the mark. */
+	let lapsedEntries: InstanceEntry[] = [];
 	let nextCallMs = 0;
 	let knownAsOf = -1;
 	/** When any reader last brought a change, and since when changes have come without a gap in which registrations may have expired. */
@@ -78,7 +85,13 @@
 	/** When the store returned after a failure here; earlier than now where other readers have read since. */
 	const returnedAtMs = (): number => nowMs() - changedAtMs < minLapsingOutageMs ? changingSinceMs : nowMs();
 
+	const isRecovering = (): boolean => nowMs() - recoveredAtMs < storeRecoveryMs;
+
 	const recordSuccess = (): void => {
+		if (Number.isNaN(lastSuccessMs) || nowMs() - lastSuccessMs >= maxWatchGapMs) {
+			readingSinceMs = nowMs();
+		}
+
 		lastSuccessMs = nowMs();
 		if (failingSinceMs === undefined) {
 			return;
@@ -87,6 +100,7 @@
 		logger.info('store regained', {topic, failedForMs: Math.round(lastSuccessMs - failingSinceMs)});
 		if (lastSuccessMs - failingSinceMs >= minLapsingOutageMs) {
 			recoveredAtMs = returnedAtMs();
+			lapsedEntries = [];
 		}
 
 		failingSinceMs = undefined;
@@ -114,9 +128,14 @@
 			logger.warn('store entry refused', refused);
 		}
 
-		const isRecovering = nowMs() - recoveredAtMs < storeRecoveryMs;
-		options.onRead(topic, isRecovering ? {...read, entries: read.entries.map(entry => markLapsed(entry))} : read, isFull);
 		asOf = Math.max(asOf, read.asOf);
+		if (!isRecovering()) {
+			options.onRead(topic, read, isFull);
+			return;
+		}
+
+		lapsedEntries.push(...read.entries.filter(({record}) => record === null));
+		options.onRead(topic, {...read, entries: read.entries.map(entry => markLapsed(entry))}, isFull);
 	};
 
 	const callStore = async (): Promise<void> => {
@@ -159,6 +178,18 @@
 				void run();
 			}
 		},
+		readingForMs: () => nowMs() - lastSuccessMs < maxWatchGapMs ? nowMs() - readingSinceMs : undefined,
+		observeOther(readingForMs) {
+			if (!isRecovering()) {
+				return;
+			}
+
+			recoveredAtMs = Math.min(recoveredAtMs, nowMs() - readingForMs);
+			if (!isRecovering() && lapsedEntries.length > 0) {
+				options.onRead(topic, {entries: lapsedEntries, refused: [], asOf}, false);
+				lapsedEntries = [];
+			}
+		},
 		stop() {
 			isStopped = true;
 		},
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -12,12 +12,22 @@
 
 const removal = (revision: number): InstanceEntry => ({instanceId: 'i-1', revision, record: null});
 
-type Step = {readonly answer: Result<StoreRead, StoreFailure>; readonly tookMs?: number; /** Time after it during which reading is not wanted. */ readonly pauseMs?: number};
+type Step = {
+	readonly answer: Result<StoreRead, StoreFailure>;
+	readonly tookMs?: number;
+	/** Time after it during which reading is not wanted. */
+	readonly pauseMs?: number;
+	/** What another reader says once the answer has been reported. */
+	readonly otherReadingForMs?: number;
+};
 
 /** Revision up to which other readers have read, constant or by the time. */
 type KnownAsOf = number | ((nowMs: number) => number);
 
 const startMs = 1000;
+const rounds = 80;
+const roundMs = 100;
+const answerMs = 10;
 
 /** Runs a reader against scripted answers of the store; returns its calls and what it reported. */
 const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances') => {
@@ -26,13 +36,15 @@
 	const callsAtMs: number[] = [];
 	const reported: string[] = [];
 	const queue = [...steps];
+	const told: number[] = [];
 	let wantedFromMs = 0;
 	const take = async (call: string): Promise<Result<StoreRead, StoreFailure>> => {
 		calls.push(call);
 		callsAtMs.push(clock.nowMs());
 		const step = queue.shift()!;
-		clock.advanceMs(step.tookMs ?? 10);
+		clock.advanceMs(step.tookMs ?? answerMs);
 		wantedFromMs = clock.nowMs() + (step.pauseMs ?? 0);
+		told.push(...step.otherReadingForMs === undefined ? [] : [step.otherReadingForMs]);
 		return step.answer;
 	};
 
@@ -59,15 +71,21 @@
 			reported.push(failure);
 		},
 	});
-	for (let round = 0; round < 80; round++) {
+	for (let round = 0; round < rounds; round++) {
 		reader.tick();
 		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
-		clock.advanceMs(100);
+		for (const readingForMs of told.splice(0)) {
+			reader.observeOther(readingForMs);
+		}
+
+		clock.advanceMs(roundMs);
 	}
 
-	return {calls, reported, callsAtMs};
+	return {
+		calls, reported, callsAtMs, reader,
+	};
 };
 
 describe('reader of the store', () => {
@@ -140,6 +158,27 @@
 		});
 	}
 
+	const quiet = readByOthers(4000, 20_000);
+	const toldByOther: ReadonlyArray<{readonly title: string; readonly otherReadingForMs: number; readonly reported: readonly string[]}> = [
+		{title: 'takes the mark back when another reader has read for longer than registrations take to be renewed, though nothing changed', otherReadingForMs: 4000, reported: ['changes 60 lapsed', 'changes 60', 'changes 61']},
+		{title: 'keeps the mark when another reader has only just begun to read', otherReadingForMs: 500, reported: ['changes 60 lapsed', 'changes 61 lapsed']},
+	];
+	for (const {title, otherReadingForMs, reported} of toldByOther) {
+		it(`marks a removal after a failure of its own, and ${title}`, async () => {
+			const steps = [...turnedAwayFor5s.slice(0, 2), {answer: read(60, [removal(60)]), otherReadingForMs}, {answer: read(61, [removal(61)])}];
+			const played = await play(steps, quiet);
+			expect(played.reported).to.deep.equal(['changes 8', 'turned-away', 'reachable', ...reported]);
+		});
+	}
+
+	it('tells for how long it has read without a gap, and nothing when it has not read lately', async () => {
+		const answers = 40;
+		const reading = await play(Array.from({length: answers}, (_, index) => ({answer: read(9 + index)})), 8);
+		expect(reading.reader.readingForMs()).to.equal((rounds * roundMs) + ((answers - 1) * answerMs));
+		const stopped = await play([{answer: read(9)}], 8);
+		expect(stopped.reader.readingForMs()).to.equal(undefined);
+	});
+
 	const resumed: ReadonlyArray<{readonly title: string; readonly topic: StoreTopic; readonly steps: readonly Step[]; readonly calls: readonly string[]}> = [
 		{
 			title: 'reads the configuration in full after a pause, since a watch would return each version since then',
