--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import net, {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createStoreClient} from '../../platform/store-client.ts';
@@ -93,7 +93,66 @@
 	};
 };
 
+/** Starts a store whose answers never end; `takenBytes` counts what was handed over to the operating system. */
+const startEndlessStore = async (start: string) => {
+	const sockets = new Set<net.Socket>();
+	const piece = 'x'.repeat(65_536);
+	let takenBytes = 0;
+	const server = net.createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		const send = (): void => {
+			socket.write(piece, error => {
+				if (!error) {
+					takenBytes += piece.length;
+					setImmediate(send);
+				}
+			});
+		};
+
+		socket.once('data', () => {
+			socket.write(start);
+			send();
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	const client = createStoreClient(address, (server.address() as AddressInfo).port, address);
+	return {
+		client,
+		takenBytes: () => takenBytes,
+		close() {
+			client.close();
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+};
+
+/** Maximum bytes that the client and the buffers of a connection take of an endless answer. */
+const maxTakenBytes = 50_331_648;
+
 describe('client of the store', () => {
+	const endless: ReadonlyArray<readonly [title: string, start: string]> = [
+		['bytes that are no answer', ''],
+		['a header', 'HTTP/1.1 200 OK\r\nx-long: '],
+		['a body without a length', 'HTTP/1.1 200 OK\r\n\r\n'],
+		['a body with a length', 'HTTP/1.1 200 OK\r\ncontent-length: 100000000000\r\n\r\n'],
+		['the body of a refusal', 'HTTP/1.1 503 Busy\r\n\r\n'],
+	];
+	for (const [title, start] of endless) {
+		it(`cuts off ${title} without end`, async () => {
+			const {client, takenBytes, close} = await startEndlessStore(start);
+			const result = await client.readAll('config');
+			expect(result.isErr()).to.equal(true);
+			expect(takenBytes()).to.be.below(maxTakenBytes);
+			close();
+		});
+	}
+
 	it('reads all pages and watches from the revision of the first', async () => {
 		const {client, calls, close} = await startStore([
 			{statusCode: 200, body: {items: [item('i-1', 3)], truncated: true, as_of: 5}},
