--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -133,6 +133,18 @@
 	{answer: {start: longHead, piece: kilobyte}, limitMs: timeoutMs},
 ];
 
+/** Answers that have not begun for the caller when it disconnects. */
+const abandoned: ReadonlyArray<{readonly title: string; readonly answer: EndlessAnswer}> = [
+	{title: 'a status line', answer: {start: 'HTTP/1.1 200 ', piece: 'x', pauseMs: 10}},
+	{title: 'header lines', answer: {start: 'HTTP/1.1 200 OK\r\n', piece: 'x: y\r\n', pauseMs: 10}},
+	{title: 'informational answers', answer: {start: '', piece: 'HTTP/1.1 100 Continue\r\n\r\n', pauseMs: 50}},
+	{title: 'a body with a length', answer: {start: longHead, piece: 'x', pauseMs: 10}},
+	{title: 'a body in chunks', answer: {start: chunkedHead, piece: '1\r\nx\r\n', pauseMs: 10}},
+	{title: 'nothing', answer: {start: '', piece: kilobyte, afterMs: 300}},
+];
+/** When such a caller disconnects. */
+const abandonedAfterMs = 150;
+
 type TestService = {
 	readonly semantics: 'idempotent' | 'at-most-once';
 	readonly timeoutMs: number;
@@ -223,7 +235,7 @@
 
 describe('an instance that sends endless answers', () => {
 	let gateway: Gateway;
-	let services: readonly TestService[] = [];
+	const services: TestService[] = [];
 
 	before(async () => {
 		const single = await Promise.all(cases.map(async ({answer}): Promise<TestService> => ({
@@ -237,7 +249,10 @@
 		const pipelinedServices = await Promise.all(pipelined.map(async ({answer, limitMs}): Promise<TestService> => ({
 			semantics: 'idempotent', timeoutMs: limitMs, instances: [await startEndlessInstance(address, answer)],
 		})));
-		services = [...single, ...double, ...pipelinedServices];
+		const abandonedServices = await Promise.all(abandoned.map(async ({answer}): Promise<TestService> => ({
+			semantics: 'at-most-once', timeoutMs: longTimeoutMs, instances: [await startEndlessInstance(address, answer)],
+		})));
+		services.push(...single, ...double, ...pipelinedServices, ...abandonedServices);
 		gateway = await startGateway(createTestSettings('g', address, entryPort), {store: createStore(services), headerNames: defaultHeaderNames, logger: createLogger('test', 'g', 0)});
 		while (!gateway.isReady()) {
 			await delay(20);
@@ -285,6 +300,20 @@
 		it(title, async () => check(cases.length + index, {expected}));
 	}
 
+	for (const [place, {title}] of abandoned.entries()) {
+		it(`is cut off when its caller has left before it sends ${title}, and its next request is served`, async () => {
+			const index = cases.length + retried.length + pipelined.length + place;
+			const [instance] = services[index]!.instances;
+			const socket = net.connect(entryPort, address);
+			socket.write(`GET ${pathOf(index)} HTTP/1.1\r\nhost: a.example\r\negretwing-request-id: q\r\negretwing-deadline-ms: 5000\r\n\r\n`);
+			await delay(abandonedAfterMs);
+			expect(instance!.ids).to.deep.equal(['q']);
+			socket.destroy();
+			expect(await Promise.race([instance!.closedAtMs, delay(endSlackMs)]), 'time at which the connection to the instance was closed').to.be.a('number');
+			await checkNext(index, false);
+		});
+	}
+
 	it('has its answer replaced by a refusal when it is cut off behind an earlier pending one, and the connection stays open', async () => {
 		const requests = pipelined.map((_, index) => [
 			`GET ${pathOf(cases.length + retried.length + index)} HTTP/1.1`, 'host: a.example', `egretwing-request-id: q${index}`, 'egretwing-deadline-ms: 5000', '', '',
@@ -306,7 +335,8 @@
 		const answers = parseAnswers(Buffer.concat(chunks));
 		expect(answers.map(({statusCode, headers}) => `${statusCode} ${headers['egretwing-kind']}`)).to.deep.equal(['504 request-timeout', '502 outcome-unknown']);
 		expect(end).to.equal('open');
-		for (const {instances} of services.slice(-pipelined.length)) {
+		const firstPipelined = cases.length + retried.length;
+		for (const {instances} of services.slice(firstPipelined, firstPipelined + pipelined.length)) {
 			expect(await Promise.race([instances[0]!.closedAtMs, delay(endSlackMs)]), 'time at which the connection to the instance was closed').to.be.a('number');
 		}
 	});
