test(soak): instances say that they leave and ask for pauses, and each gateway has to heed them

Half of the instances that are replaced say so in their answers only, for 3.5 s; half of the rejections ask for 0.4 to 2 s. Checked by request id at the gateway that the caller used.

--- a/test/platform/soak/instances.ts
+++ b/test/platform/soak/instances.ts
@@ -7,6 +7,7 @@
 import type {Random} from '@egretwing/core';
 import {listen} from '@egretwing/node';
 import {platformHeaderNames as names} from '../../../platform/names.ts';
+import type {Arrival, SaidNotice} from './notices.ts';
 
 /** How an instance treats a share of its requests. */
 export type Behaviour = 'sound' | 'errors' | 'resets' | 'resets-after-work' | 'hangs' | 'sheds' | 'spoils';
@@ -24,10 +25,12 @@
 export type SoakInstance = {
 	readonly instanceId: string;
 	readonly setBehaviour: (behaviour: Behaviour) => void;
+	/** From now on, all answers say that the instance leaves. */
+	readonly announceLeaving: () => void;
 	readonly close: () => void;
 };
 
-/** Options of an instance; it appends to `runs`. */
+/** Options of an instance; it appends to `runs`, `arrivals` and `notices`. */
 export type SoakInstanceOptions = {
 	readonly instanceId: string;
 	readonly address: string;
@@ -35,6 +38,8 @@
 	readonly slots: number;
 	readonly random: Random;
 	readonly runs: Run[];
+	readonly arrivals: Arrival[];
+	readonly notices: SaidNotice[];
 };
 
 /** Header with the digest of the body that the caller sent. */
@@ -47,19 +52,40 @@
 const failingShare = 0.6;
 const hangMs = 4000;
 const workMs = {least: 10, spread: 40} as const;
+/** Range of the pause that a rejection asks for, in seconds. */
+const pauseSeconds = {least: 0.4, spread: 1.6} as const;
+const msPerSecond = 1000;
 
 /** Starts an instance; it answers a request with the id of the request and the digest of the body. */
 export const createSoakInstance = async ({
-	instanceId, address, port, slots, random, runs,
+	instanceId, address, port, slots, random, runs, arrivals, notices,
 }: SoakInstanceOptions): Promise<SoakInstance> => {
 	let behaviour: Behaviour = 'sound';
 	let inFlight = 0;
+	let isLeaving = false;
 
 	const answer = (response: http.ServerResponse, statusCode: number, text: string, headers: http.OutgoingHttpHeaders = {}): void => {
-		response.writeHead(statusCode, {'content-length': Buffer.byteLength(text), 'keep-alive': 'timeout=5', ...headers});
+		response.writeHead(statusCode, {
+			'content-length': Buffer.byteLength(text), 'keep-alive': 'timeout=5', ...(isLeaving && {[names.leaving]: '1'}), ...headers,
+		});
 		response.end(text);
 	};
 
+	const recordNotice = (requestId: string, isFinal: boolean, pauseMs?: number): void => {
+		if (isLeaving || pauseMs !== undefined) {
+			notices.push({
+				requestId, instanceId, atMs: Date.now(), isLeaving, isFinal, ...(pauseMs !== undefined && {pauseMs}),
+			});
+		}
+	};
+
+	/** Rejects a request as not run; in half of the cases it asks for a pause. */
+	const reject = (requestId: string, response: http.ServerResponse): void => {
+		const seconds = random.next() < 0.5 ? undefined : (pauseSeconds.least + (pauseSeconds.spread * random.next())).toFixed(2);
+		recordNotice(requestId, false, seconds === undefined ? undefined : Number(seconds) * msPerSecond);
+		answer(response, 503, '', {[names.requestId]: requestId, [names.notExecuted]: '1', ...(seconds !== undefined && {'retry-after': seconds})});
+	};
+
 	const run = async (request: http.IncomingMessage, response: http.ServerResponse, body: Uint8Array): Promise<void> => {
 		const requestId = String(request.headers[names.requestId]);
 		const digest = digestOf(body);
@@ -79,6 +105,7 @@
 		}
 
 		const headers = {[names.requestId]: requestId, [names.signature]: instanceId};
+		recordNotice(requestId, true);
 		if (behaviour === 'errors' && isFailing) {
 			answer(response, 500, '', headers);
 			return;
@@ -108,8 +135,10 @@
 			return;
 		}
 
+		const requestId = String(request.headers[names.requestId]);
+		arrivals.push({requestId, instanceId, atMs: Date.now()});
 		if (inFlight >= slots || (behaviour === 'sheds' && random.next() < failingShare)) {
-			answer(response, 503, '', {[names.notExecuted]: '1'});
+			reject(requestId, response);
 			return;
 		}
 
@@ -124,6 +153,9 @@
 		setBehaviour(next) {
 			behaviour = next;
 		},
+		announceLeaving() {
+			isLeaving = true;
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -7,6 +7,7 @@
 import type {Call, CallEnd} from './callers.ts';
 import {buildGateway, gatewayPorts, startGateways} from './gateways.ts';
 import type {Run} from './instances.ts';
+import {checkNotices, type NoticeRecords, type SaidNotice} from './notices.ts';
 import {drawSchedule} from './schedule.ts';
 import {
 	checkRecovery, checkLostAnswers, checkRuns, runSoak,
@@ -126,6 +127,49 @@
 		expect(checkLostAnswers(calls, [], new Set())).to.have.length(0);
 	});
 
+	const notice = (changes: Partial<SaidNotice> = {}): SaidNotice => ({
+		requestId: 'r1', instanceId: 'i-0-0', atMs: 15, isLeaving: true, isFinal: true, ...changes,
+	});
+	const sentAt = (sentAtMs: number, gateway = 'g'): Call => ({
+		...call(answered(200), 'read'), requestId: `r${sentAtMs}`, gateway, sentAtMs, endedAtMs: sentAtMs + 10,
+	});
+	const pause = notice({isLeaving: false, isFinal: false, pauseMs: 2000});
+	const noticeCases: ReadonlyArray<{readonly title: string; readonly notice: SaidNotice; readonly later: readonly Call[]; readonly applied?: NoticeRecords['applied']; readonly flaws: number}> = [
+		{
+			title: 'reports a request at an instance 2.5 s after an answer that says it leaves', notice: notice(), later: [sentAt(2500)], flaws: 1,
+		},
+		{
+			title: 'accepts a request at a leaving instance within two seconds', notice: notice(), later: [sentAt(1900)], flaws: 0,
+		},
+		{
+			title: 'accepts a request of another gateway at a leaving instance', notice: notice(), later: [sentAt(2500, 'other')], flaws: 0,
+		},
+		{
+			title: 'accepts a request at a leaving instance after a restart of the gateway', notice: notice(), later: [sentAt(2500)], applied: [{atMs: 1000, action: {type: 'signal', gateway: 0, signal: 'SIGKILL'}}], flaws: 0,
+		},
+		{
+			title: 'reports three requests in a pause', notice: pause, later: [sentAt(600), sentAt(900), sentAt(1500)], flaws: 1,
+		},
+		{
+			title: 'accepts two requests in a pause, and more just after its begin and after its end', notice: pause, later: [sentAt(100), sentAt(600), sentAt(900), sentAt(2100)], flaws: 0,
+		},
+		{
+			title: 'accepts requests in a pause whose answer the link kept from the gateway',
+			notice: pause,
+			later: [sentAt(600), sentAt(900), sentAt(1500)],
+			applied: [{atMs: 1, action: {type: 'instance-link', instance: 0, fault: {type: 'silence', direction: 'answers'}}}],
+			flaws: 0,
+		},
+	];
+	for (const {title, notice: said, later, applied = [], flaws} of noticeCases) {
+		it(title, () => {
+			const arrivals = later.map(({requestId, sentAtMs}) => ({requestId, instanceId: 'i-0-0', atMs: sentAtMs + 1}));
+			expect(checkNotices([call(answered(200)), ...later], {
+				arrivals, notices: [said], applied, addresses: ['g', 'other'],
+			})).to.have.length(flaws);
+		});
+	}
+
 	it('reports requests that are not served after the faults have ended', () => {
 		expect(checkRecovery([call(answered(503))], 5)).to.have.length(1);
 		expect(checkRecovery([call(answered(503))], 15)).to.have.length(0);
--- a/test/platform/soak/soak.ts
+++ b/test/platform/soak/soak.ts
@@ -9,6 +9,7 @@
 import {createCallers, type Call, type Callers} from './callers.ts';
 import {gatewayPorts, startGateways, type SoakGateways} from './gateways.ts';
 import {createSoakInstance, type Run, type SoakInstance} from './instances.ts';
+import {checkNotices, type AppliedAction, type NoticeRecords} from './notices.ts';
 import {createProxy, type Proxy} from './proxy.ts';
 import {
 	drawSchedule, type SoakAction, type SoakSize, type SoakStep,
@@ -40,6 +41,8 @@
 const backendPortOffset = 1000;
 const instancePort = 8000;
 const drainMs = 1500;
+/** The same for an instance that says in its answers only that it leaves: longer than gateways may take to heed them. */
+const unregisteredDrainMs = 3500;
 /** Time after which an acknowledged configuration is in force everywhere, while no fault is active. */
 const configApplyMs = 2000;
 /**
@@ -63,6 +66,7 @@
 	readonly callers: Callers;
 	readonly slots: InstanceSlot[];
 	readonly runs: Run[];
+	readonly records: NoticeRecords & {readonly applied: AppliedAction[]};
 	readonly startInstance: (index: number, generation: number) => Promise<SoakInstance>;
 	readonly register: (index: number, state: 'ready' | 'draining') => void;
 	version: number;
@@ -94,8 +98,13 @@
 const replace = async (context: SoakContext, index: number): Promise<void> => {
 	const slot = context.slots[index]!;
 	const {generation} = slot;
-	context.register(index, 'draining');
-	await delay(drainMs);
+	const isRegistered = (index + generation) % 2 === 0;
+	if (isRegistered) {
+		context.register(index, 'draining');
+	}
+
+	slot.instance.announceLeaving();
+	await delay(isRegistered ? drainMs : unregisteredDrainMs);
 	// A later replacement of the same instance has already happened.
 	if (slot.generation !== generation) {
 		return;
@@ -109,6 +118,7 @@
 };
 
 const applyAction = (context: SoakContext, action: SoakAction): void => {
+	context.records.applied.push({atMs: Date.now(), action});
 	const {
 		gateways, store, storeProxy, slots: instanceSlots, options,
 	} = context;
@@ -231,9 +241,12 @@
 	const store = await createSoakStore(storeAddress, gatewayPorts.store + backendPortOffset);
 	const storeProxy = await createProxy(storeAddress, gatewayPorts.store, gatewayPorts.store + backendPortOffset);
 	const runs: Run[] = [];
+	const records = {
+		arrivals: [], notices: [], applied: [], addresses,
+	};
 	const addressOf = (index: number): string => `${network}.${101 + index}`;
 	const startInstance = async (index: number, generation: number): Promise<SoakInstance> => createSoakInstance({
-		instanceId: instanceIdOf(index, generation), address: addressOf(index), port: instancePort + backendPortOffset, slots, random, runs,
+		instanceId: instanceIdOf(index, generation), address: addressOf(index), port: instancePort + backendPortOffset, slots, random, runs, arrivals: records.arrivals, notices: records.notices,
 	});
 	const instanceSlots: InstanceSlot[] = [];
 	for (let index = 0; index < instances; index++) {
@@ -263,7 +276,7 @@
 		file, addresses, dataCentreOf: number => dataCentres[number % dataCentres.length]!, storeAddress,
 	});
 	return {
-		options, store, storeProxy, gateways: gatewayProcesses, callers, slots: instanceSlots, runs, startInstance, register, version: 0, addresses,
+		options, store, storeProxy, gateways: gatewayProcesses, callers, slots: instanceSlots, runs, records, startInstance, register, version: 0, addresses,
 	};
 };
 
@@ -291,6 +304,7 @@
 		const flaws = [
 			...checkRuns(calls, runs),
 			...checkLostAnswers(calls, runs, killedAddressesOf(steps, addresses)),
+			...checkNotices(calls, context.records),
 			...checkRecovery(calls, calmFromMs),
 			...await checkConfig(context, addresses),
 			...gateways.unexpectedExits(),
