fix(gateway): a reader counts from the end of an outage also when it is shorter than the time between two watches may be

A reader that had failed for 1 to 1.5 s told others that it had read for longer, and they would have dropped instances whose registrations had just expired. The readers are created before the mesh, so that no message of a peer comes before them.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -205,6 +205,44 @@
 		}
 	};
 
+	const broadcastStoreState = (isReachable: boolean): void => {
+		for (const id of fleet.peerIds()) {
+			sendTo(id, {type: 'store', isReachable}, 'datagram');
+		}
+	};
+
+	const isReader = (): boolean => election.isReader(hostId, fleet.readerCandidates(), nowMs(), catalogueReady.hasWaiters());
+
+	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
+		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), false) : entries;
+		if (config !== undefined) {
+			configStaleness.recordRead();
+		}
+
+		sendCatalogueMessages(catalogueSync.applyStoreRead({
+			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf}),
+		}, nowMs()));
+		announceReady();
+	};
+
+	const onFailure = (failure: StoreFailure): void => {
+		election.markUnreachable(hostId, nowMs());
+		broadcastStoreState(false);
+		metrics.storeCalls.inc({topic: 'all', result: `handed over: ${failure}`});
+	};
+
+	const onReachable = (): void => {
+		election.markReachable(hostId);
+		broadcastStoreState(true);
+	};
+
+	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
+		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
+	});
+
+	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
+	const readers = [createReader('config', () => -1), instancesReader];
+
 	const receiveStoreState = (from: string, {isReachable, readingForMs}: Extract<MeshMessage, {type: 'store'}>): void => {
 		if (!isReachable) {
 			election.markUnreachable(from, nowMs());
@@ -283,44 +321,6 @@
 		logger,
 	});
 
-	const broadcastStoreState = (isReachable: boolean): void => {
-		for (const id of fleet.peerIds()) {
-			sendTo(id, {type: 'store', isReachable}, 'datagram');
-		}
-	};
-
-	const isReader = (): boolean => election.isReader(hostId, fleet.readerCandidates(), nowMs(), catalogueReady.hasWaiters());
-
-	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
-		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), false) : entries;
-		if (config !== undefined) {
-			configStaleness.recordRead();
-		}
-
-		sendCatalogueMessages(catalogueSync.applyStoreRead({
-			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf}),
-		}, nowMs()));
-		announceReady();
-	};
-
-	const onFailure = (failure: StoreFailure): void => {
-		election.markUnreachable(hostId, nowMs());
-		broadcastStoreState(false);
-		metrics.storeCalls.inc({topic: 'all', result: `handed over: ${failure}`});
-	};
-
-	const onReachable = (): void => {
-		election.markReachable(hostId);
-		broadcastStoreState(true);
-	};
-
-	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
-		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
-	});
-
-	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
-	const readers = [createReader('config', () => -1), instancesReader];
-
 	const log = createRequestLog(logger, nowMs);
 	const upstream = createUpstream({
 		nowMs,
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -99,6 +99,7 @@
 
 		logger.info('store regained', {topic, failedForMs: Math.round(lastSuccessMs - failingSinceMs)});
 		if (lastSuccessMs - failingSinceMs >= minLapsingOutageMs) {
+			readingSinceMs = nowMs();
 			recoveredAtMs = returnedAtMs();
 			lapsedEntries = [];
 		}
