--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -128,12 +128,17 @@
 		dispatchers.recordOutcome('s', false);
 		runMs(900);
 		expect(states).to.deep.equal([{
-			known: 1, avoided: 1, awaitingTrial: 0, rested: 0, isSpread: false, answered: 1, unserved: 1,
+			known: 1, avoided: 1, awaitingTrial: 0, rested: 0, paused: 0, isSpread: false, answered: 1, unserved: 1,
 		}]);
 		runMs(5000);
 		expect(states).to.have.length(1);
 		await place(dispatchers, clock.nowMs());
 		runMs(100);
 		expect(states.at(-1)).to.include({avoided: 0, awaitingTrial: 1});
+		dispatchers.pause('s', {
+			instanceId: 'i-1', bornAtMs: 1, address: '10.0.0.1', port: 80,
+		}, 5000);
+		runMs(1100);
+		expect(states.at(-1)).to.include({paused: 1});
 	});
 });
