--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -138,7 +138,9 @@
 		dispatchers.pause('s', {
 			instanceId: 'i-1', bornAtMs: 1, address: '10.0.0.1', port: 80,
 		}, 5000);
-		runMs(1100);
+		runMs(1000);
+		await place(dispatchers, clock.nowMs());
+		runMs(100);
 		expect(states.at(-1)).to.include({paused: 1});
 	});
 });
