refactor(test): one definition of the bounds for what instances say of themselves

The gateway test, the model of several gateways and the soak each wrote the same three bounds; they import them now.

--- a/packages/gateway/test/instance-notices.test.ts
+++ b/packages/gateway/test/instance-notices.test.ts
@@ -9,6 +9,7 @@
 } from '@egretwing/gateway';
 import {Ok} from 'ts-results-es';
 import {networkOf} from '../../../test/support/network.ts';
+import {drainMs, maxPausedArrivals, pauseGraceMs} from '../../../test/support/notice-bounds.ts';
 import {
 	sentAtHeader, startNoticingInstance, type NoticingInstance, type Treatment,
 } from './support/noticing-instance.ts';
@@ -20,12 +21,6 @@
 /** Below the ephemeral ports, which the system assigns to connections and to the instances of these tests. */
 const entryPort = 22_900;
 
-/** Time after the first answer that says so from which no new request may reach a leaving instance. */
-const drainMs = 2000;
-/** Time after a request for a pause from which it counts, and the number of requests that may still reach the instance. */
-const pauseGraceMs = 500;
-const maxPausedArrivals = 2;
-
 const pauseSeconds = 2;
 /** Time for which each service gets requests. */
 const loadMs = 5000;
--- a/packages/gateway/test/support/fleet-notices.ts
+++ b/packages/gateway/test/support/fleet-notices.ts
@@ -1,15 +1,9 @@
 /** Checks a replay against what instances said of themselves in their answers. */
 
+import {drainMs, maxPausedArrivals, pauseGraceMs} from '../../../../test/support/notice-bounds.ts';
 import type {FleetInstance} from './fleet-instances.ts';
 import type {InstanceLog} from './floor-windows.ts';
 
-/** Time after an answer that says that its instance leaves from which its gateway may send no new request. */
-const drainMs = 2000;
-
-/** Time after a request for a pause from which it counts, and the number of requests that may reach the instance in it. */
-const pauseGraceMs = 500;
-const maxPausedArrivals = 2;
-
 /** What an instance said of itself to a gateway. */
 export type SaidNotice = {
 	readonly instanceId: string;
--- a/test/platform/soak/notices.ts
+++ b/test/platform/soak/notices.ts
@@ -1,13 +1,9 @@
 /** Checks that gateways heed what instances say of themselves in their answers. */
 
+import {drainMs, maxPausedArrivals, pauseGraceMs} from '../../support/notice-bounds.ts';
 import type {Call} from './callers.ts';
 import type {SoakAction} from './schedule.ts';
 
-/** Time after an answer that says so from which a gateway may pass no new request to a leaving instance. */
-const drainMs = 2000;
-/** Time after a request for a pause from which it counts, and the number of requests that may reach the instance in it. */
-const pauseGraceMs = 500;
-const maxPausedArrivals = 2;
 /** Time for which a signal may still stop or restart a gateway. */
 const signalEffectMs = 4000;
 /** Time around a notice in which a fault of the link may have kept it from the gateway. */
