--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -63,6 +63,7 @@
 
 	/** Connections on which an answer was lost: they return nothing any more. */
 	const lostSockets = new WeakSet();
+	const watchedAtMs = new Map();
 	const server = http.createServer(async (request, response) => {
 		const {searchParams, pathname} = new URL(request.url, 'http://store');
 		const {socket} = request;
@@ -94,6 +95,7 @@
 			}
 
 			case '/kv-watch': {
+				watchedAtMs.set(socket.remoteAddress, run.nowMs());
 				reply(200, await watch(searchParams.get('prefix'), Number(searchParams.get('after')), Number(searchParams.get('wait_ms'))));
 				return;
 			}
@@ -118,6 +120,8 @@
 		port,
 		put: (key, value) => write(key, Buffer.from(JSON.stringify(value)).toString('base64')),
 		remove: key => write(key),
+		/** Addresses of the machines that have watched in the last `windowMs`. */
+		watchers: windowMs => [...watchedAtMs].filter(([, atMs]) => run.nowMs() - atMs < windowMs).map(([watcher]) => watcher),
 		/** While true, calls get no answer, and neither does a later call on their connections. */
 		setSilent(next) {
 			isSilent = next;
