--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,12 +5,12 @@
  */
 
 import {setTimeout as delay} from 'node:timers/promises';
-import {createClient} from '../lib/client.mjs';
-import {startGateways} from '../lib/gateways.mjs';
-import {startInstance} from '../lib/instance.mjs';
-import {createNetwork, findFreePort, runCase} from '../lib/run.mjs';
-import {startPeerProxy} from '../lib/peer-proxy.mjs';
-import {putConfig, startStore} from '../lib/store.mjs';
+import {createClient} from '../client.mjs';
+import {startGateways} from '../gateways.mjs';
+import {startInstance} from '../instance.mjs';
+import {createNetwork, findFreePort, runCase} from '../run.mjs';
+import {startPeerProxy} from '../peer-proxy.mjs';
+import {putConfig, startStore} from '../store.mjs';
 
 const contactMs = 3000;
 const configApplyMs = 2000;
--- a/review/lib/gateways.mjs
+++ b/review/gateways.mjs
@@ -12,7 +12,7 @@
 import {fileURLToPath} from 'node:url';
 import {findFreePort, waitFor} from './run.mjs';
 
-const root = fileURLToPath(new URL('../../', import.meta.url));
+const root = fileURLToPath(new URL('../', import.meta.url));
 const restartAfterMs = 300;
 const memoryCheckMs = 20;
 const bytesPerKilobyte = 1024;
