fix(node): a connection to a peer is replaced when it is two seconds old

Cause: a connection between peers is used in one direction. Its only time-out starts anew with each write, and writes into a silent connection succeed. The gateway that gets no answer to a pull replaces its own outgoing connection; the silent one is its peer's.

The new test of peer-streams, a connection that accepts data and delivers nothing, failed before ("expected 1 to be at least 2" connections after 3 s).

Why this works: whatever a connection does, the next message uses one that was opened at most 2 s ago, so that no connection that was open when they went silent is used once machines count as in touch again (3 s). The old one is half-closed and still sends what is queued: a second test shows that 8 MB reach a peer that reads nothing for 3 s (it passed before, and guards against a time-out that closes slow connections).

--- a/packages/node/src/peer-streams.ts
+++ b/packages/node/src/peer-streams.ts
@@ -8,7 +8,13 @@
 /** Time without traffic after which a connection is closed, in milliseconds. */
 const idleTimeoutMs = 15_000;
 
-/** Maximum number of bytes queued for a slow peer; further messages are dropped. */
+/**
+ * Age after which the next message opens a new connection: less than the time for which a change may be late after connections
+ * have gone silent. A connection is used in one direction, so that nothing that arrives on it shows that it still works.
+ */
+const maxConnectionAgeMs = 2000;
+
+/** Maximum number of bytes queued for a slow peer, on all connections to it; further messages are dropped. */
 const maxPendingBytes = 16_777_216;
 
 /** Pause after which a partial message counts as stalled: many round trips, less than two successive retransmission timeouts. */
@@ -37,6 +43,14 @@
 	readonly onMessage: (message: Buffer) => boolean;
 };
 
+/** The connections to one peer. */
+type OutgoingStreams = {
+	/** All open sockets, including replaced ones that still send queued data. */
+	readonly sockets: Set<net.Socket>;
+	/** The socket for the next message. */
+	current: {readonly socket: net.Socket; readonly openedAtMs: number} | undefined;
+};
+
 /** A connection opened by a peer. */
 type IncomingStream = {
 	/** True while a message is partly received and not stalled. */
@@ -58,9 +72,7 @@
 
 /** Starts listening for peers. */
 export const createPeerStreams = async (options: PeerStreamsOptions): Promise<PeerStreams> => {
-	const outgoing = new Map<string, net.Socket>();
-	/** All open outgoing sockets, including replaced ones that still send queued data. */
-	const outgoingSockets = new Set<net.Socket>();
+	const outgoing = new Map<string, OutgoingStreams>();
 	const incoming = new Map<net.Socket, IncomingStream>();
 
 	const prepare = (socket: net.Socket, onClose: () => void): void => {
@@ -82,37 +94,66 @@
 	});
 	await listen(server, options.peerPort, options.address);
 
-	const connect = ({address, peerPort}: PeerEndpoint, key: string): net.Socket => {
-		const socket = net.connect({host: address, port: peerPort, localAddress: options.address});
-		outgoing.set(key, socket);
-		outgoingSockets.add(socket);
+	const keyOf = ({address, peerPort}: PeerEndpoint): string => `${address}:${peerPort}`;
+
+	const streamsTo = (to: PeerEndpoint): OutgoingStreams => {
+		const streams = outgoing.get(keyOf(to)) ?? {sockets: new Set(), current: undefined};
+		outgoing.set(keyOf(to), streams);
+		return streams;
+	};
+
+	const connect = (to: PeerEndpoint, streams: OutgoingStreams): net.Socket => {
+		const socket = net.connect({host: to.address, port: to.peerPort, localAddress: options.address});
+		streams.current = {socket, openedAtMs: performance.now()};
+		streams.sockets.add(socket);
 		prepare(socket, () => {
-			outgoingSockets.delete(socket);
-			if (outgoing.get(key) === socket) {
-				outgoing.delete(key);
+			streams.sockets.delete(socket);
+			if (streams.current?.socket === socket) {
+				streams.current = undefined;
+			}
+
+			if (streams.sockets.size === 0) {
+				outgoing.delete(keyOf(to));
 			}
 		});
 		return socket;
 	};
 
-	const keyOf = ({address, peerPort}: PeerEndpoint): string => `${address}:${peerPort}`;
+	/** Closes the current connection once its queued data is sent, however slowly the peer reads. */
+	const replace = (streams: OutgoingStreams): void => {
+		streams.current?.socket.end();
+		streams.current = undefined;
+	};
+
+	const socketFor = (to: PeerEndpoint, streams: OutgoingStreams): net.Socket => {
+		const {current} = streams;
+		if (current !== undefined && performance.now() - current.openedAtMs < maxConnectionAgeMs) {
+			return current.socket;
+		}
+
+		replace(streams);
+		return connect(to, streams);
+	};
 
 	return {
 		send(to, message) {
-			const key = keyOf(to);
-			const socket = outgoing.get(key) ?? connect(to, key);
-			if (socket.writable && socket.writableLength < maxPendingBytes) {
+			const streams = streamsTo(to);
+			const socket = socketFor(to, streams);
+			const pendingBytes = [...streams.sockets].reduce((sum, {writableLength}) => sum + writableLength, 0);
+			if (socket.writable && pendingBytes < maxPendingBytes) {
 				socket.write(encodeFrame(message));
 			}
 		},
 		isReceivingFrom: ({address}) => [...incoming].some(([{remoteAddress}, {isReceiving}]) => remoteAddress === address && isReceiving()),
 		reconnect(to) {
-			outgoing.get(keyOf(to))?.end();
-			outgoing.delete(keyOf(to));
+			const streams = outgoing.get(keyOf(to));
+			if (streams !== undefined) {
+				replace(streams);
+			}
 		},
 		close() {
 			server.close();
-			for (const socket of [...outgoingSockets, ...incoming.keys()]) {
+			for (const socket of [...[...outgoing.values()].flatMap(({sockets}) => [...sockets]), ...incoming.keys()]) {
 				socket.destroy();
 			}
 		},
--- a/packages/node/test/peer-streams.test.ts
+++ b/packages/node/test/peer-streams.test.ts
@@ -14,6 +14,9 @@
 const pauseMs = 400;
 /** Larger than the socket buffers of a connection. */
 const largeBytes = 8_000_000;
+/** Time after which gateways are in touch again when connections have gone silent (`contact_ms`). */
+const contactMs = 3000;
+const sendIntervalMs = 200;
 
 type Endpoint = {readonly address: string; readonly peerPort: number};
 
@@ -103,3 +106,78 @@
 		expect(arrived.map((bytes, index) => bytes.equals(encodeFrame([large, small][index]!)))).to.deep.equal([true, true]);
 	});
 });
+
+/** A peer that accepts connections and reads nothing until it is told to. */
+const startPausedPeer = async () => {
+	const connections: net.Socket[] = [];
+	const parts = new Map<net.Socket, Buffer[]>();
+	const server = net.createServer({pauseOnConnect: true}, connection => {
+		connections.push(connection);
+		parts.set(connection, []);
+		connection.on('data', bytes => {
+			parts.get(connection)!.push(bytes);
+		});
+	});
+	server.listen(peerPort, peer.address);
+	await once(server, 'listening');
+	return {
+		server,
+		connections,
+		/** Reads what has been sent on a connection. */
+		async read(connection: net.Socket): Promise<Buffer> {
+			connection.resume();
+			await delay(pauseMs);
+			return Buffer.concat(parts.get(connection)!);
+		},
+		close() {
+			server.close();
+			for (const connection of connections) {
+				connection.destroy();
+			}
+		},
+	};
+};
+
+describe('streams to a peer whose connection accepts data and delivers nothing', () => {
+	let streams: PeerStreams;
+	let paused: Awaited<ReturnType<typeof startPausedPeer>>;
+
+	beforeEach(async () => {
+		paused = await startPausedPeer();
+		streams = await createPeerStreams({...own, onMessage: () => true});
+	});
+
+	afterEach(() => {
+		streams.close();
+		paused.close();
+	});
+
+	/** Sends the first message and, until gateways are in touch again, small ones at short intervals. */
+	const sendUntilInTouch = async (first: Buffer): Promise<void> => {
+		streams.send(peer, first);
+		await once(paused.server, 'connection');
+		for (const endsAtMs = performance.now() + contactMs; performance.now() < endsAtMs;) {
+			await delay(sendIntervalMs);
+			streams.send(peer, Buffer.alloc(10, 1));
+		}
+	};
+
+	it('use a new connection once gateways count as in touch again, though none was idle meanwhile', async () => {
+		// Guards against gateways that keep to an old configuration for good after connections between them went silent.
+		await sendUntilInTouch(Buffer.alloc(10, 1));
+		const last = Buffer.alloc(10, 2);
+		streams.send(peer, last);
+		await delay(deliveryMs);
+		expect(paused.connections.length).to.be.at.least(2);
+		const arrived = await paused.read(paused.connections.at(-1)!);
+		expect(arrived.includes(encodeFrame(last))).to.equal(true);
+	});
+
+	it('send a large message to its end, however long the peer takes to read it', async () => {
+		// Guards against a remedy for silent connections that closes the connection to a slow but living peer.
+		const large = Buffer.alloc(largeBytes, 2);
+		await sendUntilInTouch(large);
+		const arrived = await paused.read(paused.connections[0]!);
+		expect(arrived.subarray(0, encodeFrame(large).length).equals(encodeFrame(large))).to.equal(true);
+	});
+});
