fix(gateway): a gateway that hears nothing from the readers of the store reads it itself

The machines that went on ran requests by the old service and answered 404 for the added route until 3.0 to 3.1 s after the acknowledgement (2.0 s allowed).

Cause: readers are replaced when the membership has declared them dead, after a round of probes, the time of a probe and a suspicion of 2 s. Its verdict moves callers, so that it must not be wrong; the take-over of reading shared that time.

Why this works: the gateways together ping each reader some forty times a second, whatever their number. One that hears nothing from any reader for 0.4 s reads the store until it does. A wrong verdict costs a few calls, so nobody has to confirm it.

--- a/packages/core/src/catalogue-sync/constants.ts
+++ b/packages/core/src/catalogue-sync/constants.ts
@@ -30,7 +30,7 @@
 /** Number of store readers: two in different data centres, so that the loss of one causes no delay. */
 export const readerCount = 2;
 
-/** Time after which a gateway with waiting requests asks the store again that rejected it: requests wait for a second, and few gateways have waiting ones. */
+/** Time after which a gateway that reads without being elected asks the store again that rejected it: requests wait for a second, and few gateways do so. */
 export const awaitedRetryMs = 500;
 
 /** Time for which a member that can't reach the store is not elected as a reader. */
@@ -38,3 +38,18 @@
 
 /** Time after the start for members to discover each other before one elects itself as a reader. */
 export const electionWaitMs = 600;
+
+/** Number of pings a second that a reader gets from all gateways together, so that its loss is noticed within a few tens of milliseconds by one of them. */
+export const maxReaderPingsPerSecond = 40;
+
+/** Mean time between two pings of one gateway to the readers in a small fleet. */
+export const minReaderPingIntervalMs = 500;
+
+/** Time after which a ping that no reader has answered is repeated, since datagrams may be lost. */
+export const readerPingRepeatMs = 200;
+
+/**
+ * Time without an answer after which a gateway reads the store in the readers' place: with the time between pings, a first read and the
+ * distribution it is shorter than the time within which a change has to be in force.
+ */
+export const readerSilenceMs = 400;
--- a/packages/core/src/catalogue-sync/readers.ts
+++ b/packages/core/src/catalogue-sync/readers.ts
@@ -4,9 +4,10 @@
  * that peers ask for it.
  *
  * A member that the store rejects, or does not answer, reports this and is excluded for a while. A reader that shuts down
- * keeps reading until it leaves, and the others elect its successor as soon as they hear of the shutdown. A gateway without a
- * catalogue at which requests wait reads at once, and again after `awaitedRetryMs`: after a loss of all gateways no peer
- * could send it the catalogue sooner.
+ * keeps reading until it leaves, and the others elect its successor as soon as they hear of the shutdown. A gateway that needs
+ * to read although it is not elected does so at once, and again `awaitedRetryMs` after a failure: one without a catalogue at
+ * which requests wait, since after a loss of all gateways no peer could send it the catalogue sooner, and one that hears
+ * nothing from the readers.
  */
 
 import {rankByCapacity} from '../placement/capacity-ranking.ts';
@@ -30,10 +31,12 @@
 	readonly markUnreachable: (hostId: string, nowMs: number) => void;
 	readonly markReachable: (hostId: string) => void;
 	/**
-	 * True when `selfId` reads the store now; `isAwaited` is true while requests wait there for the catalogue. Members are
+	 * True when `selfId` reads the store now; `isNeeded` is true while it should read although others are elected. Members are
 	 * ranked again only when `members` is another array.
 	 */
-	readonly isReader: (selfId: string, members: readonly ReaderCandidate[], nowMs: number, isAwaited?: boolean) => boolean;
+	readonly isReader: (selfId: string, members: readonly ReaderCandidate[], nowMs: number, isNeeded?: boolean) => boolean;
+	/** Ids of the elected readers from the view of `selfId`; none until members have had time to discover each other. */
+	readonly readers: (selfId: string, members: readonly ReaderCandidate[], nowMs: number) => readonly string[];
 };
 
 /** Returns the readers, best first: the highest ranked member, then the highest ranked of another data centre. Capacity ranks first. */
@@ -90,6 +93,9 @@
 		return elected.readers;
 	};
 
+	const readers = (selfId: string, members: readonly ReaderCandidate[], nowMs: number): readonly string[] =>
+		nowMs - startedAtMs < electionWaitMs ? [] : electedFor(selfId, members, nowMs);
+
 	return {
 		markUnreachable(hostId, nowMs) {
 			unreachableAtMs.set(hostId, nowMs);
@@ -97,17 +103,14 @@
 		markReachable(hostId) {
 			unreachableAtMs.delete(hostId);
 		},
-		isReader(selfId, members, nowMs, isAwaited = false) {
+		isReader(selfId, members, nowMs, isNeeded = false) {
 			// Reports of unreachable members may be lost, so that each member may assume that another one is a reader.
-			if (isAwaited && sinceUnreachableMs(selfId, nowMs) >= awaitedRetryMs) {
+			if (isNeeded && sinceUnreachableMs(selfId, nowMs) >= awaitedRetryMs) {
 				return true;
 			}
 
-			if (nowMs - startedAtMs < electionWaitMs) {
-				return false;
-			}
-
-			return electedFor(selfId, members, nowMs).includes(selfId);
+			return readers(selfId, members, nowMs).includes(selfId);
 		},
+		readers,
 	};
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -75,9 +75,11 @@
 	DispatcherState, InstanceReport, DeferredDecision, RejectReason, RetryLimits, RetryWindow,
 } from './dispatch/index.ts';
 export type {Placement as DispatchPlacement} from './dispatch/index.ts';
-export {createReaderElection, createCatalogueSync, electionWaitMs} from './catalogue-sync/index.ts';
+export {
+	createReaderElection, createReaderWatch, createCatalogueSync, electionWaitMs,
+} from './catalogue-sync/index.ts';
 export type {
-	ReaderCandidate, ReaderElection, CatalogueSync, CatalogueChange, CatalogueMessage, CatalogueSend,
+	ReaderCandidate, ReaderElection, ReaderWatch, CatalogueSync, CatalogueChange, CatalogueMessage, CatalogueSend,
 } from './catalogue-sync/index.ts';
 export {gatewaysForCaller, placeCallers, toCallerGateways} from './placement/callers.ts';
 export type {CallerGateway} from './placement/callers.ts';
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -42,6 +42,8 @@
 	readonly setEntryState: (state: EntryState, entryIncarnation: number, nowMs: number) => readonly MemberSend[];
 	/** Announces that this agent shuts down. */
 	readonly leave: (nowMs: number) => readonly MemberSend[];
+	/** Pings a member outside the rounds of probes; no answer raises no suspicion. */
+	readonly ping: (hostId: string) => readonly MemberSend[];
 	readonly receive: (from: PeerAddress, message: MemberMessage, nowMs: number) => readonly MemberSend[];
 	/** Runs the timers; to be called every few tens of milliseconds. */
 	readonly tick: (nowMs: number) => readonly MemberSend[];
@@ -574,6 +576,14 @@
 			sendGossip(nowMs);
 			return flushOutbox();
 		},
+		ping(hostId) {
+			const member = table.get(hostId);
+			if (member !== undefined) {
+				sendPing(member.host, noProbe);
+			}
+
+			return flushOutbox();
+		},
 		receive(from, message, nowMs) {
 			detectPause(nowMs);
 			contacts.record(from.hostId, nowMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 	createPrefixRouteTable,
 	createRandom,
 	createReaderElection,
+	createReaderWatch,
 	createRetryWindow,
 	createCatalogueSync,
 	reconcileFullRead,
@@ -87,6 +88,7 @@
 		self, incarnation, random, nowMs: startedAtMs,
 	});
 	const election = createReaderElection(startedAtMs);
+	const readerWatch = createReaderWatch(random);
 	const knownHosts = new Map<string, EntryHost>();
 	const sentBytesByKind = new Map<string, number>();
 	const retryWindows = new Map<string, RetryWindow>();
@@ -211,7 +213,27 @@
 		}
 	};
 
-	const isReader = (): boolean => election.isReader(hostId, fleet.readerCandidates(), nowMs(), catalogueReady.hasWaiters());
+	const isReader = (): boolean =>
+		election.isReader(hostId, fleet.readerCandidates(), nowMs(), catalogueReady.hasWaiters() || readerWatch.isSilent());
+
+	/** Pings the readers of the store, which this gateway replaces while it hears from none of them. */
+	const watchReaders = (): void => {
+		const wasSilent = readerWatch.isSilent();
+		const readerIds = election.readers(hostId, fleet.readerCandidates(), nowMs());
+		const watchedIds = readerIds.includes(hostId) ? [] : readerIds;
+		for (const id of readerWatch.tick(watchedIds, fleet.hosts().size, nowMs())) {
+			sendMemberMessages(membership.ping(id));
+		}
+
+		if (readerWatch.isSilent() && !wasSilent) {
+			metrics.readerSilences.inc();
+			logger.warn('store readers silent', {readers: watchedIds});
+		}
+
+		if (wasSilent && !readerWatch.isSilent()) {
+			logger.info('store readers heard again', {readers: readerIds});
+		}
+	};
 
 	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
 		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), false) : entries;
@@ -262,6 +284,7 @@
 	};
 
 	const receive = (from: MeshPeer, message: MeshMessage): void => {
+		readerWatch.recordContact(from.hostId, nowMs());
 		switch (message.type) {
 			case 'member': {
 				sendMemberMessages(membership.receive(from, message.message, nowMs()));
@@ -455,6 +478,7 @@
 		}
 
 		announceReady();
+		watchReaders();
 		for (const reader of readers) {
 			reader.tick();
 		}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,8 @@
 	readonly connections: Counter;
 	readonly peerBytes: Counter<'kind'>;
 	readonly storeCalls: Counter<'topic' | 'result'>;
+	/** How often this gateway read the store because it heard from none of its readers. */
+	readonly readerSilences: Counter;
 	readonly requestDurationMs: Histogram<'service'>;
 	readonly waitDurationMs: Histogram<'service'>;
 	/** Time for which the answer to a request waited for the answers to earlier ones of its connection. */
@@ -64,6 +66,7 @@
 		storeCalls: new Counter({
 			name: 'egretwing_store_calls_total', help: 'Calls to the platform store by topic and result', labelNames: ['topic', 'result'], registers,
 		}),
+		readerSilences: new Counter({name: 'egretwing_reader_silences_total', help: 'Times that none of the store readers was heard from', registers}),
 		requestDurationMs: new Histogram({
 			name: 'egretwing_request_duration_ms', help: 'Time from request to final answer', labelNames: ['service'], buckets: durationBucketsMs, registers,
 		}),
--- a/test/platform/soak/store.ts
+++ b/test/platform/soak/store.ts
@@ -17,6 +17,8 @@
 	readonly remove: (key: string) => void;
 	/** While true, every call is rejected with status 503. */
 	readonly setBusy: (isBusy: boolean) => void;
+	/** Addresses that have called since the last question. */
+	readonly takeCallers: () => ReadonlySet<string>;
 	readonly close: () => void;
 };
 
@@ -28,6 +30,7 @@
 	const waiting = new Set<() => void>();
 	let revision = 1;
 	let isBusy = false;
+	let callers = new Set<string>();
 
 	const write = (key: string, value: string | undefined): void => {
 		revision++;
@@ -70,6 +73,7 @@
 	};
 
 	const server = http.createServer(async (request, response) => {
+		callers.add(request.socket.remoteAddress ?? '');
 		const url = new URL(request.url ?? '/', 'http://store');
 		const query = (name: string): string => url.searchParams.get(name) ?? '';
 		if (isBusy) {
@@ -107,6 +111,11 @@
 		setBusy(next) {
 			isBusy = next;
 		},
+		takeCallers() {
+			const taken = callers;
+			callers = new Set();
+			return taken;
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
