fix(gateway): removals after an outage of the store have one deadline, from its return

Cause: a removal within 2.5 s after a reader noticed the return may be an expired registration, and its instance was kept for 2 s from the receipt of that removal, the whole drain time. The return is noticed up to 1.75 s late, and later still where nothing changed, since the repeated call waited for a change.

Why this works: the reader sends with each removal for how long the instance may still be used, until 2.5 s after it noticed the return, so that the end does not move with the removal; noticed at most 1.75 s late, that is 4.25 s after the return, before the first drain time that counts ends at 5 s. Registrations are back two seconds after the return, before the deadline however early it was noticed. After a failure a reader asks without a wait.

--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -79,7 +79,7 @@
 
 			return entry.isLapsed === true && live !== undefined
 				? {
-					entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + lapsedRetentionMs,
+					entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + Math.min(entry.usableForMs ?? lapsedRetentionMs, lapsedRetentionMs),
 				}
 				: {entry, receivedAtMs: nowMs};
 		}
--- a/packages/core/src/catalogue/constants.ts
+++ b/packages/core/src/catalogue/constants.ts
@@ -1,6 +1,6 @@
 /** Retention times of the catalogue. */
 
-/** How long an instance is kept whose registration expired during an outage of the store, since it may register again. */
+/** Longest time for which an instance is kept whose registration expired during an outage of the store, since it may register again. */
 export const lapsedRetentionMs = 2000;
 
 /** How long the entry of a removed registration is kept, so that an older entry does not restore the instance. */
--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -76,6 +76,8 @@
 	readonly record: InstanceRecord | null;
 	/** True when the registration expired while the store was unavailable, so that the instance may register again. */
 	readonly isLapsed?: boolean;
+	/** How long the instance of a lapsed registration may still be used after its receipt, in milliseconds; `lapsedRetentionMs` at most, which is the default. */
+	readonly usableForMs?: number;
 };
 
 /** Identifies one run of an instance, since instances start again under the same id and addresses are reused by others. */
--- a/packages/core/test/catalogue.test.ts
+++ b/packages/core/test/catalogue.test.ts
@@ -111,15 +111,22 @@
 		expect(catalogue.digest()).to.deep.equal(digest);
 	});
 
-	it('drops a lapsed instance that has not registered again within 2 s', () => {
-		const catalogue = createCatalogue();
-		catalogue.mergeInstances([entry(5)], 5, 0);
-		catalogue.mergeInstances([{...entry(6, null), isLapsed: true}], 6, 1000);
-		catalogue.tick(2999);
-		expect(catalogue.ready('settle')).to.have.length(1);
-		catalogue.tick(3000);
-		expect(catalogue.ready('settle')).to.have.length(0);
-	});
+	const lapsedCases: ReadonlyArray<{readonly title: string; readonly usableForMs?: number; readonly usedForMs: number}> = [
+		{title: 'within 2 s', usedForMs: 2000},
+		{title: 'within the time that the reader gave', usableForMs: 1200, usedForMs: 1200},
+		{title: 'within 2 s where the reader gave a longer time', usableForMs: 2500, usedForMs: 2000},
+	];
+	for (const {title, usableForMs, usedForMs} of lapsedCases) {
+		it(`drops a lapsed instance that has not registered again ${title}`, () => {
+			const catalogue = createCatalogue();
+			catalogue.mergeInstances([entry(5)], 5, 0);
+			catalogue.mergeInstances([{...entry(6, null), isLapsed: true, ...(usableForMs !== undefined && {usableForMs})}], 6, 1000);
+			catalogue.tick(1000 + usedForMs - 1);
+			expect(catalogue.ready('settle')).to.have.length(1);
+			catalogue.tick(1000 + usedForMs);
+			expect(catalogue.ready('settle')).to.have.length(0);
+		});
+	}
 
 	it('never reverts to an older configuration', () => {
 		const catalogue = createCatalogue();
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -45,7 +45,7 @@
 	readonly stop: () => void;
 };
 
-const markLapsed = (entry: InstanceEntry): InstanceEntry => entry.record === null ? {...entry, isLapsed: true} : entry;
+const markLapsed = (entry: InstanceEntry, usableForMs: number): InstanceEntry => entry.record === null ? {...entry, isLapsed: true, usableForMs} : entry;
 
 /** Creates a reader that is idle until it is wanted. */
 export const createStoreReader = (options: StoreReaderOptions): StoreReader => {
@@ -136,7 +136,9 @@
 		}
 
 		lapsedEntries.push(...read.entries.filter(({record}) => record === null));
-		options.onRead(topic, {...read, entries: read.entries.map(entry => markLapsed(entry))}, isFull);
+		// One deadline for all: an instance that is removed late in the recovery must not be used longer than after a removal without an outage.
+		const usableForMs = recoveredAtMs + storeRecoveryMs - nowMs();
+		options.onRead(topic, {...read, entries: read.entries.map(entry => markLapsed(entry, usableForMs))}, isFull);
 	};
 
 	const callStore = async (): Promise<void> => {
@@ -145,7 +147,9 @@
 		const isResumed = topic === 'config' && nowMs() - lastSuccessMs >= maxWatchGapMs;
 		const isFull = needsFullRead || from === -1 || isResumed;
 		nextCallMs = nowMs() + (isFull ? 0 : watchIntervalMs);
-		const result = isFull ? await client.readAll(topic) : await client.watch(topic, from, watchWaitMs);
+		// After a failure the answer shows when the store is back, and must not wait for a change.
+		const waitMs = failingSinceMs === undefined ? watchWaitMs : 0;
+		const result = isFull ? await client.readAll(topic) : await client.watch(topic, from, waitMs);
 		metrics.storeCalls.inc({topic, result: result.isErr() ? result.error : 'ok'});
 		if (isStopped) {
 			return;
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -25,7 +25,7 @@
 		},
 	},
 	{
-		instanceId: 'i-2', revision: 5, record: null, isLapsed: true,
+		instanceId: 'i-2', revision: 5, record: null, isLapsed: true, usableForMs: 1200,
 	},
 ];
 
