fix(gateway): a reader that is elected in an outage of the store knows of it

The one whose first call succeeds has seen no failure of its own and took expired registrations for instances that are gone, until they were registered again.

Why this works: failures are reported with the time since the store last answered any reader, and the first success is reported already. Each gateway that does not read ends the outage with that report, so that whoever is elected has one deadline for removals. If the store failed one reader alone, the others say for how long they have read and the marks are taken back, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,6 +60,9 @@
 	readonly shutdown: () => Promise<void>;
 };
 
+/** What a reader says of the store. */
+type StoreState = Extract<MeshMessage, {type: 'store'}>;
+
 /** Dependencies that the program passes to the gateway. */
 export type GatewayDependencies = {
 	readonly store: StoreClient;
@@ -207,9 +210,9 @@
 		}
 	};
 
-	const broadcastStoreState = (isReachable: boolean): void => {
+	const broadcastStoreState = (state: Omit<StoreState, 'type'>): void => {
 		for (const id of fleet.peerIds()) {
-			sendTo(id, {type: 'store', isReachable}, 'datagram');
+			sendTo(id, {type: 'store', ...state}, 'datagram');
 		}
 	};
 
@@ -247,15 +250,15 @@
 		announceReady();
 	};
 
-	const onFailure = (failure: StoreFailure): void => {
+	const onFailure = (failure: StoreFailure, failingForMs: number): void => {
 		election.markUnreachable(hostId, nowMs());
-		broadcastStoreState(false);
+		broadcastStoreState({isReachable: false, failingForMs});
 		metrics.storeCalls.inc({topic: 'all', result: `handed over: ${failure}`});
 	};
 
 	const onReachable = (): void => {
 		election.markReachable(hostId);
-		broadcastStoreState(true);
+		broadcastStoreState({isReachable: true});
 	};
 
 	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
@@ -265,9 +268,10 @@
 	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
 	const readers = [createReader('config', () => -1), instancesReader];
 
-	const receiveStoreState = (from: string, {isReachable, readingForMs}: Extract<MeshMessage, {type: 'store'}>): void => {
+	const receiveStoreState = (from: string, {isReachable, failingForMs = 0, readingForMs}: StoreState): void => {
 		if (!isReachable) {
 			election.markUnreachable(from, nowMs());
+			instancesReader.observeOtherFailure(failingForMs);
 			return;
 		}
 
@@ -277,6 +281,8 @@
 			return;
 		}
 
+		instancesReader.observeOtherSuccess();
+
 		const ownReadingForMs = instancesReader.readingForMs();
 		if (ownReadingForMs !== undefined) {
 			sendTo(from, {type: 'store', isReachable: true, readingForMs: ownReadingForMs}, 'datagram');
--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -22,10 +22,10 @@
 		| {readonly type: 'join'; readonly host: EntryHost}
 		| {readonly type: 'hosts'; readonly hosts: readonly EntryHost[]}
 	/**
-	 * Whether the store answers the sender, which is one of its readers. A reader whom it answers again is told by the others for how
-	 * long it has answered them.
+	 * Whether the store answers the sender, which is one of its readers, and if not, since when it has answered no reader as far as
+	 * the sender knows. A reader whom it answers again is told by the others for how long it has answered them.
 	 */
-		| {readonly type: 'store'; readonly isReachable: boolean; readonly readingForMs?: number}
+		| {readonly type: 'store'; readonly isReachable: boolean; readonly failingForMs?: number; readonly readingForMs?: number}
 	/** An instance has told the sender that it leaves. */
 		| {readonly type: 'leaving'; readonly run: InstanceRun};
 
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -20,7 +20,8 @@
 	readonly isWanted: () => boolean;
 	readonly onRead: (topic: StoreTopic, read: StoreRead, isFull: boolean) => void;
 	readonly onReachable: () => void;
-	readonly onFailure: (failure: StoreFailure) => void;
+	/** `failingForMs` is the time since the store last answered a reader, as far as this one knows. */
+	readonly onFailure: (failure: StoreFailure, failingForMs: number) => void;
 };
 
 /** Dependencies of a reader. */
@@ -42,6 +43,10 @@
 	readonly readingForMs: () => number | undefined;
 	/** Records for how long another reader has read, so that a failure that concerned this one alone is not taken for an outage of the store. */
 	readonly observeOther: (readingForMs: number) => void;
+	/** Records a failure of another reader, in whose place this one may be elected before the store is back; `failingForMs` as in `onFailure`. */
+	readonly observeOtherFailure: (failingForMs: number) => void;
+	/** Records that the store answers another reader again. */
+	readonly observeOtherSuccess: () => void;
 	readonly stop: () => void;
 };
 
@@ -59,10 +64,13 @@
 	let lastSuccessMs = Number.NaN;
 	let readingSinceMs = Number.NaN;
 	let failingSinceMs: number | undefined;
+	/** The same from the reports of other readers, while this one does not read. */
+	let othersFailingSinceMs: number | undefined;
 	let recoveredAtMs = Number.NEGATIVE_INFINITY;
 	/** Entries that were marked as lapsed since `recoveredAtMs`, without the mark. */
 	let lapsedEntries: InstanceEntry[] = [];
 	let nextCallMs = 0;
+	let callBeganAtMs = 0;
 	let knownAsOf = -1;
 	/** When any reader last brought a change, and since when changes have come without a gap in which registrations may have expired. */
 	let changedAtMs = Number.NEGATIVE_INFINITY;
@@ -85,6 +93,26 @@
 	/** When the store returned after a failure here; earlier than now where other readers have read since. */
 	const returnedAtMs = (): number => nowMs() - changedAtMs < minLapsingOutageMs ? changingSinceMs : nowMs();
 
+	const isReading = (): boolean => nowMs() - lastSuccessMs < maxWatchGapMs;
+
+	/** When the store last answered, if it was being read when the present call began; the begin of the call otherwise. */
+	const lastAnsweredMs = (): number => callBeganAtMs - lastSuccessMs < maxWatchGapMs ? lastSuccessMs : callBeganAtMs;
+
+	const outageSinceMs = (): number | undefined => failingSinceMs ?? othersFailingSinceMs;
+
+	/** Returns whether registrations may have expired in the outage that ends now. */
+	const endOutage = (): boolean => {
+		const isLapsing = nowMs() - (outageSinceMs() ?? nowMs()) >= minLapsingOutageMs;
+		if (isLapsing) {
+			recoveredAtMs = returnedAtMs();
+			lapsedEntries = [];
+		}
+
+		failingSinceMs = undefined;
+		othersFailingSinceMs = undefined;
+		return isLapsing;
+	};
+
 	const isRecovering = (): boolean => nowMs() - recoveredAtMs < storeRecoveryMs;
 
 	const recordSuccess = (): void => {
@@ -93,18 +121,16 @@
 		}
 
 		lastSuccessMs = nowMs();
-		if (failingSinceMs === undefined) {
+		const sinceMs = outageSinceMs();
+		if (sinceMs === undefined) {
 			return;
 		}
 
-		logger.info('store regained', {topic, failedForMs: Math.round(lastSuccessMs - failingSinceMs)});
-		if (lastSuccessMs - failingSinceMs >= minLapsingOutageMs) {
+		logger.info('store regained', {topic, failedForMs: Math.round(nowMs() - sinceMs)});
+		if (endOutage()) {
 			readingSinceMs = nowMs();
-			recoveredAtMs = returnedAtMs();
-			lapsedEntries = [];
 		}
 
-		failingSinceMs = undefined;
 		options.onReachable();
 	};
 
@@ -117,11 +143,11 @@
 
 		nextCallMs = nowMs() + storeRetryMs;
 		if (failingSinceMs === undefined) {
-			failingSinceMs = Number.isNaN(lastSuccessMs) ? nowMs() : lastSuccessMs;
+			failingSinceMs = othersFailingSinceMs ?? lastAnsweredMs();
 			logger.warn('store lost', {topic, failure, asOf});
 		}
 
-		options.onFailure(failure);
+		options.onFailure(failure, nowMs() - failingSinceMs);
 	};
 
 	const applyRead = (read: StoreRead, isFull: boolean): void => {
@@ -148,7 +174,8 @@
 		const isFull = needsFullRead || from === -1 || isResumed;
 		nextCallMs = nowMs() + (isFull ? 0 : watchIntervalMs);
 		// After a failure the answer shows when the store is back, and must not wait for a change.
-		const waitMs = failingSinceMs === undefined ? watchWaitMs : 0;
+		const waitMs = outageSinceMs() === undefined ? watchWaitMs : 0;
+		callBeganAtMs = nowMs();
 		const result = isFull ? await client.readAll(topic) : await client.watch(topic, from, waitMs);
 		metrics.storeCalls.inc({topic, result: result.isErr() ? result.error : 'ok'});
 		if (isStopped) {
@@ -183,7 +210,7 @@
 				void run();
 			}
 		},
-		readingForMs: () => nowMs() - lastSuccessMs < maxWatchGapMs ? nowMs() - readingSinceMs : undefined,
+		readingForMs: () => isReading() ? nowMs() - readingSinceMs : undefined,
 		observeOther(readingForMs) {
 			if (!isRecovering()) {
 				return;
@@ -195,6 +222,16 @@
 				lapsedEntries = [];
 			}
 		},
+		observeOtherFailure(failingForMs) {
+			if (!isReading()) {
+				othersFailingSinceMs ??= nowMs() - failingForMs;
+			}
+		},
+		observeOtherSuccess() {
+			if (!isRunning) {
+				endOutage();
+			}
+		},
 		stop() {
 			isStopped = true;
 		},
--- a/packages/gateway/test/removals-after-outage.test.ts
+++ b/packages/gateway/test/removals-after-outage.test.ts
@@ -75,25 +75,36 @@
 	};
 };
 
-/** Plays readers of one gateway's catalogue; returns when each instance was last usable, and for how long none was after the first registration. */
-const play = async (returnedAtMs: number, changes: readonly Change[], wantedFromMs: readonly number[]) => {
+/** Time in which a reader is wanted. */
+type Wanted = {readonly fromMs: number; readonly untilMs?: number};
+
+/** Plays readers that tell each other of failures and share one catalogue; returns when each instance was last usable, and for how long none was after the first registration. */
+const play = async (returnedAtMs: number, changes: readonly Change[], wanted: readonly Wanted[]) => {
 	const clock = createManualClock(0);
 	const {nowMs} = clock;
 	const store = createSilentStore(nowMs, returnedAtMs, changes);
 	const catalogue = createCatalogue();
-	const readers = wantedFromMs.map((fromMs): StoreReader => createStoreReader({
+	const readers: readonly StoreReader[] = wanted.map(({fromMs, untilMs = Number.POSITIVE_INFINITY}, index) => createStoreReader({
 		topic: 'instances',
 		client: store.client,
 		nowMs,
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
-		isWanted: () => nowMs() >= fromMs,
+		isWanted: () => nowMs() >= fromMs && nowMs() < untilMs,
 		knownAsOf: () => catalogue.digest().instancesAsOf,
 		onRead(_topic, {entries, asOf}) {
 			catalogue.mergeInstances(entries, asOf, nowMs());
 		},
-		onReachable: () => undefined,
-		onFailure: () => undefined,
+		onReachable() {
+			for (const other of readers.toSpliced(index, 1)) {
+				other.observeOtherSuccess();
+			}
+		},
+		onFailure(_failure, failingForMs) {
+			for (const other of readers.toSpliced(index, 1)) {
+				other.observeOtherFailure(failingForMs);
+			}
+		},
 	}));
 	const lastUsableMs = new Map<string, number>();
 	let noneUsableMs = 0;
@@ -124,11 +135,15 @@
 describe('removals after an outage of the store', () => {
 	// The time from the begin of a call to the return of the store decides how late a reader notices it.
 	const outagesMs = [1200, 2000, 2300, 3100, 4500, 4900];
-	const readerCases: ReadonlyArray<readonly [title: string, wantedFromMs: (returnedAtMs: number) => readonly number[]]> = [
-		['one reader', () => [0]],
-		['a second reader that is elected in the outage', returnedAtMs => [0, returnedAtMs - 600]],
+	const readerCases: ReadonlyArray<readonly [title: string, wanted: (returnedAtMs: number) => readonly Wanted[]]> = [
+		['one reader', () => [{fromMs: 0}]],
+		['a second reader that is elected in the outage', returnedAtMs => [{fromMs: 0}, {fromMs: returnedAtMs - 600}]],
+		['a reader that takes over from one that failed, when the store is back', returnedAtMs => [{fromMs: 0, untilMs: returnedAtMs - 600}, {fromMs: returnedAtMs + 300}]],
+		['a reader that takes over from one that failed, and a third a second later', returnedAtMs => [
+			{fromMs: 0, untilMs: returnedAtMs - 600}, {fromMs: returnedAtMs + 300, untilMs: returnedAtMs + 1200}, {fromMs: returnedAtMs + 1300},
+		]],
 	];
-	for (const [title, wantedFromMs] of readerCases) {
+	for (const [title, wanted] of readerCases) {
 		it(`end the use of an instance within ${drainMs} ms once the store is stable: ${title}`, async function () {
 			// Guards against instances that leave after an outage and get requests beyond their drain time, since their removal is taken for an expired registration.
 			this.timeout(60_000);
@@ -136,7 +151,7 @@
 				const returnedAtMs = outageFromMs + outageMs;
 				const removals = [0, 60, 300, 600, 1200, 2000].map((afterMs, index) => change(returnedAtMs + stableAfterMs + afterMs, `${index + 1}`, 20 + index, true));
 				const registrations = removals.map(({entry: {instanceId}}, index) => change(0, instanceId, 10 + index, false));
-				const {lastUsableMs} = await play(returnedAtMs, [...registrations, ...removals], wantedFromMs(returnedAtMs));
+				const {lastUsableMs} = await play(returnedAtMs, [...registrations, ...removals], wanted(returnedAtMs));
 				const late = removals.map(({atMs, entry: {instanceId}}) => lastUsableMs.get(instanceId)! - atMs);
 				expect(Math.max(...late), `outage of ${outageMs} ms: used for ${late.join(', ')} ms`).to.be.at.most(drainMs);
 			}
@@ -148,7 +163,7 @@
 				const returnedAtMs = outageFromMs + outageMs;
 				const {noneUsableMs} = await play(returnedAtMs, [
 					change(0, '1', 10, false), change(returnedAtMs - 400, '1', 20, true), change(returnedAtMs + registeredAgainMs, '1', 30, false),
-				], wantedFromMs(returnedAtMs));
+				], wanted(returnedAtMs));
 				expect(noneUsableMs, `outage of ${outageMs} ms`).to.equal(0);
 			}
 		});
