fix(core): a store reader tells gateways of every data centre of a change

What callers would have seen: a change that comes late to one data centre. A reader sent each change to 8 random gateways of all, which left out one of three data centres in (2/3)^8, 4 of 100 changes of one reader; gateways forward a change within their data centre only, so that comparisons had to repair it.

Why this works: the peers are drawn from each data centre alike, at least 8 in all.

--- a/packages/core/src/catalogue-sync/constants.ts
+++ b/packages/core/src/catalogue-sync/constants.ts
@@ -3,7 +3,7 @@
 /** Number of peers of the own data centre that an update is forwarded to: gossip with a fan-out of four reaches a hundred hosts in four steps. */
 export const updateFanout = 4;
 
-/** Number of peers of any data centre that a store reader sends an update to: little traffic between data centres, and with two readers an update hardly ever misses a data centre. */
+/** Least number of peers, of all data centres alike, that a store reader sends an update to: little traffic between data centres. */
 export const readerFanout = 8;
 
 /** Time between two comparisons with a random peer: two fit into the time within which a change has to be in force. */
--- a/packages/core/src/catalogue-sync/reader-watch.ts
+++ b/packages/core/src/catalogue-sync/reader-watch.ts
@@ -29,7 +29,8 @@
 
 /** Creates the watch of a gateway. */
 export const createReaderWatch = (random: Random): ReaderWatch => {
-	let contactMsById: ReadonlyMap<string, number> = new Map();
+	const contactMsById = new Map<string, number>();
+	let watchedIds: readonly string[] = [];
 	let open: OpenPings | undefined;
 	let isSilent = false;
 	let nextPingMs: number | undefined;
@@ -37,11 +38,11 @@
 	const intervalMs = (memberCount: number): number =>
 		Math.max(minReaderPingIntervalMs, memberCount * 1000 / maxReaderPingsPerSecond) * (0.75 + (0.5 * random.next()));
 
-	const hasHeardSince = (sinceMs: number): boolean => [...contactMsById.values()].some(atMs => atMs >= sinceMs);
+	const hasHeardSince = (sinceMs: number): boolean => watchedIds.some(id => (contactMsById.get(id) ?? Number.NEGATIVE_INFINITY) >= sinceMs);
 
-	const ping = (readerIds: readonly string[], firstMs: number, nowMs: number): readonly string[] => {
+	const ping = (firstMs: number, nowMs: number): readonly string[] => {
 		open = {firstMs, lastMs: nowMs};
-		return readerIds;
+		return watchedIds;
 	};
 
 	const reset = (): void => {
@@ -51,12 +52,12 @@
 
 	return {
 		recordContact(hostId, nowMs) {
-			if (contactMsById.has(hostId)) {
-				contactMsById = new Map([...contactMsById, [hostId, nowMs]]);
+			if (watchedIds.includes(hostId)) {
+				contactMsById.set(hostId, nowMs);
 			}
 		},
 		tick(readerIds, memberCount, nowMs) {
-			contactMsById = new Map(readerIds.map(id => [id, contactMsById.get(id) ?? Number.NEGATIVE_INFINITY]));
+			watchedIds = readerIds;
 			if (readerIds.length === 0 || (open !== undefined && hasHeardSince(open.firstMs))) {
 				reset();
 			}
@@ -64,7 +65,7 @@
 			nextPingMs ??= nowMs + (intervalMs(memberCount) * random.next());
 			if (open !== undefined) {
 				isSilent ||= nowMs - open.firstMs >= readerSilenceMs;
-				return nowMs - open.lastMs < readerPingRepeatMs ? [] : ping(readerIds, open.firstMs, nowMs);
+				return nowMs - open.lastMs < readerPingRepeatMs ? [] : ping(open.firstMs, nowMs);
 			}
 
 			if (nowMs < nextPingMs) {
@@ -72,7 +73,7 @@
 			}
 
 			nextPingMs = nowMs + intervalMs(memberCount);
-			return ping(readerIds, nowMs, nowMs);
+			return ping(nowMs, nowMs);
 		},
 		isSilent: () => isSilent,
 	};
--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -1,11 +1,11 @@
 /**
  * Distributes the catalogue from the readers of the store to all gateways.
  *
- * Gossip: each gateway forwards an update that is new to it at once to a few random peers of its data centre. Regular
- * comparisons with a random peer (anti-entropy) repair losses. The work of one gateway does not grow with the number of
- * gateways, and complete catalogues are sent only to gateways that start, or whose state is not a recent one. Large
- * objects, a configuration or all instances, are announced and sent on request; a gateway pulls them from one peer at a
- * time.
+ * Gossip: a reader sends an update to a few random peers of each data centre, and each gateway forwards one that is new to
+ * it at once to a few random peers of its own. Regular comparisons with a random peer (anti-entropy) repair
+ * losses. The work of one gateway does not grow with the number of gateways, and complete catalogues are
+ * sent only to gateways that start, or whose state is not a recent one. Large objects, a configuration or all instances,
+ * are announced and sent on request; a gateway pulls them from one peer at a time.
  */
 
 import type {Catalogue} from '../catalogue/catalogue.ts';
@@ -27,6 +27,7 @@
 	readonly peerIds: () => readonly string[];
 	/** Those of `peerIds` in the own data centre. */
 	readonly localPeerIds: () => readonly string[];
+	readonly dataCentreOf: (peerId: string) => string;
 	/** True while a message of this peer is partly received and the rest is arriving. */
 	readonly isReceivingFrom: (peerId: string) => boolean;
 	/** Called when a configuration or instances came into force. */
@@ -79,7 +80,7 @@
 
 /** Creates the catalogue synchronisation of one gateway. */
 export const createCatalogueSync = ({
-	selfId, catalogue, random, peerIds, localPeerIds, isReceivingFrom, onChange,
+	selfId, catalogue, random, peerIds, localPeerIds, dataCentreOf, isReceivingFrom, onChange,
 }: CatalogueSyncOptions): CatalogueSync => {
 	const history = createInstanceHistory();
 	const unknownStates = new Map<string, UnknownState>();
@@ -105,6 +106,19 @@
 		];
 	};
 
+	/** Selects some random peers of each data centre, `readerFanout` in all or a few more. */
+	const selectReaderPeers = (): readonly string[] => {
+		const idsByDataCentre = new Map<string, string[]>();
+		for (const id of peerIds()) {
+			const ids = idsByDataCentre.get(dataCentreOf(id)) ?? [];
+			ids.push(id);
+			idsByDataCentre.set(dataCentreOf(id), ids);
+		}
+
+		const count = Math.ceil(readerFanout / idsByDataCentre.size);
+		return [...idsByDataCentre.values()].flatMap(ids => sampleItems(ids, count, random));
+	};
+
 	const hasAllInstances = (): boolean => catalogue.digest().instancesAsOf !== -1;
 
 	const recordState = (nowMs: number): void => {
@@ -317,7 +331,7 @@
 	};
 
 	return {
-		applyStoreRead: (read, nowMs) => announce(merge('store', read, nowMs), () => sampleItems(peerIds(), readerFanout, random)),
+		applyStoreRead: (read, nowMs) => announce(merge('store', read, nowMs), selectReaderPeers),
 		receive(from, message, nowMs) {
 			switch (message.type) {
 				case 'news': {
--- a/packages/core/test/catalogue-sync.test.ts
+++ b/packages/core/test/catalogue-sync.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {
-	createCatalogue, createRandom, createReaderElection, createCatalogueSync, type Catalogue, type FleetConfig, type InstanceEntry, type CatalogueSync, type CatalogueMessage, type CatalogueSend,
+	createCatalogue, createRandom, createReaderElection, createCatalogueSync,
+	type Catalogue, type FleetConfig, type InstanceEntry, type CatalogueSync, type CatalogueMessage, type CatalogueSend,
 } from '@egretwing/core';
 
 const delayMs = 2;
@@ -31,6 +32,7 @@
 	const ids = Array.from({length: size}, (_, index) => `g-${index}`);
 	const flight: Array<{readonly atMs: number; readonly from: string; readonly to: string; readonly message: CatalogueMessage}> = [];
 	const sent: CatalogueMessage[] = [];
+	const receivers: string[] = [];
 	let nowMs = 0;
 	const nodes = new Map<string, Node>(ids.map((id, index) => {
 		const catalogue = createCatalogue();
@@ -40,6 +42,7 @@
 			random: createRandom((seed * 1000) + index + 1),
 			peerIds: () => ids.filter(other => other !== id),
 			localPeerIds: () => ids.filter((other, place) => other !== id && place % 3 === index % 3),
+			dataCentreOf: peerId => `dc-${ids.indexOf(peerId) % 3}`,
 			isReceivingFrom: () => false,
 			onChange: () => undefined,
 		});
@@ -49,6 +52,7 @@
 	const post = (from: string, sends: readonly CatalogueSend[]): void => {
 		for (const send of sends) {
 			sent.push(send.message);
+			receivers.push(send.to);
 			if (!isLost(from, send)) {
 				flight.push({
 					atMs: nowMs + delayMs, from, to: send.to, message: send.message,
@@ -80,7 +84,7 @@
 	};
 
 	return {
-		nodes, sent, runUntil, read,
+		nodes, sent, receivers, runUntil, read,
 	};
 };
 
@@ -118,6 +122,18 @@
 		expect(Math.max(...behind), behind.join(' ')).to.be.at.most(126 * 0.03);
 	});
 
+	it('sends what a reader has read to each data centre with every seed', () => {
+		// Guards against changes that reach the gateways of a data centre late because a reader told none of them.
+		const missed = Array.from({length: 300}, (_, seed) => {
+			const fleet = createFleet(126, undefined, seed);
+			fleet.read('g-0', {entries: [], instancesAsOf: 1});
+			fleet.receivers.length = 0;
+			fleet.read('g-0', {config: config(2)});
+			return 3 - new Set(fleet.receivers.map(id => Number(id.slice(2)) % 3)).size;
+		});
+		expect(Math.max(...missed)).to.equal(0);
+	});
+
 	it('sends a configuration about once to each gateway', () => {
 		const fleet = createFleet(44);
 		fleet.read('g-0', {entries: [], instancesAsOf: 1});
@@ -211,7 +227,7 @@
 		const catalogue = createCatalogue();
 		const ids = ['g-1', 'g-2', 'g-3'];
 		const sync = createCatalogueSync({
-			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, isReceivingFrom: () => false, onChange: () => undefined,
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, dataCentreOf: () => 'a', isReceivingFrom: () => false, onChange: () => undefined,
 		});
 		const digest = {configVersion: 0, instances: 7, instancesAsOf: 7};
 		const asked = (sends: readonly CatalogueSend[]): readonly string[] => sends.filter(({message}) => message.type === 'pull').map(({to}) => to);
@@ -242,7 +258,7 @@
 		const catalogue = createCatalogue();
 		const ids = ['g-1', 'g-2'];
 		const sync = createCatalogueSync({
-			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, isReceivingFrom: () => false, onChange: () => undefined,
+			selfId: 'g-0', catalogue, random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, dataCentreOf: () => 'a', isReceivingFrom: () => false, onChange: () => undefined,
 		});
 		sync.tick(0);
 		sync.receive('g-1', {type: 'state', entries: [entry('i-1', 7)], instancesAsOf: 7}, 100);
@@ -461,7 +477,7 @@
 		it(`does not count it as unresponsive when ${title}`, () => {
 			const ids = ['g-1', 'g-2', 'g-3'];
 			const sync = createCatalogueSync({
-				selfId: 'g-0', catalogue: createCatalogue(), random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, isReceivingFrom: () => false, onChange: () => undefined,
+				selfId: 'g-0', catalogue: createCatalogue(), random: createRandom(1), peerIds: () => ids, localPeerIds: () => ids, dataCentreOf: () => 'a', isReceivingFrom: () => false, onChange: () => undefined,
 			});
 			prepare(sync);
 			sync.tick(850);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,6 +144,7 @@
 		random,
 		peerIds: fleet.peerIds,
 		localPeerIds: fleet.localPeerIds,
+		dataCentreOf: id => fleet.hosts().get(id)?.dataCentre ?? settings.dataCentre,
 		isReceivingFrom(id) {
 			const host = fleet.hosts().get(id);
 			return host !== undefined && mesh.isReceivingFrom(host);
--- a/packages/gateway/test/support/linked-fleet.ts
+++ b/packages/gateway/test/support/linked-fleet.ts
@@ -69,6 +69,7 @@
 			random: createRandom((seed * 1000) + index),
 			peerIds: () => ids.filter(other => other !== id),
 			localPeerIds: () => ids.filter((other, otherIndex) => other !== id && otherIndex % dataCentreCount === index % dataCentreCount),
+			dataCentreOf: peerId => `dc-${ids.indexOf(peerId) % dataCentreCount}`,
 			isReceivingFrom: peerId => hosts.get(id)!.receivingFrom.has(peerId),
 			onChange: () => undefined,
 		});
