fix(core): urgent changes reach all gateways in time when half of the fleet has just been lost

Cause: updates go to random peers, half of which had just lost power, and leave gateways out; the comparison that repairs this goes to one random peer each 0.7 s, and half of these are lost as well.

Why this works: those that have the change compare with two random peers on each tick for 1.5 s, which finds the others some nine times a second. No gateway is behind in any of the seeds.

--- a/packages/core/src/catalogue-sync/constants.ts
+++ b/packages/core/src/catalogue-sync/constants.ts
@@ -9,6 +9,15 @@
 /** Time between two comparisons with a random peer: two fit into the time within which a change has to be in force. */
 export const compareIntervalMs = 700;
 
+/**
+ * Time after an urgent change during which a gateway compares with `catchUpPeers` random peers on each tick: updates miss gateways when
+ * many peers are lost that nobody knows of yet, and regular comparisons find them too late.
+ */
+export const catchUpMs = 1500;
+
+/** Number of peers compared with on each tick after an urgent change. */
+export const catchUpPeers = 2;
+
 /** Time between two comparisons while the catalogue is incomplete. */
 export const initialCompareIntervalMs = 200;
 
--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -2,8 +2,8 @@
  * Distributes the catalogue from the readers of the store to all gateways.
  *
  * Gossip: a reader sends an update to a few random peers of each data centre, and each gateway forwards one that is new to
- * it at once to a few random peers of its own. Regular comparisons with a random peer (anti-entropy) repair
- * losses. The work of one gateway does not grow with the number of gateways, and complete catalogues are
+ * it at once to a few random peers of its own. Comparisons with a random peer (anti-entropy), more of them after an urgent
+ * change, repair losses. The work of one gateway does not grow with the number of gateways, and complete catalogues are
  * sent only to gateways that start, or whose state is not a recent one. Large objects, a configuration or all instances,
  * are announced and sent on request; a gateway pulls them from one peer at a time.
  */
@@ -12,7 +12,7 @@
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
 import {sampleItems, type Random} from '../random.ts';
 import {
-	compareIntervalMs, unknownStateDelayMs, initialCompareIntervalMs, updateFanout, updateDelayMs, readerFanout,
+	catchUpMs, catchUpPeers, compareIntervalMs, unknownStateDelayMs, initialCompareIntervalMs, updateFanout, updateDelayMs, readerFanout,
 } from './constants.ts';
 import {createInstanceHistory} from './history.ts';
 import {createSinglePull, type SinglePull} from './single-pull.ts';
@@ -87,6 +87,7 @@
 	/** True when recent changes were pulled and no peer has been in a known state since. */
 	let isDifferenceUnresolved = false;
 	let nextCompareMs = 0;
+	let catchingUpUntilMs = Number.NEGATIVE_INFINITY;
 	let unresponsivePeers: string[] = [];
 	const instancesPull = createSinglePull(isReceivingFrom);
 	const configPull = createSinglePull(isReceivingFrom);
@@ -137,6 +138,10 @@
 			return undefined;
 		}
 
+		if (isNewConfig || merged.some(({record}) => record?.state !== 'ready')) {
+			catchingUpUntilMs = nowMs + catchUpMs;
+		}
+
 		const change: CatalogueChange = {source, entries: merged, ...(isNewConfig && {config})};
 		onChange(change);
 		return {...change, isFirstComplete};
@@ -153,6 +158,8 @@
 		to, message: {type: 'compare', digest: catalogue.digest(), ...(isReply && {isReply})}, transport: 'datagram',
 	});
 
+	const compareWithRandomPeers = (count: number): readonly CatalogueSend[] => sampleItems(peerIds(), count, random).map(to => compareTo(to, false));
+
 	const announce = (change: MergedChange | undefined, receivers: () => readonly string[]): readonly CatalogueSend[] => {
 		if (change === undefined) {
 			return [];
@@ -365,12 +372,16 @@
 		tick(nowMs) {
 			recordState(nowMs);
 			const sends = [...advancePulls(nowMs), ...resolveUnknownStates(nowMs)];
+			if (nowMs < catchingUpUntilMs) {
+				return [...sends, ...compareWithRandomPeers(catchUpPeers)];
+			}
+
 			if (nowMs < nextCompareMs) {
 				return sends;
 			}
 
 			nextCompareMs = nowMs + ((catalogue.isComplete() ? compareIntervalMs : initialCompareIntervalMs) * (0.75 + (0.5 * random.next())));
-			return [...sends, ...sampleItems(peerIds(), 1, random).map(to => compareTo(to, false))];
+			return [...sends, ...compareWithRandomPeers(1)];
 		},
 		takeUnresponsivePeers() {
 			const peers = unresponsivePeers;
--- a/packages/core/test/catalogue-sync.test.ts
+++ b/packages/core/test/catalogue-sync.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {
-	createCatalogue, createRandom, createReaderElection, createCatalogueSync,
+	createCatalogue, createRandom, createReaderElection, createCatalogueSync, hashText,
 	type Catalogue, type FleetConfig, type InstanceEntry, type CatalogueSync, type CatalogueMessage, type CatalogueSend,
 } from '@egretwing/core';
 
@@ -134,6 +134,33 @@
 		expect(Math.max(...missed)).to.equal(0);
 	});
 
+	/** Time within which a change has to be in force (`config_apply_ms`, `drain_ms`), less half a second in which a reader reads it. */
+	const distributionMs = 1500;
+	const removed: InstanceEntry = {instanceId: 'i-2', revision: 6, record: null};
+	for (const [size, title, read] of [
+		[44, 'a configuration', {config: config(2)}],
+		[126, 'a configuration', {config: config(2)}],
+		[44, 'a removal', {entries: [removed], instancesAsOf: 6}],
+	] as const) {
+		it(`distributes ${title} to the rest of ${size} gateways within ${distributionMs} ms when half of them are lost with every seed`, function () {
+			// Guards against single gateways that keep to an old state because the peers that would tell them have just lost power.
+			this.timeout(60_000);
+			const behind = Array.from({length: seedCount * 4}, (_, seed) => {
+				let isHalfLost = false;
+				const isLost = (id: string): boolean => isHalfLost && id !== 'g-0' && hashText(`${id}/${seed}`) % 100 < 55;
+				const fleet = createFleet(size, (from, {to}) => isLost(from) || isLost(to), seed);
+				fleet.read('g-0', {config: config(1), entries: [entry('i-1', 5), entry('i-2', 5)], instancesAsOf: 5});
+				fleet.runUntil(6000);
+				isHalfLost = true;
+				fleet.read('g-0', read);
+				fleet.runUntil(6000 + distributionMs);
+				const {configVersion, instances} = fleet.nodes.get('g-0')!.catalogue.digest();
+				return [...fleet.nodes.values()].filter(({id, catalogue}) => !isLost(id) && (catalogue.digest().configVersion !== configVersion || catalogue.digest().instances !== instances)).length;
+			});
+			expect(Math.max(...behind), behind.join(' ')).to.equal(0);
+		});
+	}
+
 	it('sends a configuration about once to each gateway', () => {
 		const fleet = createFleet(44);
 		fleet.read('g-0', {entries: [], instancesAsOf: 1});
