fix(core): the catch-up after an urgent change begins when its updates have been sent

The catch-up began at once. Found by the whole run of the tests, not run for this file before: twelve versions of a configuration of 1,440 routes in 4 s at 126 gateways with links of 10 Mbit/s left 124 gateways behind from the sixth version on, 7.42 copies for each in place of one to two.

Cause: a comparison makes a peer that is behind ask the sender for the configuration. The few gateways that have it first were asked by all that they compared with, not by the four that updates go to, and the copies filled their links.

Now it begins 0.4 s after the last urgent change, in which updates reach most gateways, and ends 1.5 s after it as before.

--- a/packages/core/src/catalogue-sync/constants.ts
+++ b/packages/core/src/catalogue-sync/constants.ts
@@ -10,12 +10,18 @@
 export const compareIntervalMs = 700;
 
 /**
- * Time after an urgent change during which a gateway compares with `catchUpPeers` random peers on each tick: updates miss gateways when
- * many peers are lost that nobody knows of yet, and regular comparisons find them too late.
+ * Time from an urgent change to its catch-up, in which updates reach most gateways: comparisons made sooner would send the requests for a
+ * large configuration to the few gateways that have it already.
  */
-export const catchUpMs = 1500;
+export const catchUpDelayMs = 400;
 
-/** Number of peers compared with on each tick after an urgent change. */
+/**
+ * Duration of the catch-up, in which a gateway compares with `catchUpPeers` random peers on each tick: updates miss gateways when many
+ * peers are lost that nobody knows of yet, and regular comparisons find them too late.
+ */
+export const catchUpMs = 1100;
+
+/** Number of peers compared with on each tick of a catch-up. */
 export const catchUpPeers = 2;
 
 /** Time between two comparisons while the catalogue is incomplete. */
--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -12,7 +12,7 @@
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
 import {sampleItems, type Random} from '../random.ts';
 import {
-	catchUpMs, catchUpPeers, compareIntervalMs, unknownStateDelayMs, initialCompareIntervalMs, updateFanout, updateDelayMs, readerFanout,
+	catchUpDelayMs, catchUpMs, catchUpPeers, compareIntervalMs, unknownStateDelayMs, initialCompareIntervalMs, updateFanout, updateDelayMs, readerFanout,
 } from './constants.ts';
 import {createInstanceHistory} from './history.ts';
 import {createSinglePull, type SinglePull} from './single-pull.ts';
@@ -87,7 +87,8 @@
 	/** True when recent changes were pulled and no peer has been in a known state since. */
 	let isDifferenceUnresolved = false;
 	let nextCompareMs = 0;
-	let catchingUpUntilMs = Number.NEGATIVE_INFINITY;
+	/** When the last change that has to be in force in time arrived. */
+	let urgentChangeAtMs = Number.NEGATIVE_INFINITY;
 	let unresponsivePeers: string[] = [];
 	const instancesPull = createSinglePull(isReceivingFrom);
 	const configPull = createSinglePull(isReceivingFrom);
@@ -139,7 +140,7 @@
 		}
 
 		if (isNewConfig || merged.some(({record}) => record?.state !== 'ready')) {
-			catchingUpUntilMs = nowMs + catchUpMs;
+			urgentChangeAtMs = nowMs;
 		}
 
 		const change: CatalogueChange = {source, entries: merged, ...(isNewConfig && {config})};
@@ -372,7 +373,8 @@
 		tick(nowMs) {
 			recordState(nowMs);
 			const sends = [...advancePulls(nowMs), ...resolveUnknownStates(nowMs)];
-			if (nowMs < catchingUpUntilMs) {
+			const sinceUrgentMs = nowMs - urgentChangeAtMs;
+			if (sinceUrgentMs >= catchUpDelayMs && sinceUrgentMs < catchUpDelayMs + catchUpMs) {
 				return [...sends, ...compareWithRandomPeers(catchUpPeers)];
 			}
 
