feat(gateway): logs and metrics that tell the ends of processes apart

- gateway ended: the other gateways log and count the end of a process that could not say so itself, from the members' incarnations.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -15,6 +15,9 @@
 /** Time after its last request during which a gateway sends reports, and after its last placement during which it gets those of others. */
 export const reportingWindowMs = 5000;
 
+/** Time between two log lines on the state of the process. */
+export const processLogIntervalMs = 10_000;
+
 /** Time between two log lines on the state of a service that takes requests. */
 export const stateLogIntervalMs = 1000;
 
--- a/packages/gateway/src/fleet-view.ts
+++ b/packages/gateway/src/fleet-view.ts
@@ -1,7 +1,7 @@
 /** One gateway's view of the fleet: the members that are present, and those among them that callers are directed to. */
 
 import {
-	gatewaysForCaller, isPresent, placeCallers, toCallerGateways, type CallerGateway, type EntryHost, type Membership, type ReaderCandidate,
+	gatewaysForCaller, isPresent, placeCallers, toCallerGateways, type CallerGateway, type EntryHost, type Membership, type MemberView, type ReaderCandidate,
 } from '@egretwing/core';
 import type {Logger} from '@egretwing/node';
 import {locateKeepMs, reportingWindowMs, untrustedLocateKeepMs} from './constants.ts';
@@ -41,11 +41,13 @@
 	readonly nowMs: () => number;
 	readonly logger: Logger;
 	readonly onPresent: (count: number) => void;
+	/** Called with all members, those that have left or are dead included, when one of them has changed. */
+	readonly onMembers: (members: readonly MemberView[]) => void;
 };
 
 /** Creates a view without members. */
 export const createFleetView = ({
-	self, membership, membersPerNamed, nowMs, logger, onPresent,
+	self, membership, membersPerNamed, nowMs, logger, onPresent, onMembers,
 }: FleetViewOptions): FleetView => {
 	const placedAtMsById = new Map<string, number>();
 	let hosts: ReadonlyMap<string, EntryHost> = new Map();
@@ -61,6 +63,7 @@
 	const updatePlacement = (): void => {
 		appliedVersion = membership.version();
 		const members = membership.members();
+		onMembers(members);
 		const present = members.filter(member => isPresent(member));
 		hosts = new Map(present.map(({host}) => [host.hostId, host]));
 		readerCandidates = present.map(({host: {hostId, dataCentre, capacity}, entryState}) => ({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,11 +26,11 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {
-	createOperatorServer, createProcessClock, listen, handleClientError, trackCallerConnections, type Logger,
+	createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen, handleClientError, trackCallerConnections, type Logger, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
-	drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
+	drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, processLogIntervalMs, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
 } from './constants.ts';
 import {createDeliver} from './deliver.ts';
 import {createDispatchers} from './dispatchers.ts';
@@ -38,6 +38,7 @@
 import {createHeadLimit} from './head.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
+import {createPeerEndWatch} from './peer-ends.ts';
 import {createRequestLog} from './request-log.ts';
 import {createServe, isMissingHost, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
@@ -58,6 +59,8 @@
 	readonly setSeeds: (addresses: readonly string[]) => void;
 	/** Leaves the placement of callers, waits for requests in flight, answers those that are left and closes everything. */
 	readonly shutdown: () => Promise<void>;
+	/** Metrics of the process, which the program that runs the gateway counts. */
+	readonly processMetrics: ProcessMetrics;
 };
 
 /** What a reader says of the store. */
@@ -97,10 +100,13 @@
 	const retryWindows = new Map<string, RetryWindow>();
 	const configStaleness = createConfigStaleness();
 	const headLimit = createHeadLimit();
+	const peerEnds = createPeerEndWatch();
+	const tickLag = createLagMeter(tickIntervalMs);
 	let routes = createPrefixRouteTable([]);
 	let configOrigin: ConfigOrigin | undefined;
 	let seeds = settings.seedAddresses;
 	let nextCleanupMs = 0;
+	let nextProcessLogMs = startedAtMs + processLogIntervalMs;
 	let hasAnnouncedUp = false;
 	let shutdownPlan: ShutdownPlan | undefined;
 	let nextJoinMs = 0;
@@ -117,6 +123,12 @@
 		onPresent(count) {
 			metrics.members.set(count);
 		},
+		onMembers(members) {
+			for (const end of peerEnds.observe(members)) {
+				metrics.peerEnds.inc({how: end.how});
+				logger.info('gateway ended', {...end});
+			}
+		},
 	});
 
 	const sendTo = (id: string, message: MeshMessage, transport: 'datagram' | 'stream'): void => {
@@ -470,8 +482,19 @@
 		}
 	};
 
+	const countConnections = async (): Promise<number> => new Promise(resolve => {
+		server.getConnections((error, count) => {
+			resolve(error === null ? count : 0);
+		});
+	});
+
+	const logProcess = async (): Promise<void> => {
+		logger.info('process state', {...describeProcess(), maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections()});
+	};
+
 	const tick = (): void => {
 		const timeMs = nowMs();
+		tickLag.record(timeMs);
 		joinSeeds();
 		sendMemberMessages(membership.tick(timeMs));
 		fleet.refresh();
@@ -491,6 +514,11 @@
 		}
 
 		dispatchers.tick();
+		if (timeMs >= nextProcessLogMs) {
+			nextProcessLogMs = timeMs + processLogIntervalMs;
+			void logProcess();
+		}
+
 		if (timeMs >= nextCleanupMs) {
 			nextCleanupMs = timeMs + connectionCleanupIntervalMs;
 			upstream.retain(new Set(catalogue.entries().map(({instanceId}) => instanceId)));
@@ -525,12 +553,6 @@
 		address: settings.address, entryPort: settings.entryPort, peerPort, dataCentre: settings.dataCentre,
 	});
 
-	const countConnections = async (): Promise<number> => new Promise(resolve => {
-		server.getConnections((error, count) => {
-			resolve(error === null ? count : 0);
-		});
-	});
-
 	const shutdown = async (): Promise<void> => {
 		const beganAtMs = nowMs();
 		shutdownPlan = {beganAtMs, endsAtMs: beganAtMs + (settings.shutdownMs * drainEndShare)};
@@ -564,6 +586,7 @@
 
 	let shutdownPromise: Promise<void> | undefined;
 	return {
+		processMetrics: metrics.process,
 		locate: dataCentre => fleet.locate(dataCentre, shutdownPlan !== undefined),
 		isReady: () => hasAnnouncedUp && shutdownPlan === undefined,
 		setSeeds(addresses) {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the gateway. */
 
+import {createProcessMetrics, type ProcessMetrics} from '@egretwing/node';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -7,6 +8,9 @@
 /** Metrics and the registry that exposes them. */
 export type GatewayMetrics = {
 	readonly registry: Registry;
+	readonly process: ProcessMetrics;
+	/** Ends of other gateways' processes, by what this gateway saw of them. */
+	readonly peerEnds: Counter<'how'>;
 	/** Requests by service and final result: a status code, a kind of error, `caller-gone` or `not-read`. */
 	readonly requests: Counter<'service' | 'result'>;
 	readonly refusals: Counter<'kind' | 'reason'>;
@@ -41,6 +45,10 @@
 	const registers = [registry];
 	return {
 		registry,
+		process: createProcessMetrics(registry),
+		peerEnds: new Counter({
+			name: 'egretwing_peer_ends_total', help: 'Ends of processes of other gateways: announced, restarted without a word, or lost', labelNames: ['how'], registers,
+		}),
 		requests: new Counter({
 			name: 'egretwing_requests_total', help: 'Requests by service and result', labelNames: ['service', 'result'], registers,
 		}),
--- a/packages/node/src/shutdown.ts
+++ b/packages/node/src/shutdown.ts
@@ -3,12 +3,12 @@
 import process from 'node:process';
 
 /** Calls `handler` once, at the first SIGTERM or SIGINT. */
-export const onShutdownSignal = (handler: () => void): void => {
+export const onShutdownSignal = (handler: (signal: NodeJS.Signals) => void): void => {
 	let isCalled = false;
-	const callOnce = () => {
+	const callOnce = (signal: NodeJS.Signals) => {
 		if (!isCalled) {
 			isCalled = true;
-			handler();
+			handler(signal);
 		}
 	};
 
