test(platform): ends of the gateway's process, reproduced with real processes (known red)

Options of the deploy file, a stand-in of the platform that kills above 350 MB.

The soak starts gateways with the options of the deploy file, too.

--- /dev/null
+++ b/test/platform/process-ends.test.ts
@@ -0,0 +1,200 @@
+import {performance} from 'node:perf_hooks';
+import net from 'node:net';
+import dgram from 'node:dgram';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import {networkOf} from '../support/network.ts';
+import {
+	buildGateway, gatewayPorts, operatorPort, startGateways, type SoakGateways,
+} from './soak/gateways.ts';
+import {createSoakStore, type SoakStore} from './soak/store.ts';
+import {handlerDelayMs, idleProgram, median} from './support/signal-handlers.ts';
+
+const network = networkOf(215);
+const storeAddress = `${network}.100`;
+const address = `${network}.1`;
+
+const readyWithinMs = 4000;
+/** Memory of a machine, above which the platform kills a process. */
+const memoryMegabytes = 350;
+
+const configure = (store: SoakStore): void => {
+	store.put('op/config', {
+		version: '00000001',
+		routes: [{
+			name: 'uploads', host: 'ends.example', prefix: '/upload/', route_type: 'upload', timeout_ms: 3000, target_latency_ms: 1500, max_attempts: 2, priority: 1, service: 'vault',
+		}],
+		services: [{name: 'vault', health_check_path: '/health', max_connections: 400}],
+		limits: {
+			max_header_bytes: 16_384, max_body_bytes: 10_000_000, header_timeout_ms: 5000, idle_timeout_ms: 8000,
+		},
+	});
+};
+
+/** Sends bytes and resolves with what comes back until the other side closes, or until `waitMs` have passed. */
+const sendBytes = async (port: number, bytes: string, waitMs = 500): Promise<string> => new Promise(resolve => {
+	const socket = net.connect({host: address, port});
+	let text = '';
+	const end = (): void => {
+		socket.destroy();
+		resolve(text);
+	};
+
+	socket.setTimeout(waitMs, end);
+	socket.on('data', chunk => {
+		text += chunk.toString('latin1');
+	});
+	socket.once('error', end);
+	socket.once('close', end);
+	socket.once('connect', () => {
+		socket.write(bytes, 'latin1');
+	});
+});
+
+const statusOf = (answer: string): number => Number(/^HTTP\/1\.1 (\d{3})/v.exec(answer)?.[1] ?? 0);
+
+const isReady = async (): Promise<boolean> =>
+	statusOf(await sendBytes(gatewayPorts.ready, 'GET /readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')) === 200;
+
+const untilReady = async (): Promise<void> => {
+	const untilMs = performance.now() + readyWithinMs;
+	while (!await isReady()) {
+		if (performance.now() > untilMs) {
+			throw new Error(`not ready within ${readyWithinMs} ms`);
+		}
+
+		await delay(50);
+	}
+};
+
+/** Runs one gateway beside a store while `act` is in progress. */
+const withGateway = async (act: (gateways: SoakGateways) => Promise<void>): Promise<void> => {
+	const store = await createSoakStore(storeAddress, gatewayPorts.store);
+	configure(store);
+	const gateways = startGateways({
+		file: await buildGateway(), addresses: [address], dataCentreOf: () => 'dc-1', storeAddress, memoryMegabytes,
+	});
+	try {
+		await act(gateways);
+	} finally {
+		await gateways.stop();
+		store.close();
+	}
+};
+
+const headOf = (target: string): string => `GET ${target} HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n`;
+
+const oddRequests: ReadonlyArray<readonly [title: string, bytes: string]> = [
+	['a target of two slashes', headOf('//')],
+	['a target with an invalid authority', headOf('//[')],
+	['an absolute target without a host', headOf('http://')],
+	['a target with an invalid escape', headOf('/%zz?service=%zz&zone=%')],
+	['a target with a tab', headOf('/upload/x\ty')],
+	['the target of all resources', 'OPTIONS * HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n'],
+	['a tunnel', 'CONNECT //:x HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n'],
+	['an upgrade', 'GET // HTTP/1.1\r\nhost: ends.example\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n'],
+	['bytes that are no request', '\u0000\u0001\u0002\u00FF\u00FE\r\n\r\n'],
+];
+
+/** Occupies a port of the gateway's address, as a process that was killed may for a while. */
+const holdPort = async (kind: 'stream' | 'datagram', port: number): Promise<() => void> => {
+	if (kind === 'datagram') {
+		const socket = dgram.createSocket('udp4');
+		socket.bind(port, address);
+		await once(socket, 'listening');
+		return () => {
+			socket.close();
+		};
+	}
+
+	const server = net.createServer(socket => {
+		socket.destroy();
+	});
+	server.listen(port, address);
+	await once(server, 'listening');
+	return () => {
+		server.close();
+	};
+};
+
+describe('process of the gateway', function () {
+	this.timeout(60_000);
+
+	// Guards against one request line that ends the process, since code that parses it throws where nothing catches it.
+	for (const [name, port] of Object.entries({...gatewayPorts, operator: operatorPort}).filter(([other]) => other !== 'store' && other !== 'control')) {
+		it(`survives odd requests at its ${name} port`, async () => {
+			await withGateway(async gateways => {
+				await untilReady();
+				for (const [, bytes] of oddRequests) {
+					await sendBytes(port, bytes, 200);
+				}
+
+				await delay(200);
+				expect([gateways.unexpectedExits(), gateways.startCount(0), await isReady()]).to.deep.equal([[], 1, true]);
+			});
+		});
+	}
+
+	// Guards against SIGHUP, sent after a change of the settings, that ends a process which still loads its code.
+	it('handles SIGHUP about as soon as a program of Node.js can', async () => {
+		const file = await buildGateway();
+		const delaysMs: number[] = [];
+		const leastMs: number[] = [];
+		for (let sample = 0; sample < 7; sample++) {
+			delaysMs.push(await handlerDelayMs([file]));
+			leastMs.push(await handlerDelayMs(['-e', idleProgram]));
+		}
+
+		expect(median(delaysMs)).to.be.below(1.5 * median(leastMs));
+	});
+
+	// Guards against a process that ends, again and again, while another socket still holds one of its ports.
+	const held: ReadonlyArray<readonly [name: string, kind: 'stream' | 'datagram', port: number]> = [
+		['front', 'stream', gatewayPorts.front],
+		['readiness', 'stream', gatewayPorts.ready],
+		['lookup', 'stream', gatewayPorts.lookup],
+		['peer', 'stream', gatewayPorts.peer],
+		['peer', 'datagram', gatewayPorts.peer],
+		['operator', 'stream', operatorPort],
+	];
+	for (const [name, kind, port] of held) {
+		it(`waits for its ${name} port (${kind}) while another socket holds it`, async () => {
+			const release = await holdPort(kind, port);
+			await withGateway(async gateways => {
+				try {
+					await delay(1500);
+				} finally {
+					release();
+				}
+
+				await untilReady();
+				expect([gateways.unexpectedExits(), gateways.startCount(0)]).to.deep.equal([[], 1]);
+			});
+		});
+	}
+
+	// Guards against callers within the limit of one body that together take the memory of the machine.
+	it('stays within the memory of its machine while 40 callers upload 9.9 MB each and finish none', async () => {
+		const bodyBytes = 9_900_000;
+		await withGateway(async gateways => {
+			await untilReady();
+			const sockets = Array.from({length: 40}, () => {
+				const socket = net.connect({host: address, port: gatewayPorts.front});
+				socket.on('error', () => undefined);
+				socket.resume();
+				socket.write(`POST /upload/x HTTP/1.1\r\nhost: ends.example\r\ncontent-length: ${bodyBytes + 1}\r\n\r\n`);
+				socket.write(new Uint8Array(bodyBytes));
+				return socket;
+			});
+			await delay(4000);
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			expect([gateways.unexpectedExits(), gateways.startCount(0)]).to.deep.equal([[], 1]);
+			expect(gateways.peakMegabytes()).to.be.below(memoryMegabytes);
+		});
+	});
+});
+
--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -1,7 +1,9 @@
 /** Runs the gateway program as separate processes, to which faults are injected by signals only. */
 
 import {spawn, type ChildProcess} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -11,12 +13,33 @@
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
 const restartAfterMs = 300;
+const memoryCheckMs = 20;
+const bytesPerKilobyte = 1024;
+const bytesPerMegabyte = 1_048_576;
 
 /** Ports of a gateway; each gateway has its own address. */
 export const gatewayPorts = {
 	front: 7000, ready: 7001, lookup: 7002, peer: 7003, control: 7004, store: 7005,
 } as const;
 
+/** Port of the operators' interface, on the address of each gateway. */
+export const operatorPort = 9464;
+
+/** Options of Node.js in the deploy file. */
+const nodeArguments = (): readonly string[] => {
+	const command = /^run = "(?<command>[^"]+)"/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'))?.groups?.command ?? '';
+	return command.split(' ').filter(word => word.startsWith('--'));
+};
+
+/** Resident memory of a process; 0 once it has ended. */
+const residentBytes = (pid: number): number => {
+	try {
+		return Number(/^VmRSS:\s+(\d+)/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) * bytesPerKilobyte;
+	} catch {
+		return 0;
+	}
+};
+
 /** Builds the program as the platform runs it; returns the path of its file. */
 export const buildGateway = async (): Promise<string> => {
 	const outfile = path.join(root, 'target/soak/egretwing-gateway.cjs');
@@ -34,6 +57,8 @@
 	readonly pid: (number: number) => number | undefined;
 	/** Number of times that the gateway was started. */
 	readonly startCount: (number: number) => number;
+	/** Largest resident memory of a process so far, if `memoryMegabytes` is set. */
+	readonly peakMegabytes: () => number;
 	/** Exits that were not caused by a signal of the run. */
 	readonly unexpectedExits: () => readonly string[];
 	/** Output of the processes, in order. */
@@ -47,13 +72,15 @@
 	readonly addresses: readonly string[];
 	readonly dataCentreOf: (number: number) => string;
 	readonly storeAddress: string;
+	/** Memory above which a process is killed, as the platform does; its exit counts as unexpected. */
+	readonly memoryMegabytes?: number;
 };
 
 const maxLogLines = 200_000;
 
 /** Starts the gateways; one that exits is restarted, as the platform does. */
 export const startGateways = ({
-	file, addresses, dataCentreOf, storeAddress,
+	file, addresses, dataCentreOf, storeAddress, memoryMegabytes,
 }: SoakGatewaysOptions): SoakGateways => {
 	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-soak-'));
 	const children = new Map<number, ChildProcess>();
@@ -61,7 +88,9 @@
 	const signalled = new Set<ChildProcess>();
 	const unexpectedExits: string[] = [];
 	const logs: string[] = [];
+	const leadingArguments = nodeArguments();
 	let isStopping = false;
+	let peakBytes = 0;
 
 	const settingsOf = (number: number) => {
 		const address = addresses[number]!;
@@ -86,7 +115,7 @@
 	const start = (number: number): void => {
 		const settings = path.join(folder, `${number}.json`);
 		writeFileSync(settings, JSON.stringify(settingsOf(number)));
-		const child = spawn(process.execPath, [file], {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, [...leadingArguments, file], {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
 		children.set(number, child);
 		startCounts.set(number, (startCounts.get(number) ?? 0) + 1);
 		for (const stream of [child.stdout, child.stderr]) {
@@ -112,10 +141,21 @@
 		});
 	};
 
+	const checkMemory = (limitMegabytes: number): void => {
+		for (const child of children.values()) {
+			const usedBytes = child.exitCode === null && child.signalCode === null ? residentBytes(child.pid!) : 0;
+			peakBytes = Math.max(peakBytes, usedBytes);
+			if (usedBytes > limitMegabytes * bytesPerMegabyte) {
+				child.kill('SIGKILL');
+			}
+		}
+	};
+
 	for (const number of addresses.keys()) {
 		start(number);
 	}
 
+	const memoryTimer = memoryMegabytes === undefined ? undefined : setInterval(checkMemory, memoryCheckMs, memoryMegabytes);
 	return {
 		signal(number, signal) {
 			const child = children.get(number);
@@ -131,10 +171,12 @@
 		},
 		pid: number => children.get(number)?.pid,
 		startCount: number => startCounts.get(number) ?? 0,
+		peakMegabytes: () => Math.round(peakBytes / bytesPerMegabyte),
 		unexpectedExits: () => unexpectedExits,
 		logs: () => logs,
 		async stop() {
 			isStopping = true;
+			clearInterval(memoryTimer);
 			await Promise.all([...children.values()].map(async child => {
 				signalled.add(child);
 				await endProcess(child);
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -1,9 +1,9 @@
-import {readFileSync} from 'node:fs';
 import net from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createRandom} from '@egretwing/core';
+import {catchesHangup} from '../support/signal-handlers.ts';
 import type {Call, CallEnd} from './callers.ts';
 import {buildGateway, gatewayPorts, startGateways} from './gateways.ts';
 import type {Run} from './instances.ts';
@@ -34,12 +34,6 @@
 });
 const answered = (statusCode: number, flaw = ''): CallEnd => ({type: 'answered', statusCode, flaw});
 
-/** Whether a process handles SIGHUP, according to the mask of caught signals in Linux's /proc. */
-const catchesHangup = (pid: number): boolean => {
-	const mask = /^SigCgt:\s*([\da-f]+)$/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0';
-	return Number.parseInt(mask.at(-1)!, 16) % 2 === 1;
-};
-
 const isListening = async (host: string, port: number): Promise<boolean> => new Promise(resolve => {
 	const socket = net.connect({host, port});
 	socket.once('connect', () => {
