fix(platform): SIGHUP is handled before the program's code is read

Cause: the handler was the first module of a bundle of 790 KB, which Node.js reads and compiles before it runs the first line. What is left is the start of Node.js itself, in which no program can handle a signal, and which resets a disposition or mask that it inherits.

--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -8,7 +8,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import {build} from 'esbuild';
+import {bundleGateway} from '../../../scripts/lib/bundle.ts';
 import {endProcess} from '../../../scripts/lib/processes.ts';
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
@@ -41,13 +41,7 @@
 };
 
 /** Builds the program as the platform runs it; returns the path of its file. */
-export const buildGateway = async (): Promise<string> => {
-	const outfile = path.join(root, 'target/soak/egretwing-gateway.cjs');
-	await build({
-		entryPoints: [path.join(root, 'platform/main.ts')], bundle: true, platform: 'node', target: 'node20', conditions: ['source'], external: ['cbor-extract'], outfile, logLevel: 'warning',
-	});
-	return outfile;
-};
+export const buildGateway = async (): Promise<string> => bundleGateway(path.join(root, 'target/soak'));
 
 /** Running gateways by number. */
 export type SoakGateways = {
