fix(platform): a gateway waits for a port that another socket still holds

Cause: any failure to bind ended the process; a restart does not free the port. A mesh whose TCP port is held gives its UDP port back.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,7 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {
-	createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen, handleClientError, trackCallerConnections, type Logger, type ProcessMetrics,
+	createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen, handleClientError, openWhenFree, trackCallerConnections, type Logger, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
@@ -536,18 +536,17 @@
 			: undefined,
 	});
 
-	const openListeners = async () => {
-		try {
-			await listen(server, settings.entryPort, settings.address);
-			return await openOperator();
-		} catch (error) {
-			mesh.close();
-			server.close();
-			throw error;
-		}
-	};
+	try {
+		await listen(server, settings.entryPort, settings.address);
+	} catch (error) {
+		mesh.close();
+		server.close();
+		throw error;
+	}
 
-	const operator = await openListeners();
+	const operatorWait = new AbortController();
+	// Callers are served whether or not the metrics can be read.
+	const operator = openWhenFree(openOperator, {listener: 'operator', logger, signal: operatorWait.signal});
 	const tickTimer = setInterval(tick, tickIntervalMs);
 	logger.info('gateway listens', {
 		address: settings.address, entryPort: settings.entryPort, peerPort, dataCentre: settings.dataCentre,
@@ -579,7 +578,10 @@
 		await delay(tickIntervalMs);
 		clearInterval(tickTimer);
 		store.close();
-		operator.close();
+		operatorWait.abort();
+		void operator.then(opened => {
+			opened?.close();
+		});
 		mesh.close();
 		server.closeAllConnections();
 	};
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -61,7 +61,10 @@
 		logger.debug('datagram socket error', {reason: String(error)});
 	});
 	datagrams.on('message', receiveBytes);
-	const streams = await createPeerStreams({address, peerPort, onMessage: receiveBytes});
+	const streams = await createPeerStreams({address, peerPort, onMessage: receiveBytes}).catch((error: unknown) => {
+		datagrams.close();
+		throw error;
+	});
 	let isClosed = false;
 
 	return {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -18,6 +18,8 @@
 } from './http.ts';
 export {createOperatorServer} from './operator.ts';
 export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
+export {openWhenFree} from './ports.ts';
+export type {OpenWhenFreeOptions} from './ports.ts';
 export {onShutdownSignal} from './shutdown.ts';
 export {runDaemon} from './main.ts';
 export {isSelfDelimited, forwardedHeaders} from './headers.ts';
