--- a/test/platform/process-ends.test.ts
+++ b/test/platform/process-ends.test.ts
@@ -174,6 +174,33 @@
 		});
 	}
 
+	// Guards against settings that a starting process ignores, since they change after it has read them and before it heeds SIGHUP.
+	it('reloads settings that change while it waits for a port', async () => {
+		const release = await holdPort('stream', gatewayPorts.front);
+		await withGateway(async gateways => {
+			const hasLogged = async (text: string, withinMs: number): Promise<boolean> => {
+				for (const untilMs = performance.now() + withinMs; performance.now() < untilMs;) {
+					if (gateways.logs().join('').includes(text)) {
+						return true;
+					}
+
+					await delay(20);
+				}
+
+				return false;
+			};
+
+			try {
+				expect(await hasLogged('"message":"start"', 3000)).to.equal(true);
+				gateways.writeSeeds(0, [`${network}.2`]);
+				gateways.signal(0, 'SIGHUP');
+				expect(await hasLogged('"message":"settings reloaded"', 1000)).to.equal(true);
+			} finally {
+				release();
+			}
+		});
+	});
+
 	// Guards against callers within the limit of one body that together take the memory of the machine.
 	it('stays within the memory of its machine while 40 callers upload 9.9 MB each and finish none', async () => {
 		const bodyBytes = 9_900_000;
--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -47,6 +47,8 @@
 export type SoakGateways = {
 	/** Sends a signal to the current process of a gateway, if there is one. */
 	readonly signal: (number: number, signal: NodeJS.Signals) => void;
+	/** Replaces the seeds in the settings file of a gateway, as the platform does before SIGHUP. */
+	readonly writeSeeds: (number: number, seeds: readonly string[]) => void;
 	/** Id of the current process; undefined before the first start. */
 	readonly pid: (number: number) => number | undefined;
 	/** Number of times that the gateway was started. */
@@ -106,8 +108,10 @@
 		};
 	};
 
+	const settingsFile = (number: number): string => path.join(folder, `${number}.json`);
+
 	const start = (number: number): void => {
-		const settings = path.join(folder, `${number}.json`);
+		const settings = settingsFile(number);
 		writeFileSync(settings, JSON.stringify(settingsOf(number)));
 		const child = spawn(process.execPath, [...leadingArguments, file], {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
 		children.set(number, child);
@@ -163,6 +167,9 @@
 
 			child.kill(signal);
 		},
+		writeSeeds(number, seeds) {
+			writeFileSync(settingsFile(number), JSON.stringify({...settingsOf(number), seeds: seeds.map(seed => `${seed}:${gatewayPorts.control}`)}));
+		},
 		pid: number => children.get(number)?.pid,
 		startCount: number => startCounts.get(number) ?? 0,
 		peakMegabytes: () => Math.round(peakBytes / bytesPerMegabyte),
