fix(platform): a read of instances whose pages do not advance or do not end is given up

Cause: the client asked for the next page for as long as the store said that there was one. A store that repeats a page, or never ends, made a read that kept each page until the memory was used up, and the process would have been killed. 'refuses pages that do not advance' failed before (asked again until the store fell silent).

--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -166,6 +166,15 @@
 		close();
 	});
 
+	// Guards against a read that goes on for ever and takes more memory with each page.
+	it('refuses pages that do not advance', async () => {
+		const page = {statusCode: 200, body: {items: [item('i-1', 3)], truncated: true, as_of: 5}};
+		const {client, calls, close} = await startStore([page, page, page, page]);
+		const read = await client.readAll('instances');
+		expect([read.isErr() && read.error, calls.length]).to.deep.equal(['undecodable', 2]);
+		close();
+	});
+
 	it('applies removals, and refuses malformed entries, whose instances count as removed', async () => {
 		const {client, close} = await startStore([{
 			statusCode: 200,
