--- a/test/platform/process-ends.test.ts
+++ b/test/platform/process-ends.test.ts
@@ -201,6 +201,17 @@
 		});
 	});
 
+	// Guards against a process that ends since it was started while its settings were being written.
+	it('waits for settings that are written while it starts', async () => {
+		await withGateway(async gateways => {
+			const complete = gateways.cutSettings(0);
+			await delay(400);
+			complete();
+			await untilReady();
+			expect([gateways.unexpectedExits(), gateways.startCount(0)]).to.deep.equal([[], 1]);
+		});
+	});
+
 	// Guards against callers within the limit of one body that together take the memory of the machine.
 	it('stays within the memory of its machine while 40 callers upload 9.9 MB each and finish none', async () => {
 		const bodyBytes = 9_900_000;
--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -47,6 +47,8 @@
 export type SoakGateways = {
 	/** Sends a signal to the current process of a gateway, if there is one. */
 	readonly signal: (number: number, signal: NodeJS.Signals) => void;
+	/** Cuts the settings file of a gateway in half, as while the platform writes it; returns a function that makes it whole. */
+	readonly cutSettings: (number: number) => () => void;
 	/** Replaces the seeds in the settings file of a gateway, as the platform does before SIGHUP. */
 	readonly writeSeeds: (number: number, seeds: readonly string[]) => void;
 	/** Id of the current process; undefined before the first start. */
@@ -167,6 +169,13 @@
 
 			child.kill(signal);
 		},
+		cutSettings(number) {
+			const text = readFileSync(settingsFile(number), 'utf8');
+			writeFileSync(settingsFile(number), text.slice(0, text.length / 2));
+			return () => {
+				writeFileSync(settingsFile(number), text);
+			};
+		},
 		writeSeeds(number, seeds) {
 			writeFileSync(settingsFile(number), JSON.stringify({...settingsOf(number), seeds: seeds.map(seed => `${seed}:${gatewayPorts.control}`)}));
 		},
