fix(node): no request line at a small HTTP listener ends the process

Callers saw: one `GET //` at the directory's, the readiness or the operators' port ended the gateway with exit code 1. The agent's lookups held the same call.

Cause: `new URL` threw in the handlers of requests, where nothing caught it; an asynchronous handler that failed became an unhandled rejection. After `listen`, a listener had no handler of its own errors either, so that a connection that can't be accepted (ENFILE) would end the process.

Fix: one edge for these listeners, `createGuardedServer`. `listen` leaves a handler of errors on every listener.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -6,7 +6,7 @@
 	type ConfigRecord, type EntryHost, type EntryToAgent, type HostList,
 } from '@egretwing/core';
 import {
-	createLogger, createOperatorServer, createProcessClock, type Logger,
+	createErrorBarrier, createLogger, createOperatorServer, createProcessClock, type Logger,
 } from '@egretwing/node';
 import {createEntryLink, type EntryLink} from './entry-link.ts';
 import {createEntryMonitor} from './entry-monitor.ts';
@@ -213,7 +213,9 @@
 	}, logger);
 	const hostsFeed = followHosts(settings.hostListUrl, applyHostList, logger);
 
+	const errors = createErrorBarrier({logger, nowMs});
 	const locate = await createLocateServer({
+		errors,
 		address: settings.address,
 		port: settings.locatePort,
 		keepMs: settings.locateKeepMs,
@@ -227,6 +229,7 @@
 		address: settings.operatorAddress,
 		port: settings.operatorPort,
 		registry: metrics.registry,
+		errors,
 		handle: (_method, url) => url.pathname === '/v1/status'
 			? {
 				program: 'egretwing-agent',
--- a/packages/agent/src/locate.ts
+++ b/packages/agent/src/locate.ts
@@ -1,14 +1,16 @@
 /** Tells callers which entry hosts to use. */
 
-import http from 'node:http';
 import type {FleetMember, LocateAnswer, LocatedKey} from '@egretwing/core';
-import {listen, sendJson} from '@egretwing/node';
+import {
+	createGuardedServer, listen, sendJson, type ErrorBarrier, type GuardedHandler,
+} from '@egretwing/node';
 
 /** Address to listen on and sources of the responses. */
 export type LocateOptions = {
 	readonly address: string;
 	readonly port: number;
 	readonly keepMs: number;
+	readonly errors?: ErrorBarrier;
 	/** Issues a prefix of idempotency keys for `service`. */
 	readonly keyFor: (service: string) => LocatedKey | undefined;
 	/** Returns the entry hosts for `service`, in the order in which a caller should try them. */
@@ -32,8 +34,7 @@
 
 /** Serves `GET /v1/locate?service=NAME`; with `&dataCentre=NAME` the entries in that data centre come first. */
 export const createLocateServer = async (options: LocateOptions): Promise<LocateServer> => {
-	const server = http.createServer((request, response) => {
-		const url = new URL(request.url ?? '/', 'http://locate');
+	const handle: GuardedHandler = (url, _request, response) => {
 		if (url.pathname !== '/v1/locate') {
 			sendJson(response, 404, {error: `unknown path ${url.pathname}`});
 			return;
@@ -41,7 +42,9 @@
 
 		const answer = createAnswer(url.searchParams.get('service') ?? '', url.searchParams.get('dataCentre') ?? undefined, options);
 		sendJson(response, answer.entries.length === 0 ? 503 : 200, answer);
-	});
+	};
+
+	const server = createGuardedServer({place: 'locate', errors: options.errors, handle});
 	const port = await listen(server, options.port, options.address);
 	return {
 		port,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,7 @@
 	createAtMostOnceGate, createRandom, hashText, messageVersion,
 } from '@egretwing/core';
 import {
-	createLogger, createOperatorServer, createProcessClock, createSealer, listen, handleClientError,
+	createErrorBarrier, createLogger, createOperatorServer, createProcessClock, createSealer, listen, handleClientError,
 } from '@egretwing/node';
 import {createAdmission} from './admission.ts';
 import {createAdmissionMetrics} from './admission-metrics.ts';
@@ -107,6 +107,7 @@
 		address: settings.operatorAddress,
 		port: settings.operatorPort,
 		registry: metrics.registry,
+		errors: createErrorBarrier({logger, nowMs: clock.nowMs}),
 		handle: createEntryOperator({
 			hostId,
 			incarnation,
--- a/packages/entry/src/key-prefix.ts
+++ b/packages/entry/src/key-prefix.ts
@@ -2,7 +2,7 @@
 
 import type http from 'node:http';
 import {createRefusal, type Clock, type AtMostOnceGate} from '@egretwing/core';
-import {sendJson, refuse} from '@egretwing/node';
+import {parseTarget, refuse, sendJson} from '@egretwing/node';
 import {keyPrefixPath} from './constants.ts';
 import type {FleetView} from './fleet-view.ts';
 
@@ -22,7 +22,12 @@
 		return false;
 	}
 
-	const url = new URL(target, 'http://entry');
+	const url = parseTarget(target);
+	if (url === undefined) {
+		refuse(response, createRefusal('malformed-request'));
+		return true;
+	}
+
 	const service = view.service(url.searchParams.get('service') ?? '');
 	if (service) {
 		sendJson(response, 200, gate.issue(service.keyLifetimeMs, clock.nowMs()));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,7 +26,8 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {
-	createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen, handleClientError, openWhenFree, trackCallerConnections, type Logger, type ProcessMetrics,
+	createErrorBarrier, createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen,
+	handleClientError, openWhenFree, trackCallerConnections, type ErrorBarrier, type Logger, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
@@ -61,6 +62,8 @@
 	readonly shutdown: () => Promise<void>;
 	/** Metrics of the process, which the program that runs the gateway counts. */
 	readonly processMetrics: ProcessMetrics;
+	/** Where errors go that no code expected. */
+	readonly errors: ErrorBarrier;
 };
 
 /** What a reader says of the store. */
@@ -89,6 +92,7 @@
 	const random = createRandom(hashText(`${hostId}/${incarnation}`));
 	const self = createSelfHost(settings);
 	const metrics = createGatewayMetrics();
+	const errors = createErrorBarrier({logger, nowMs, unexpectedErrors: metrics.process.unexpectedErrors});
 	const catalogue = createCatalogue();
 	const membership = createMembership({
 		self, incarnation, random, nowMs: startedAtMs,
@@ -529,6 +533,7 @@
 		address: settings.address,
 		port: settings.operatorPort,
 		registry: metrics.registry,
+		errors,
 		handle: (_method, url) => url.pathname === '/v1/status'
 			? {
 				program: 'egretwing-gateway', hostId, ready: hasAnnouncedUp && shutdownPlan === undefined, digest: catalogue.digest(), members: membership.members(), services: dispatchers.snapshots(),
@@ -589,6 +594,7 @@
 	let shutdownPromise: Promise<void> | undefined;
 	return {
 		processMetrics: metrics.process,
+		errors,
 		locate: dataCentre => fleet.locate(dataCentre, shutdownPlan !== undefined),
 		isReady: () => hasAnnouncedUp && shutdownPlan === undefined,
 		setSeeds(addresses) {
--- a/packages/node/src/http.ts
+++ b/packages/node/src/http.ts
@@ -22,6 +22,8 @@
 	server.once('error', reject);
 	server.listen(port, address, () => {
 		server.off('error', reject);
+		// A connection that can't be accepted, for want of descriptors, is an error of the listener, which would end the process.
+		server.on('error', () => undefined);
 		resolve((server.address() as AddressInfo).port);
 	});
 });
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,6 +16,10 @@
 export {
 	listen, maxInformationalResponses, readJson, sendJson,
 } from './http.ts';
+export {createErrorBarrier} from './error-barrier.ts';
+export type {ErrorBarrier, ErrorBarrierOptions} from './error-barrier.ts';
+export {createGuardedServer, parseTarget} from './guarded-server.ts';
+export type {GuardedHandler, GuardedServerOptions} from './guarded-server.ts';
 export {createOperatorServer} from './operator.ts';
 export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
 export {openWhenFree} from './ports.ts';
--- a/packages/node/src/operator.ts
+++ b/packages/node/src/operator.ts
@@ -1,7 +1,9 @@
 /** The operators' interface of a daemon: metrics, status and commands over HTTP. */
 
-import http from 'node:http';
+import type http from 'node:http';
 import type {Registry} from 'prom-client';
+import type {ErrorBarrier} from './error-barrier.ts';
+import {createGuardedServer} from './guarded-server.ts';
 import {listen, sendJson} from './http.ts';
 
 /** Returns the JSON body of the response to a request of an operator, or `undefined` if the path is unknown. */
@@ -20,12 +22,12 @@
 	readonly port: number;
 	readonly registry: Registry;
 	readonly handle: OperatorHandler;
+	readonly errors?: ErrorBarrier;
 };
 
 /** Starts the interface: `/metrics` returns the Prometheus text format, `handle` serves all other paths. */
 export const createOperatorServer = async (options: OperatorOptions): Promise<OperatorServer> => {
-	const server = http.createServer(async (request, response) => {
-		const url = new URL(request.url ?? '/', 'http://operator');
+	const handle = async (url: URL, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		if (url.pathname === '/metrics') {
 			response.setHeader('content-type', options.registry.contentType);
 			response.end(await options.registry.metrics());
@@ -39,7 +41,9 @@
 		}
 
 		sendJson(response, 200, body);
-	});
+	};
+
+	const server = createGuardedServer({place: 'operator', errors: options.errors, handle});
 	const port = await listen(server, options.port, options.address);
 	return {
 		port,
--- a/packages/standin/src/http.ts
+++ b/packages/standin/src/http.ts
@@ -3,13 +3,13 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {sendJson} from '@egretwing/node';
+import {parseTarget, sendJson} from '@egretwing/node';
 
 /** Maximum body size of an operator's command. */
 export const maxCommandBytes = 67_108_864;
 
-/** Path and query of a request; the host part is a placeholder. */
-export const requestUrl = (request: IncomingMessage): URL => new URL(request.url ?? '/', 'http://standin');
+/** Path and query of a request; the host part is a placeholder. A target that is none counts as `/`. */
+export const requestUrl = (request: IncomingMessage): URL => parseTarget(request.url) ?? new URL('http://host/');
 
 export const sleep = async (durationMs: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, durationMs);
