fix(platform): an error that nothing caught does not end the gateway

The edges of the listeners catch what is foreseen; this is for the rest. The error is logged with its stack, age and memory, and counted by where it arose. What is in doubt then is the work in which it arose: its connection, its timer's turn.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 } from '@egretwing/core';
 import {
 	createErrorBarrier, createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen,
-	handleClientError, openWhenFree, trackCallerConnections, type ErrorBarrier, type Logger, type ProcessMetrics,
+	handleClientError, openWhenFree, trackCallerConnections, type ErrorBarrier, type Logger, type OperatorServer, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
@@ -549,9 +549,12 @@
 		throw error;
 	}
 
+	let operator: OperatorServer | undefined;
 	const operatorWait = new AbortController();
 	// Callers are served whether or not the metrics can be read.
-	const operator = openWhenFree(openOperator, {listener: 'operator', logger, signal: operatorWait.signal});
+	errors.run('operator', async () => {
+		operator = await openWhenFree(openOperator, {listener: 'operator', logger, signal: operatorWait.signal});
+	});
 	const tickTimer = setInterval(tick, tickIntervalMs);
 	logger.info('gateway listens', {
 		address: settings.address, entryPort: settings.entryPort, peerPort, dataCentre: settings.dataCentre,
@@ -584,9 +587,7 @@
 		clearInterval(tickTimer);
 		store.close();
 		operatorWait.abort();
-		void operator.then(opened => {
-			opened?.close();
-		});
+		operator?.close();
 		mesh.close();
 		server.closeAllConnections();
 	};
--- a/packages/node/src/error-barrier.ts
+++ b/packages/node/src/error-barrier.ts
@@ -1,6 +1,6 @@
 /** Keeps an error that no code expected from leaving the work in which it arose, since it would end the process. */
 
-import type {ProcessMetrics} from './process-report.ts';
+import {describeProcess, type ProcessMetrics} from './process-report.ts';
 import type {Logger} from './logger.ts';
 
 /** Time between two log lines of one place, in milliseconds; errors in between are counted. */
@@ -39,7 +39,9 @@
 			return;
 		}
 
-		logger.error('unexpected error', {place, error: error instanceof Error ? error.stack : String(error), unlogged: state.unlogged});
+		logger.error('unexpected error', {
+			place, error: error instanceof Error ? error.stack : String(error), unlogged: state.unlogged, ...describeProcess(),
+		});
 		state.lastLineMs = nowMs();
 		state.unlogged = 0;
 	};
