fix(gateway): bound the bodies of all requests in sum by the memory of the machine

Callers saw connections closed without an answer: some uploads at the same time, each within the limit of one body, took the gateway over the memory of its machine, and the platform killed it with every request in progress.

Cause: only the size of one body was limited, and a whole body was joined, which took its size twice.

A body that does not fit is refused at once (503 `overloaded`, not run, reason `memory`) and gives its bytes back; what still comes is discarded. A fifth of the budget is for requests of up to 64 KiB. The pieces of a body are sent as they came. The bytes count until the answer is taken.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,9 +30,11 @@
 export type {AgentToEntry, EntryToAgent, FleetMember} from './messages/types.ts';
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
-export {createServiceAdmission, createRetryBudget, decideRetry} from './load/index.ts';
+export {
+	createMemoryBudget, createServiceAdmission, createRetryBudget, decideRetry, memoryLimitBytes,
+} from './load/index.ts';
 export type {
-	AdmissionDecision, AttemptEnd, Candidate, Dispatch, FailedAttempt, LoadRefusalKind, LoadRequest, LoadSettings, LoadSnapshot, Permit,
+	AdmissionDecision, AttemptEnd, Candidate, Dispatch, FailedAttempt, LoadRefusalKind, LoadRequest, LoadSettings, LoadSnapshot, MemoryBudget, MemoryLease, Permit,
 	Placement, RetryBudget, RetryDecision, RetryRefusal, ServiceAdmission, ServiceAdmissionDependencies,
 } from './load/index.ts';
 export {createCrashHistory, createFingerprint} from './crash/index.ts';
--- /dev/null
+++ b/packages/core/src/load/memory-budget.ts
@@ -0,0 +1,86 @@
+/**
+ * Bounds the bytes that a process holds for its callers, over all requests: bodies until they are answered, and answers until
+ * they are taken.
+ *
+ * Load pattern: many callers upload large bodies at the same time, each within the limit of one body, and finish none; callers
+ * with small requests come beside them. Large requests may not take the last part of the budget, which is kept for small ones.
+ * A request whose next bytes don't fit gives back all of its bytes, so that the others can go on.
+ */
+
+const bytesPerMegabyte = 1_048_576;
+
+/**
+ * Memory of a process without callers' bytes: code, heap, connections with the heads of their requests, and the state of the
+ * fleet, in megabytes.
+ */
+const processMegabytes = 130;
+
+/** Share of the other memory that may be held: bytes that were given back occupy memory until they are collected. */
+const heldShare = 0.55;
+
+/** Least budget, so that a process on a very small machine still serves small requests. */
+const minLimitBytes = 4 * bytesPerMegabyte;
+
+/** Share of the budget that only small requests may use. */
+const smallShare = 0.2;
+
+/** A request that holds at most this much is a small one, in bytes. */
+const maxSmallBytes = 65_536;
+
+/** Memory that each held piece takes beside its bytes: a buffer object and what it points to. */
+const pieceOverheadBytes = 256;
+
+/** The bytes that one request holds. */
+export type MemoryLease = {
+	/** Takes `sizeBytes` for one more piece. Returns false, and takes nothing, when they don't fit or the lease was released. */
+	readonly reserve: (sizeBytes: number) => boolean;
+	/** Gives everything back; nothing can be reserved any more. */
+	readonly release: () => void;
+};
+
+/** The bytes that all requests of a process hold. */
+export type MemoryBudget = {
+	readonly limitBytes: number;
+	readonly heldBytes: () => number;
+	/** Whether a request of this size could be held if no other one was there. */
+	readonly fitsAlone: (sizeBytes: number) => boolean;
+	readonly open: () => MemoryLease;
+};
+
+/** Bytes that a process on a machine with this much memory may hold. */
+export const memoryLimitBytes = (memoryMegabytes: number): number =>
+	Math.max(minLimitBytes, Math.floor((memoryMegabytes - processMegabytes) * heldShare * bytesPerMegabyte));
+
+/** Creates a budget of which nothing is held. */
+export const createMemoryBudget = (limitBytes: number): MemoryBudget => {
+	const largeLimitBytes = Math.floor(limitBytes * (1 - smallShare));
+	let heldBytes = 0;
+
+	return {
+		limitBytes,
+		heldBytes: () => heldBytes,
+		fitsAlone: sizeBytes => sizeBytes <= Math.max(maxSmallBytes, largeLimitBytes),
+		open() {
+			let ownBytes = 0;
+			let isReleased = false;
+			return {
+				reserve(sizeBytes) {
+					const pieceBytes = sizeBytes + pieceOverheadBytes;
+					const boundBytes = ownBytes + pieceBytes <= maxSmallBytes ? limitBytes : largeLimitBytes;
+					if (isReleased || heldBytes + pieceBytes > boundBytes) {
+						return false;
+					}
+
+					ownBytes += pieceBytes;
+					heldBytes += pieceBytes;
+					return true;
+				},
+				release() {
+					isReleased = true;
+					heldBytes -= ownBytes;
+					ownBytes = 0;
+				},
+			};
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/test/load/memory-budget.test.ts
@@ -0,0 +1,89 @@
+import {expect} from 'chai';
+import {createMemoryBudget, memoryLimitBytes, type MemoryLease} from '@egretwing/core';
+
+const megabyte = 1_048_576;
+const chunkBytes = 65_536;
+
+/** Uploads that send chunks by turns until `bodyBytes` are there; a refused one gives everything back. */
+const replayUploads = (budget: ReturnType<typeof createMemoryBudget>, count: number, bodyBytes: number) => {
+	const uploads = Array.from({length: count}, () => ({lease: budget.open(), leftBytes: bodyBytes, isRefused: false}));
+	let peakBytes = 0;
+	let smallRefused = 0;
+	for (let sentBytes = 0; sentBytes < bodyBytes; sentBytes += chunkBytes) {
+		for (const upload of uploads.filter(({isRefused}) => !isRefused)) {
+			upload.isRefused = !upload.lease.reserve(chunkBytes);
+			if (upload.isRefused) {
+				upload.lease.release();
+			} else {
+				upload.leftBytes -= chunkBytes;
+			}
+
+			peakBytes = Math.max(peakBytes, budget.heldBytes());
+		}
+
+		const small = budget.open();
+		smallRefused += Number(!small.reserve(1000));
+		small.release();
+	}
+
+	return {whole: uploads.filter(({isRefused}) => !isRefused).length, peakBytes, smallRefused};
+};
+
+describe('memory budget', () => {
+	for (const memoryMegabytes of [64, 128, 256, 350, 512, 2048]) {
+		const limitBytes = memoryLimitBytes(memoryMegabytes);
+
+		// Guards against uploads within the limit of one body that together take the memory of the machine.
+		it(`bounds 40 uploads of 10 MB that never finish on a machine of ${memoryMegabytes} MB, and serves small requests beside them`, () => {
+			const {peakBytes, smallRefused} = replayUploads(createMemoryBudget(limitBytes), 40, 10 * megabyte);
+			expect(peakBytes).to.be.at.most(limitBytes);
+			expect(smallRefused).to.equal(0);
+		});
+
+		it(`leaves memory for the process and for garbage on a machine of ${memoryMegabytes} MB`, () => {
+			expect(limitBytes).to.be.within(4 * megabyte, Math.max(4, 0.6 * (memoryMegabytes - 100)) * megabyte);
+		});
+	}
+
+	it('lets as many uploads become whole as fit', () => {
+		expect(replayUploads(createMemoryBudget(100 * megabyte), 40, 10 * megabyte).whole).to.equal(7);
+	});
+
+	it('counts a cost for each piece, so that tiny pieces are bounded too', () => {
+		const lease = createMemoryBudget(megabyte).open();
+		let pieces = 0;
+		while (lease.reserve(1)) {
+			pieces++;
+		}
+
+		expect(pieces).to.be.below(5000);
+	});
+
+	const releases: ReadonlyArray<readonly [title: string, act: (lease: MemoryLease) => void]> = [
+		['once', lease => {
+			lease.release();
+		}],
+		['twice', lease => {
+			lease.release();
+			lease.release();
+		}],
+		['before a late reservation', lease => {
+			lease.release();
+			expect(lease.reserve(1)).to.equal(false);
+		}],
+	];
+	for (const [title, act] of releases) {
+		it(`holds nothing for a request that is released ${title}`, () => {
+			const budget = createMemoryBudget(megabyte);
+			const lease = budget.open();
+			lease.reserve(1000);
+			act(lease);
+			expect(budget.heldBytes()).to.equal(0);
+		});
+	}
+
+	it('knows which sizes never fit', () => {
+		const budget = createMemoryBudget(10 * megabyte);
+		expect([1, 8, 9].map(megabytes => budget.fitsAlone(megabytes * megabyte))).to.deep.equal([true, true, false]);
+	});
+});
--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,43 +1,74 @@
-/** Buffers the whole body of a caller's request, so that the request can be queued and sent to any instance at once. */
+/** Keeps the whole body of a caller's request, so that the request can be queued and sent to any instance at once. */
 
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 
+/** A body as it was received; the pieces are not joined, since that would take its size twice. */
+export type ReceivedBody = {
+	readonly chunks: readonly Buffer[];
+	readonly sizeBytes: number;
+};
+
 /** Result of reading a body. */
 export type ReadBodyResult
-	= | {readonly type: 'whole'; readonly body: Buffer | null}
+	= | {readonly type: 'whole'; readonly body: ReceivedBody | null}
 		| {readonly type: 'too-large'}
+	/** The memory for callers' bytes is used up. */
+		| {readonly type: 'no-memory'}
 		| {readonly type: 'caller-gone'};
 
+/** Limits on the body. */
+export type ReadBodyLimits = {
+	/** Largest body, evaluated again for each chunk since the limit may change meanwhile. */
+	readonly maxBytes: () => number;
+	/** Whether the memory could hold a body of this size at all. */
+	readonly fitsMemory: (sizeBytes: number) => boolean;
+	/** Takes memory for a chunk; false when there is none. */
+	readonly reserve: (sizeBytes: number) => boolean;
+};
+
 /** Whether the headers of the request announce a body. */
 const announcesBody = ({headers}: http.IncomingMessage): boolean =>
 	headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
 
-/**
- * Reads the body, up to `maxBytes`, which is evaluated again for each chunk since the limit may change meanwhile. Leaves the
- * connection open for an answer.
- */
-export const readBody = async (incoming: http.IncomingMessage, maxBytes: () => number): Promise<ReadBodyResult> => {
+/** Reads the body. Leaves the connection open for an answer; what was kept of a body that is not read whole is let go at once. */
+export const readBody = async (incoming: http.IncomingMessage, {maxBytes, fitsMemory, reserve}: ReadBodyLimits): Promise<ReadBodyResult> => {
 	if (!announcesBody(incoming)) {
 		return {type: 'whole', body: null};
 	}
 
-	if (Number(incoming.headers['content-length'] ?? 0) > maxBytes()) {
+	const announcedBytes = Number(incoming.headers['content-length'] ?? 0);
+	if (announcedBytes > maxBytes()) {
 		return {type: 'too-large'};
 	}
 
+	// An announced size takes no memory: its bytes may never come.
+	if (!fitsMemory(announcedBytes)) {
+		return {type: 'no-memory'};
+	}
+
 	if (incoming.destroyed) {
 		return {type: 'caller-gone'};
 	}
 
 	return new Promise(resolve => {
-		const chunks: Buffer[] = [];
+		let chunks: Buffer[] = [];
 		let sizeBytes = 0;
+		const stop = (type: 'too-large' | 'no-memory'): void => {
+			incoming.off('data', onData);
+			chunks = [];
+			resolve({type});
+		};
+
 		const onData = (chunk: Buffer): void => {
 			sizeBytes += chunk.length;
 			if (sizeBytes > maxBytes()) {
-				incoming.off('data', onData);
-				resolve({type: 'too-large'});
+				stop('too-large');
+				return;
+			}
+
+			if (!reserve(chunk.length)) {
+				stop('no-memory');
 				return;
 			}
 
@@ -51,7 +82,7 @@
 
 		incoming.on('data', onData);
 		incoming.once('end', () => {
-			resolve(incoming.complete ? {type: 'whole', body: Buffer.concat(chunks)} : {type: 'caller-gone'});
+			resolve(incoming.complete ? {type: 'whole', body: {chunks, sizeBytes}} : {type: 'caller-gone'});
 		});
 		incoming.once('error', onClosed);
 		incoming.once('close', onClosed);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -54,6 +54,9 @@
 /** Retry delay for callers of a process that shuts down: another gateway can take their request at once, over a new connection. */
 export const stoppingRetryMs = 50;
 
+/** Retry delay for callers whose bytes don't fit into the memory: about the time that a large upload takes. */
+export const memoryRetryMs = 1000;
+
 /** Number of failed connects after which a request is rejected. */
 export const maxConnectFailures = 3;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,8 @@
 import {
 	createCatalogue,
 	createMembership,
+	createMemoryBudget,
+	memoryLimitBytes,
 	createPrefixRouteTable,
 	createRandom,
 	createReaderElection,
@@ -367,6 +369,7 @@
 		logger,
 	});
 
+	const memory = createMemoryBudget(memoryLimitBytes(settings.memoryMegabytes));
 	const log = createRequestLog(logger, nowMs);
 	const upstream = createUpstream({
 		nowMs,
@@ -407,6 +410,7 @@
 		shutdownPlan: () => shutdownPlan,
 		dispatchers,
 		upstream,
+		memory,
 		retryWindow: retryWindowOf,
 		retrySlackShare: () => slackShareOf(fleet.placedIds().includes(hostId), fleet.placedIds().length, fleet.hosts().size),
 		headerNames,
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -10,6 +10,7 @@
 	type DispatchPlacement,
 	type DispatchRequest,
 	type ErrorKind,
+	type MemoryBudget,
 	type PrefixRoute,
 	type PrefixRouteTable,
 	type Random,
@@ -18,9 +19,9 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {forwardedHeaders, type CallerExchange} from '@egretwing/node';
-import {readBody} from './body.ts';
+import {readBody, type ReadBodyResult} from './body.ts';
 import {
-	maxLoggedNameLength, maxConnectFailures, notReadyRetryMs, startupWaitMs, stoppingRetryMs,
+	maxLoggedNameLength, maxConnectFailures, memoryRetryMs, notReadyRetryMs, startupWaitMs, stoppingRetryMs,
 } from './constants.ts';
 import {
 	refuseWith, type Deliver, type DeliveredRequest, type FinalResult,
@@ -57,6 +58,8 @@
 	readonly shutdownPlan: () => ShutdownPlan | undefined;
 	readonly dispatchers: Dispatchers;
 	readonly upstream: Upstream;
+	/** What may be held for callers, over all requests. */
+	readonly memory: MemoryBudget;
 	readonly retryWindow: (service: string) => RetryWindow;
 	/** This gateway's share of the fixed part of the fleet's retry budget. */
 	readonly retrySlackShare: () => number;
@@ -233,7 +236,7 @@
 		rank: context.route.rank,
 		isIdempotent: context.route.semantics === 'idempotent',
 		isReturning: context.isReturning || attemptedIds.length > 0,
-		bodyBytes: context.upstreamRequest.body?.length ?? 0,
+		bodyBytes: context.upstreamRequest.body?.sizeBytes ?? 0,
 		objectiveAtMs: context.arrivedAtMs + context.route.latencyObjectiveMs,
 		finalAtMs: context.finalAtMs,
 		attemptedIds,
@@ -387,6 +390,23 @@
 	const refuseDisallowed = (kind: ErrorKind, reason: string): Extract<FinalResult, {type: 'refusal'}> =>
 		dependencies.isConfigPossiblyStale() ? refuseWith('not-ready', `${reason}, configuration doubtful`, notReadyRetryMs) : refuseWith(kind, reason);
 
+	/** Result of a request whose body was not read. */
+	const toUnreadResult = (type: Exclude<ReadBodyResult['type'], 'whole'>): FinalResult => {
+		switch (type) {
+			case 'too-large': {
+				return refuseDisallowed('request-too-large', 'body');
+			}
+
+			case 'no-memory': {
+				return refuseWith('overloaded', 'memory', memoryRetryMs);
+			}
+
+			case 'caller-gone': {
+				return {type: 'caller-gone'};
+			}
+		}
+	};
+
 	const refuseUnrouted = ({hostName, path}: Lookup): FinalResult => {
 		const origin = dependencies.configOrigin();
 		return {
@@ -438,6 +458,8 @@
 
 	return async (incoming, response, exchange) => {
 		const arrivedAtMs = nowMs();
+		const lease = dependencies.memory.open();
+		response.once('close', lease.release);
 		const idHeader = incoming.headers[headerNames.requestId];
 		const requestId = typeof idHeader === 'string' ? idHeader : '';
 		const unrouted: DeliveredRequest = {
@@ -461,16 +483,21 @@
 		}
 
 		// A limit that is lowered while the body arrives does not apply to it; one that is raised does.
-		const read = await readBody(incoming, () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0));
+		const read = await readBody(incoming, {
+			maxBytes: () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0),
+			fitsMemory: dependencies.memory.fitsAlone,
+			reserve: lease.reserve,
+		});
 		if (read.type !== 'whole') {
+			lease.release();
 			incoming.resume();
-			await deliver(response, exchange, unrouted, read.type === 'too-large' ? refuseDisallowed('request-too-large', 'body') : {type: 'caller-gone'});
+			await deliver(response, exchange, unrouted, toUnreadResult(read.type));
 			return;
 		}
 
 		const service = pickService(route.services, dependencies.random);
 		const isIdempotent = route.semantics === 'idempotent';
-		exchange.recordBody(read.body?.length ?? 0);
+		exchange.recordBody(read.body?.sizeBytes ?? 0);
 		const started = await exchange.untilStart(isIdempotent ? 'repeatable' : 'at-most-once');
 		if (started !== 'start') {
 			await deliver(response, exchange, {...unrouted, service}, {type: started});
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,6 +2,9 @@
 
 import * as z from 'zod';
 
+/** Memory of the machine where the settings name none. */
+const defaultMemoryMegabytes = 350;
+
 const port = z.int().min(1).max(65_535);
 
 /** Schema of the settings. */
@@ -28,6 +31,8 @@
 	shutdownMs: z.number().positive(),
 	/** Number of usable gateways in a data centre for each one that its callers are told; defaults to that of `placeCallers`. */
 	membersPerNamed: z.number().min(1).optional(),
+	/** Memory of the machine that the process may use, in megabytes; bounds what it holds for callers. */
+	memoryMegabytes: z.number().positive().default(defaultMemoryMegabytes),
 	/** Verbosity of the log, from 0 (errors only) to 4 (everything). */
 	logLevel: z.int().min(0).max(4),
 }).readonly();
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -10,6 +10,7 @@
 import type net from 'node:net';
 import {createIdleLimit, type InstanceRun} from '@egretwing/core';
 import {isSelfDelimited, maxInformationalResponses} from '@egretwing/node';
+import type {ReceivedBody} from './body.ts';
 import {
 	connectTimeoutMs, maxBufferedAnswerBytes, idleCloseMarginMs, maxDiscardedAnswerBytes, maxDiscardMs, maxIdleConnectionMs, maxReadHeadBytes, maxRequestsPerConnection,
 } from './constants.ts';
@@ -29,7 +30,7 @@
 	readonly target: string;
 	readonly headers: Readonly<Record<string, string | string[]>>;
 	/** Null when the request has no body. */
-	readonly body: Buffer | null;
+	readonly body: ReceivedBody | null;
 	/** Whether it may run more than once, so that it may be sent on an idle connection that the instance may have dropped. */
 	readonly isIdempotent: boolean;
 };
@@ -272,7 +273,7 @@
 				...request.headers,
 				[headerNames.deadlineMs]: String(Math.max(1, Math.floor(leftMs))),
 				[headerNames.targetInstance]: target.instanceId,
-				...(request.body !== null && {'content-length': request.body.length}),
+				...(request.body !== null && {'content-length': request.body.sizeBytes}),
 				connection: 'keep-alive',
 			},
 		});
@@ -426,7 +427,11 @@
 				resolve();
 			});
 		});
-		outgoing.end(request.body ?? undefined);
+		for (const chunk of request.body?.chunks ?? []) {
+			outgoing.write(chunk);
+		}
+
+		outgoing.end();
 		return {
 			outcome,
 			released,
--- /dev/null
+++ b/packages/gateway/test/memory.test.ts
@@ -0,0 +1,201 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'chai';
+import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import {createLogger} from '@egretwing/node';
+import {
+	defaultHeaderNames, startGateway, type Gateway, type StoreClient,
+} from '@egretwing/gateway';
+import {Ok} from 'ts-results-es';
+import {networkOf} from '../../../test/support/network.ts';
+import {createTestSettings} from './support/settings.ts';
+
+const address = `${networkOf(216)}.1`;
+const port = 21_700;
+const logLevel = 3;
+/** On this machine only the least budget is left, 4 MB, of which large requests may hold four fifths. */
+const memoryMegabytes = 64;
+const megabyte = 1_048_576;
+const timeoutMs = 2000;
+
+const config: FleetConfig = {
+	version: 1,
+	routes: [{
+		name: 'r', hostName: 'a.example', pathPrefix: '/r/', semantics: 'idempotent', timeoutMs, latencyObjectiveMs: 800, maxAttempts: 2, rank: 1, services: [{service: 's', weight: 1}],
+	}],
+	services: [{name: 's', healthPath: '/', connectionsPerInstance: 40}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 20 * megabyte, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+	},
+};
+
+const createStore = (instancePort: number): StoreClient => ({
+	async readAll(topic) {
+		const entry: InstanceEntry = {
+			instanceId: 'i',
+			revision: 1,
+			record: {
+				service: 's', address, port: instancePort, dataCentre: 'a', slots: 8, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+			},
+		};
+		return Ok({
+			...(topic === 'config' && {config}), entries: topic === 'config' ? [] : [entry], refused: [], asOf: 10,
+		});
+	},
+	async watch(topic) {
+		await delay(200);
+		return Ok({
+			...(topic === 'config' && {config}), entries: [], refused: [], asOf: 10,
+		});
+	},
+	close: () => undefined,
+});
+
+/** Answers each request with the size of its body, and with an own body of `?bytes=` more. */
+const startInstance = async () => {
+	const bodySizes: number[] = [];
+	const server = http.createServer((incoming, response) => {
+		let sizeBytes = 0;
+		incoming.on('data', (chunk: Buffer) => {
+			sizeBytes += chunk.length;
+		});
+		incoming.once('end', () => {
+			bodySizes.push(sizeBytes);
+			const answerBytes = Number(/bytes=(\d+)/v.exec(incoming.url ?? '')?.[1] ?? 2);
+			response.writeHead(200, {'egretwing-request-id': String(incoming.headers['egretwing-request-id']), 'egretwing-signature': 'signed', 'content-length': answerBytes});
+			response.end(Buffer.alloc(answerBytes));
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	return {
+		port: (server.address() as AddressInfo).port,
+		bodySizes,
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+const headOf = (id: string, target: string, bodyBytes?: number): string => [
+	`${bodyBytes === undefined ? 'GET' : 'POST'} ${target} HTTP/1.1`, 'host: a.example', `egretwing-request-id: ${id}`, ...(bodyBytes === undefined ? [] : [`content-length: ${bodyBytes}`]), '', '',
+].join('\r\n');
+
+/** Opens a connection of a caller, which reads what it gets unless it is paused. */
+const connect = (): {readonly socket: net.Socket; readonly received: () => string} => {
+	const socket = net.connect({host: address, port});
+	const chunks: Buffer[] = [];
+	socket.on('data', chunk => {
+		chunks.push(chunk);
+	});
+	socket.on('error', () => undefined);
+	return {socket, received: () => Buffer.concat(chunks).toString('latin1')};
+};
+
+const statusOf = (text: string): string | undefined => /^HTTP\/1\.1 (\d{3})/v.exec(text)?.[1];
+
+describe('memory of a gateway', function () {
+	this.timeout(15_000);
+	const lines: Array<Readonly<Record<string, unknown>>> = [];
+	const sockets = new Set<net.Socket>();
+	let gateway: Gateway;
+	let instance: Awaited<ReturnType<typeof startInstance>>;
+
+	const open = (): ReturnType<typeof connect> => {
+		const caller = connect();
+		sockets.add(caller.socket);
+		return caller;
+	};
+
+	before(async () => {
+		instance = await startInstance();
+		const logger = createLogger('test', 'g', logLevel, line => {
+			lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
+		});
+		gateway = await startGateway(createTestSettings('g', address, port, {memoryMegabytes}), {store: createStore(instance.port), headerNames: defaultHeaderNames, logger});
+		while (!gateway.isReady()) {
+			await delay(20);
+		}
+	});
+
+	afterEach(async () => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		sockets.clear();
+		await delay(100);
+	});
+
+	after(async () => {
+		await gateway.shutdown();
+		instance.close();
+	});
+
+	/** Starts an upload of which `sentBytes` arrive. */
+	const upload = (id: string, bodyBytes: number, sentBytes = bodyBytes): ReturnType<typeof connect> => {
+		const caller = open();
+		caller.socket.write(headOf(id, '/r/upload', bodyBytes));
+		caller.socket.write(new Uint8Array(sentBytes));
+		return caller;
+	};
+
+	const askSmall = async (id: string, bodyBytes?: number): Promise<string | undefined> => {
+		const caller = open();
+		caller.socket.write(headOf(id, '/r/small', bodyBytes));
+		caller.socket.write(new Uint8Array(bodyBytes ?? 0));
+		await delay(300);
+		return statusOf(caller.received());
+	};
+
+	it('passes on a body of many pieces whole', async () => {
+		const caller = upload('whole', 3 * megabyte);
+		await delay(500);
+		expect([statusOf(caller.received()), instance.bodySizes.at(-1)]).to.deep.equal(['200', 3 * megabyte]);
+	});
+
+	// Guards against a body that is taken in although the process can't hold it.
+	it('refuses at once a body that never fits', async () => {
+		const caller = upload('huge', 10 * megabyte, 0);
+		await delay(200);
+		const line = lines.find(({message, requestId}) => message === 'refused' && requestId === 'huge');
+		expect([statusOf(caller.received()), /egretwing-ran: ([\-a-z]+)/v.exec(caller.received())?.[1], /retry-after: (\d+)/iv.exec(caller.received())?.[1], line?.reason])
+			.to.deep.equal(['503', 'not-run', '1', 'memory']);
+	});
+
+	// Guards against announced lengths that take memory for bytes that never come.
+	it('holds nothing for bytes that were announced and did not come', async () => {
+		for (let number = 0; number < 20; number++) {
+			upload(`announced-${number}`, 3 * megabyte, 0);
+		}
+
+		const caller = upload('sent', 3 * megabyte);
+		await delay(500);
+		expect(statusOf(caller.received())).to.equal('200');
+	});
+
+	// Guards against uploads that are never finished and shut out every other caller.
+	it('serves small requests while unfinished uploads hold what large ones may', async () => {
+		const uploads = Array.from({length: 6}, (_, number) => upload(`part-${number}`, megabyte, megabyte - 1));
+		await delay(300);
+		expect(uploads.map(({received}) => statusOf(received())).filter(status => status === '503')).to.have.length.above(0);
+		expect(await Promise.all([askSmall('small-1'), askSmall('small-2', 300), askSmall('small-3', 30_000)])).to.deep.equal(['200', '200', '200']);
+	});
+
+	it('takes uploads again once the callers of unfinished ones are gone', async () => {
+		const uploads = Array.from({length: 6}, (_, number) => upload(`gone-${number}`, megabyte, megabyte - 1));
+		await delay(300);
+		for (const {socket} of uploads) {
+			socket.destroy();
+		}
+
+		await delay(100);
+		const caller = upload('after', 3 * megabyte);
+		await delay(500);
+		expect(statusOf(caller.received())).to.equal('200');
+	});
+});
--- a/packages/gateway/test/support/settings.ts
+++ b/packages/gateway/test/support/settings.ts
@@ -20,6 +20,7 @@
 	capacity: 1,
 	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
 	shutdownMs: 1500,
+	memoryMegabytes: 350,
 	logLevel: 0,
 	...changes,
 });
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -271,7 +271,7 @@
 		const upstream = create();
 		await upstream.send({
 			instanceId: 'i-7', address, port: instance.port, bornAtMs: 1, service: 's',
-		}, request({method: 'POST', body: Buffer.from('body')}), 812.6).outcome;
+		}, request({method: 'POST', body: {chunks: [Buffer.from('bo'), Buffer.from('dy')], sizeBytes: 4}}), 812.6).outcome;
 		expect(instance.seen[0]).to.match(/egretwing-target-instance: i-7\r\n/v).and.match(/egretwing-deadline-ms: 812\r\n/v).and.match(/content-length: 4\r\n/v);
 		upstream.close();
 		instance.close();
@@ -320,7 +320,7 @@
 		for (let count = 0; count < 2; count++) {
 			const {outcome} = upstream.send({
 				instanceId: 'i', address, port, bornAtMs: 1, service: 's',
-			}, request({method: 'POST', body}), 1000);
+			}, request({method: 'POST', body: {chunks: [body], sizeBytes: body.length}}), 1000);
 			outcomes.push(describeOutcome(await outcome));
 			await delay(20);
 		}
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -129,6 +129,17 @@
 		expect(gateway.retryLimits).to.deep.equal({ratio: 0.2, slack: 62, windowMs: 10_000});
 	});
 
+	const memories: ReadonlyArray<readonly [title: string, written: unknown, memoryMegabytes: number]> = [
+		['as written', 512, 512],
+		['of 350 MB where they name none', undefined, 350],
+		['of 350 MB where it is null', null, 350],
+	];
+	for (const [title, memoryMegabytes, expected] of memories) {
+		it(`give a memory ${title}`, () => {
+			expect(translateSettings(rendered({memoryMegabytes})).unwrap().gateway.memoryMegabytes).to.equal(expected);
+		});
+	}
+
 	const capacities: ReadonlyArray<readonly [cpuShare: number, cores: number, link: number, capacity: number]> = [
 		[0.54, 1, 1000, 0.54],
 		[0.675, 2, 200, 1.35],
