fix(gateway): answer 408 to a body that is not complete when the time of its request has passed

Callers saw no answer to a request whose body stopped on its way, and the gateway kept what had come for as long as the connection stayed open.

Cause: the time of a request was applied only to its wait and its attempts, which begin when the body is whole; nothing bounded the time of reading it.

Now a body that is not complete at the time limit of its route, or at its caller's deadline, is answered 408 `body-incomplete`, not run, and its bytes are given back. A whole body would not have been sent any more at that time.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -15,6 +15,8 @@
 		| {readonly type: 'too-large'}
 	/** The memory for callers' bytes is used up. */
 		| {readonly type: 'no-memory'}
+	/** The body was not complete in time. */
+		| {readonly type: 'too-slow'}
 		| {readonly type: 'caller-gone'};
 
 /** Limits on the body. */
@@ -25,6 +27,8 @@
 	readonly fitsMemory: (sizeBytes: number) => boolean;
 	/** Takes memory for a chunk; false when there is none. */
 	readonly reserve: (sizeBytes: number) => boolean;
+	/** Time within which the body has to be complete. */
+	readonly withinMs: number;
 };
 
 /** Whether the headers of the request announce a body. */
@@ -32,7 +36,9 @@
 	headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
 
 /** Reads the body. Leaves the connection open for an answer; what was kept of a body that is not read whole is let go at once. */
-export const readBody = async (incoming: http.IncomingMessage, {maxBytes, fitsMemory, reserve}: ReadBodyLimits): Promise<ReadBodyResult> => {
+export const readBody = async (incoming: http.IncomingMessage, {
+	maxBytes, fitsMemory, reserve, withinMs,
+}: ReadBodyLimits): Promise<ReadBodyResult> => {
 	if (!announcesBody(incoming)) {
 		return {type: 'whole', body: null};
 	}
@@ -54,12 +60,19 @@
 	return new Promise(resolve => {
 		let chunks: Buffer[] = [];
 		let sizeBytes = 0;
-		const stop = (type: 'too-large' | 'no-memory'): void => {
+		const end = (result: ReadBodyResult): void => {
+			clearTimeout(timer);
+			resolve(result);
+		};
+
+		const stop = (type: 'too-large' | 'no-memory' | 'too-slow'): void => {
 			incoming.off('data', onData);
 			chunks = [];
-			resolve({type});
+			end({type});
 		};
 
+		const timer = setTimeout(stop, Math.max(1, withinMs), 'too-slow');
+
 		const onData = (chunk: Buffer): void => {
 			sizeBytes += chunk.length;
 			if (sizeBytes > maxBytes()) {
@@ -77,12 +90,12 @@
 
 		// The caller closed the connection before the body was complete, so nobody is left to answer.
 		const onClosed = (): void => {
-			resolve({type: 'caller-gone'});
+			end({type: 'caller-gone'});
 		};
 
 		incoming.on('data', onData);
 		incoming.once('end', () => {
-			resolve(incoming.complete ? {type: 'whole', body: {chunks, sizeBytes}} : {type: 'caller-gone'});
+			end(incoming.complete ? {type: 'whole', body: {chunks, sizeBytes}} : {type: 'caller-gone'});
 		});
 		incoming.once('error', onClosed);
 		incoming.once('close', onClosed);
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -401,6 +401,10 @@
 				return refuseWith('overloaded', 'memory', memoryRetryMs);
 			}
 
+			case 'too-slow': {
+				return refuseWith('body-incomplete', 'body', undefined, 'not-run');
+			}
+
 			case 'caller-gone': {
 				return {type: 'caller-gone'};
 			}
@@ -482,11 +486,13 @@
 			return;
 		}
 
+		const finalAtMs = toFinalAtMs(incoming, route, arrivedAtMs);
 		// A limit that is lowered while the body arrives does not apply to it; one that is raised does.
 		const read = await readBody(incoming, {
 			maxBytes: () => Math.max(config.limits.maxBodyBytes, catalogue.config()?.limits.maxBodyBytes ?? 0),
 			fitsMemory: dependencies.memory.fitsAlone,
 			reserve: lease.reserve,
+			withinMs: finalAtMs - nowMs(),
 		});
 		if (read.type !== 'whole') {
 			lease.release();
@@ -509,7 +515,7 @@
 			route,
 			service,
 			arrivedAtMs,
-			finalAtMs: toFinalAtMs(incoming, route, arrivedAtMs),
+			finalAtMs,
 			isReturning: false,
 			upstreamRequest: {
 				requestId: requestId === '' ? undefined : requestId,
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -81,8 +81,8 @@
 	};
 };
 
-const headOf = (id: string, target: string, bodyBytes?: number): string => [
-	`${bodyBytes === undefined ? 'GET' : 'POST'} ${target} HTTP/1.1`, 'host: a.example', `egretwing-request-id: ${id}`, ...(bodyBytes === undefined ? [] : [`content-length: ${bodyBytes}`]), '', '',
+const headOf = (id: string, target: string, bodyBytes?: number, headers: readonly string[] = []): string => [
+	`${bodyBytes === undefined ? 'GET' : 'POST'} ${target} HTTP/1.1`, 'host: a.example', `egretwing-request-id: ${id}`, ...(bodyBytes === undefined ? [] : [`content-length: ${bodyBytes}`]), ...headers, '', '',
 ].join('\r\n');
 
 /** Opens a connection of a caller, which reads what it gets unless it is paused. */
@@ -186,6 +186,27 @@
 		expect(await Promise.all([askSmall('small-1'), askSmall('small-2', 300), askSmall('small-3', 30_000)])).to.deep.equal(['200', '200', '200']);
 	});
 
+	// Guards against bodies that never end and hold memory, and a connection, for ever.
+	const bodyTimes: ReadonlyArray<readonly [title: string, headers: readonly string[], withinMs: number]> = [
+		['time limit of its route', [], timeoutMs],
+		['deadline of its caller', ['egretwing-deadline-ms: 300'], 300],
+	];
+	for (const [title, headers, withinMs] of bodyTimes) {
+		it(`refuses a body that is not complete at the ${title}, and takes another one in its place`, async () => {
+			const caller = open();
+			caller.socket.write(headOf('slow', '/r/slow', 3 * megabyte, headers));
+			caller.socket.write(new Uint8Array((3 * megabyte) - 1));
+			await delay(withinMs - 150);
+			expect(caller.received()).to.equal('');
+			await delay(350);
+			expect([statusOf(caller.received()), /egretwing-kind: ([\-a-z]+)/v.exec(caller.received())?.[1], /egretwing-ran: ([\-a-z]+)/v.exec(caller.received())?.[1]])
+				.to.deep.equal(['408', 'body-incomplete', 'not-run']);
+			const next = upload('next', 3 * megabyte);
+			await delay(500);
+			expect(statusOf(next.received())).to.equal('200');
+		});
+	}
+
 	it('takes uploads again once the callers of unfinished ones are gone', async () => {
 		const uploads = Array.from({length: 6}, (_, number) => upload(`gone-${number}`, megabyte, megabyte - 1));
 		await delay(300);
