fix(gateway): an error in a timer or a reader of the store goes no further than the part in which it arose

Callers saw: an error in the periodic work ended the gateway, and with it all requests in progress. A reader of the store that failed in a way nobody foresaw stayed marked as running and read nothing more until the process ended; what it had read and not applied was skipped.

Cause: the tick ran in a timer without a catch, and the parts after the one that threw had no turn. `run` of the reader reset its mark only at its regular end.

Evidence: "reads everything again after a call that throws" and "... after a read that could not be applied" failed 2 of 2 with the sources before (no second call). With them they pass.

Fix: each part of the tick, each service of the dispatchers and each send to a peer runs within the error barrier. A reader that fails records the error, reads everything again after the usual pause, and resets its mark in any case. A report of a peer on a service that the catalogue does not hold creates no service any more.

--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -16,7 +16,7 @@
 	type Random,
 	type ReportScheduler,
 } from '@egretwing/core';
-import type {Logger} from '@egretwing/node';
+import type {ErrorBarrier, Logger} from '@egretwing/node';
 import {
 	reportRefreshIntervalMs, reportIntervalMs, reportingWindowMs, maxReportRowsBytes, stateLogIntervalMs,
 } from './constants.ts';
@@ -56,6 +56,7 @@
 	readonly random: Random;
 	readonly nowMs: () => number;
 	readonly logger: Logger;
+	readonly errors: ErrorBarrier;
 	/** Whether callers are directed to other gateways only. */
 	readonly isUnplaced: () => boolean;
 	/** Sends a report to the gateways that share the service. */
@@ -87,7 +88,7 @@
 
 /** Creates the dispatchers of a gateway. */
 export const createDispatchers = ({
-	dataCentre, catalogue, random, nowMs, logger, isUnplaced, sendReport, onState,
+	dataCentre, catalogue, random, nowMs, logger, errors, isUnplaced, sendReport, onState,
 }: DispatchersOptions): Dispatchers => {
 	const services = new Map<string, Service>();
 
@@ -164,6 +165,17 @@
 		sendReport(service.name, {instances});
 	};
 
+	const tickService = (service: Service): void => {
+		refresh(service);
+		for (const instanceId of service.dispatcher.findStalled(nowMs())) {
+			logAvoided(service, instanceId, 'stalled');
+		}
+
+		settleWaiting(service);
+		report(service);
+		logState(service);
+	};
+
 	return {
 		async place(name, request, signal) {
 			const service = serviceOf(name);
@@ -224,6 +236,11 @@
 		pausedMs: name => serviceOf(name).dispatcher.pausedMs(nowMs()),
 		serviceMs: name => serviceOf(name).dispatcher.serviceMs(),
 		receiveReport(name, peerId, peerReport) {
+			// A report on instances that are not known here says nothing, and must not create a service for each name that it could hold.
+			if (!services.has(name) && !catalogue.entries().some(({record}) => record?.service === name)) {
+				return;
+			}
+
 			const service = serviceOf(name);
 			service.dispatcher.receiveReport(peerId, peerReport, nowMs());
 			settleWaiting(service);
@@ -234,14 +251,9 @@
 		},
 		tick() {
 			for (const service of services.values()) {
-				refresh(service);
-				for (const instanceId of service.dispatcher.findStalled(nowMs())) {
-					logAvoided(service, instanceId, 'stalled');
-				}
-
-				settleWaiting(service);
-				report(service);
-				logState(service);
+				errors.run('dispatch', () => {
+					tickService(service);
+				});
 			}
 		},
 		stop() {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -198,7 +198,7 @@
 	};
 
 	const dispatchers = createDispatchers({
-		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, sendReport: sendReportToPeers,
+		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, errors, sendReport: sendReportToPeers,
 		onState(service, {known, avoided, awaitingTrial, rested, paused}) {
 			for (const [state, count] of Object.entries({
 				known, avoided, awaitingTrial, rested, paused,
@@ -281,7 +281,7 @@
 	};
 
 	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
-		topic, client: store, nowMs, logger, metrics, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
+		topic, client: store, nowMs, logger, metrics, errors, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
 	});
 
 	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
@@ -367,6 +367,7 @@
 			sentBytesByKind.set(kind, (sentBytesByKind.get(kind) ?? 0) + sizeBytes);
 		},
 		logger,
+		errors,
 	});
 
 	const memory = createMemoryBudget(memoryLimitBytes(settings.memoryMegabytes));
@@ -500,39 +501,63 @@
 		logger.info('process state', {...describeProcess(), maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections()});
 	};
 
-	const tick = (): void => {
-		const timeMs = nowMs();
-		tickLag.record(timeMs);
-		joinSeeds();
-		sendMemberMessages(membership.tick(timeMs));
-		fleet.refresh();
-		catalogue.tick(timeMs);
-		sendCatalogueMessages(catalogueSync.tick(timeMs));
+	const reconnectUnresponsive = (): void => {
 		for (const id of catalogueSync.takeUnresponsivePeers()) {
 			const host = fleet.hosts().get(id);
 			if (host !== undefined) {
 				mesh.reconnect(host);
 			}
 		}
+	};
 
-		announceReady();
-		watchReaders();
+	const tickReaders = (): void => {
 		for (const reader of readers) {
 			reader.tick();
 		}
+	};
 
-		dispatchers.tick();
+	const logProcessIfDue = async (timeMs: number): Promise<void> => {
 		if (timeMs >= nextProcessLogMs) {
 			nextProcessLogMs = timeMs + processLogIntervalMs;
-			void logProcess();
+			await logProcess();
 		}
+	};
 
+	const cleanUpIfDue = (timeMs: number): void => {
 		if (timeMs >= nextCleanupMs) {
 			nextCleanupMs = timeMs + connectionCleanupIntervalMs;
 			upstream.retain(new Set(catalogue.entries().map(({instanceId}) => instanceId)));
 		}
 	};
 
+	/** The parts of the periodic work, in order. One that fails does not keep the others from their turn. */
+	const tickParts: ReadonlyArray<readonly [place: string, run: (timeMs: number) => unknown]> = [
+		['join', joinSeeds],
+		['membership', timeMs => {
+			sendMemberMessages(membership.tick(timeMs));
+		}],
+		['fleet', fleet.refresh],
+		['catalogue', catalogue.tick],
+		['catalogue-sync', timeMs => {
+			sendCatalogueMessages(catalogueSync.tick(timeMs));
+		}],
+		['reconnect', reconnectUnresponsive],
+		['ready', announceReady],
+		['reader-watch', watchReaders],
+		['readers', tickReaders],
+		['dispatch', dispatchers.tick],
+		['process-log', logProcessIfDue],
+		['cleanup', cleanUpIfDue],
+	];
+
+	const tick = (): void => {
+		const timeMs = nowMs();
+		tickLag.record(timeMs);
+		for (const [place, run] of tickParts) {
+			errors.run(place, () => run(timeMs));
+		}
+	};
+
 	const openOperator = async () => createOperatorServer({
 		address: settings.address,
 		port: settings.operatorPort,
--- a/packages/gateway/src/mesh.ts
+++ b/packages/gateway/src/mesh.ts
@@ -3,7 +3,7 @@
 import dgram from 'node:dgram';
 import type {Buffer} from 'node:buffer';
 import {
-	bindDatagrams, createPeerStreams, type Logger, type PeerEndpoint,
+	bindDatagrams, createPeerStreams, type ErrorBarrier, type Logger, type PeerEndpoint,
 } from '@egretwing/node';
 import {
 	decodeMessage, encodeMessage, type MeshMessage, type MeshPeer,
@@ -30,6 +30,7 @@
 	/** Called for each message sent, with its kind and size. */
 	readonly onSent: (kind: string, sizeBytes: number) => void;
 	readonly logger: Logger;
+	readonly errors: ErrorBarrier;
 };
 
 const kindOf = (message: MeshMessage): string =>
@@ -37,7 +38,7 @@
 
 /** Starts listening for UDP and TCP on one port; rejects when it can't be bound. */
 export const createMesh = async ({
-	hostId, address, peerPort, onMessage, onSent, logger,
+	hostId, address, peerPort, onMessage, onSent, logger, errors,
 }: MeshOptions): Promise<Mesh> => {
 	const receiveBytes = (bytes: Buffer): boolean => {
 		try {
@@ -50,7 +51,7 @@
 			onMessage(decoded.value.from, decoded.value.message);
 			return true;
 		} catch (error) {
-			logger.warn('peer message could not be handled', {reason: String(error)});
+			errors.record('peer-message', error);
 			return false;
 		}
 	};
@@ -67,6 +68,17 @@
 	});
 	let isClosed = false;
 
+	const sendBytes = (to: PeerEndpoint, bytes: Buffer, transport: 'datagram' | 'stream'): void => {
+		if (transport === 'stream' || bytes.length > maxDatagramBytes) {
+			streams.send(to, bytes);
+			return;
+		}
+
+		datagrams.send(bytes, to.peerPort, to.address, () => {
+			// A datagram that can't be sent counts as lost, which the protocols tolerate.
+		});
+	};
+
 	return {
 		send(to, message, transport) {
 			if (isClosed) {
@@ -75,13 +87,9 @@
 
 			const bytes = encodeMessage({hostId, address, peerPort}, message);
 			onSent(kindOf(message), bytes.length);
-			if (transport === 'stream' || bytes.length > maxDatagramBytes) {
-				streams.send(to, bytes);
-				return;
-			}
-
-			datagrams.send(bytes, to.peerPort, to.address, () => {
-				// A datagram that can't be sent counts as lost, which the protocols tolerate.
+			// One endpoint that can't be sent to must not keep the messages after it from theirs.
+			errors.run('peer-send', () => {
+				sendBytes(to, bytes, transport);
 			});
 		},
 		isReceivingFrom: streams.isReceivingFrom,
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -6,7 +6,7 @@
  */
 
 import type {InstanceEntry} from '@egretwing/core';
-import type {Logger} from '@egretwing/node';
+import type {ErrorBarrier, Logger} from '@egretwing/node';
 import {
 	minLapsingOutageMs, maxWatchGapMs, storeRecoveryMs, storeRetryMs, watchIntervalMs, watchWaitMs,
 } from './constants.ts';
@@ -31,6 +31,7 @@
 	readonly nowMs: () => number;
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
+	readonly errors: ErrorBarrier;
 	/** Revision up to which another reader has read, from which to watch; -1 when nothing is known. */
 	readonly knownAsOf: () => number;
 };
@@ -55,7 +56,7 @@
 /** Creates a reader that is idle until it is wanted. */
 export const createStoreReader = (options: StoreReaderOptions): StoreReader => {
 	const {
-		topic, client, nowMs, logger, metrics,
+		topic, client, nowMs, logger, metrics, errors,
 	} = options;
 	let isRunning = false;
 	let isStopped = false;
@@ -196,11 +197,18 @@
 
 	const run = async (): Promise<void> => {
 		isRunning = true;
-		while (mayRead()) {
-			await callStore();
+		try {
+			while (mayRead()) {
+				await callStore();
+			}
+		} catch (error) {
+			errors.record('store-reader', error);
+			// What was read may not have been applied.
+			needsFullRead = true;
+			nextCallMs = nowMs() + storeRetryMs;
+		} finally {
+			isRunning = false;
 		}
-
-		isRunning = false;
 	};
 
 	return {
--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -4,6 +4,7 @@
 } from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {createDispatchers, type Dispatchers} from '../src/dispatchers.ts';
+import {openBarrier} from './support/errors.ts';
 
 const createSubject = (instances = 1) => {
 	const clock = createManualClock(1000);
@@ -23,6 +24,7 @@
 		random: createRandom(1),
 		nowMs: clock.nowMs,
 		logger: createLogger('test', 'h', 0),
+		errors: openBarrier,
 		isUnplaced: () => false,
 		sendReport(_service, report) {
 			reports.push(report);
--- a/packages/gateway/test/removals-after-outage.test.ts
+++ b/packages/gateway/test/removals-after-outage.test.ts
@@ -7,6 +7,7 @@
 import type {StoreClient, StoreFailure, StoreRead} from '@egretwing/gateway';
 import {createGatewayMetrics} from '../src/metrics.ts';
 import {createStoreReader, type StoreReader} from '../src/store-reader.ts';
+import {openBarrier} from './support/errors.ts';
 
 const stepMs = 10;
 const tickMs = 100;
@@ -90,6 +91,7 @@
 		nowMs,
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
+		errors: openBarrier,
 		isWanted: () => nowMs() >= fromMs && nowMs() < untilMs,
 		knownAsOf: () => catalogue.digest().instancesAsOf,
 		onRead(_topic, {entries, asOf}) {
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -7,6 +7,7 @@
 } from '@egretwing/gateway';
 import {createGatewayMetrics} from '../src/metrics.ts';
 import {createStoreReader} from '../src/store-reader.ts';
+import {openBarrier} from './support/errors.ts';
 
 const read = (asOf: number, entries: readonly InstanceEntry[] = []): Result<StoreRead, StoreFailure> => Ok({entries, refused: [], asOf});
 
@@ -59,6 +60,7 @@
 		nowMs: clock.nowMs,
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
+		errors: openBarrier,
 		knownAsOf: () => typeof knownAsOf === 'number' ? knownAsOf : knownAsOf(clock.nowMs()),
 		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
 		onRead(_topic, {entries, asOf}, isFull) {
@@ -226,4 +228,59 @@
 		expect(callsAtMs).to.have.length(8);
 		expect(callsAtMs.at(-1)! - callsAtMs[0]!).to.be.at.least(7 * 200);
 	});
+
+	const failures: ReadonlyArray<readonly [title: string, failAt: 'call' | 'read', calls: readonly string[]]> = [
+		['reads everything again after a call that throws', 'call', ['all', 'all']],
+		['reads everything again after a read that could not be applied', 'read', ['all', 'all']],
+	];
+	for (const [title, failAt, expected] of failures) {
+		// Guards against a reader that never reads again, since an error has left it marked as running.
+		it(title, async () => {
+			const clock = createManualClock(startMs);
+			const calls: string[] = [];
+			const recorded: string[] = [];
+			let reads = 0;
+			const take = async (call: string): Promise<Result<StoreRead, StoreFailure>> => {
+				calls.push(call);
+				if (failAt === 'call' && calls.length === 1) {
+					throw new Error('call');
+				}
+
+				return read(5);
+			};
+
+			const reader = createStoreReader({
+				topic: 'instances',
+				client: {readAll: async () => take('all'), watch: async () => take('watch'), close: () => undefined},
+				nowMs: clock.nowMs,
+				logger: createLogger('test', 'h', 0),
+				metrics: createGatewayMetrics(),
+				errors: {
+					record(place) {
+						recorded.push(place);
+					},
+					run: openBarrier.run,
+				},
+				knownAsOf: () => -1,
+				isWanted: () => reads === 0 || calls.length < 2,
+				onRead() {
+					reads++;
+					if (failAt === 'read' && reads === 1) {
+						throw new Error('read');
+					}
+				},
+				onReachable: () => undefined,
+				onFailure: () => undefined,
+			});
+			for (let round = 0; round < rounds && calls.length < 2; round++) {
+				reader.tick();
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+				clock.advanceMs(roundMs);
+			}
+
+			expect([calls, recorded]).to.deep.equal([expected, ['store-reader']]);
+		});
+	}
 });
--- a/packages/gateway/test/support/fleet-model.ts
+++ b/packages/gateway/test/support/fleet-model.ts
@@ -14,6 +14,7 @@
 import type {FleetLoad} from './fleet-load.ts';
 import {findIgnoredNotices, type SaidNotice} from './fleet-notices.ts';
 import {findFloorWindows, type FloorWindow} from './floor-windows.ts';
+import {openBarrier} from './errors.ts';
 
 const service = 'seatledger';
 
@@ -107,6 +108,7 @@
 			random: createRandom((load.seed * 1000) + index),
 			nowMs: clock.nowMs,
 			logger: createLogger('test', id, 0),
+			errors: openBarrier,
 			isUnplaced: () => false,
 			onState: () => undefined,
 			sendReport(name, report) {
