fix(gateway): a malformed message of a peer is refused whole

Callers saw: one datagram at the peer port, a member at port 99,999, ended the gateway at its next tick. Until then its gossip would pass the member on to the others.

Cause: messages were decoded without a look at their form. `dgram.send` throws for such a port, in a timer. Other fields could leave the state wrong: incarnations that are no number or can't be raised, a limit that is no number (which the HTTP server refuses where nothing catches it), reports of a negative load.

Fix: `decodeMessage` checks envelope, hosts, members, reports, catalogue messages and what was packed, by hand-written checks of types and ranges, and never throws.

--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -5,10 +5,11 @@
 	EntryHost, InstanceRun, MemberMessage, ReportRow, CatalogueMessage,
 } from '@egretwing/core';
 import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
-import type {Result} from 'ts-results-es';
+import {Err, Ok, type Result} from 'ts-results-es';
 import {
 	fromHostRow, fromMemberRows, toHostRow, toMemberRows, type HostRow, type MemberRowsMessage,
 } from './member-rows.ts';
+import {isConfig, isEntries, isEnvelope} from './message-schema.ts';
 import {
 	packConfig, packEntries, unpackConfig, unpackEntries,
 } from './packed.ts';
@@ -129,15 +130,41 @@
 	}
 };
 
+/** A message and its sender. */
+export type DecodedMessage = {readonly from: MeshPeer; readonly message: MeshMessage};
+
+/** Why bytes are no message. */
+export type MessageError = 'undecodable' | 'malformed';
+
 /** Encodes a message with its sender. */
 export const encodeMessage = ({hostId, address, peerPort}: MeshPeer, message: MeshMessage): Buffer => {
 	const envelope: Envelope = [hostId, address, peerPort, toWire(message)];
 	return encodeValue(envelope);
 };
 
-/** Decodes a message and its sender; throws where the decoded value is no message. */
-export const decodeMessage = (bytes: Uint8Array): Result<{readonly from: MeshPeer; readonly message: MeshMessage}, 'undecodable'> =>
-	decodeValue(bytes).map(value => {
-		const [hostId, address, peerPort, message] = value as Envelope;
-		return {from: {hostId, address, peerPort}, message: fromWire(message)};
+/** Whether the parts that travel packed are of the right form. */
+const isWhole = (message: MeshMessage): boolean => {
+	if (message.type !== 'spread' || message.message.type !== 'state') {
+		return true;
+	}
+
+	const {config, entries} = message.message;
+	return (config === undefined || isConfig(config)) && (entries === undefined || isEntries(entries));
+};
+
+/** Decodes a message and its sender. A message of which one part is not as it must be is refused whole. */
+export const decodeMessage = (bytes: Uint8Array): Result<DecodedMessage, MessageError> =>
+	decodeValue(bytes).andThen((value): Result<DecodedMessage, MessageError> => {
+		if (!isEnvelope(value)) {
+			return Err('malformed');
+		}
+
+		try {
+			const [hostId, address, peerPort, wireMessage] = value as Envelope;
+			const message = fromWire(wireMessage);
+			return isWhole(message) ? Ok({from: {hostId, address, peerPort}, message}) : Err('malformed');
+		} catch {
+			// Packed parts that can't be unpacked.
+			return Err('malformed');
+		}
 	});
