fix(gateway): a request that can't be sent on is refused, and no error keeps a slot of an instance

Callers saw: a request whose target holds a tab was closed without an answer. Its slot at the instance was never given back, so that later requests, proper ones too, were refused with 503 until the process ended.

Cause: the parser of requests lets tabs and form feeds pass in a target, and `http.request` throws for them, after the request was placed. Nothing ended the placement.

Fix: such a target is refused with 400, not run, before it is placed. Placements of a request are held in one place and ended when its attempts end, whatever throws. The handler of requests and that of unreadable ones run within the error barrier, which counts their errors in `egretwing_unexpected_errors_total`; its line replaces `request failed`.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -433,21 +433,25 @@
 		try {
 			await serve(incoming, response, exchange);
 		} catch (error) {
-			logger.error('request failed', {error: error instanceof Error ? error.stack : String(error)});
+			errors.record('request', error);
 			await exchange.untilTurn();
 			incoming.socket.destroy();
 		}
 	};
 
+	const handleGuarded = (incoming: http.IncomingMessage, response: http.ServerResponse): void => {
+		errors.run('request', async () => handle(incoming, response));
+	};
+
 	// The configured head limit is checked per request, so that a change also applies to open connections. A missing host header
 	// is checked per request as well, since Node.js would refuse it without an event that could be logged or counted.
 	const server = http.createServer({
 		requestTimeout: 0, headersTimeout: 0, keepAlive: true, maxHeaderSize: maxReadHeadBytes, requireHostHeader: false,
-	}, handle);
+	}, handleGuarded);
 	// By default Node.js silently drops headers beyond a count; here their total size is limited instead.
 	server.maxHeadersCount = 0;
 	// The expect header concerns only the caller's connection to the gateway; an unknown expectation is ignored instead of answered by 417.
-	server.on('checkExpectation', handle);
+	server.on('checkExpectation', handleGuarded);
 	const callers = trackCallerConnections(server);
 	// The closing of idle connections by Node.js also closes one whose last answer is not sent completely, or that has pipelined requests.
 	server.closeIdleConnections = callers.closeIdle;
@@ -464,7 +468,9 @@
 	};
 
 	server.on('clientError', (error, socket) => {
-		callers.handleUnreadable(error, socket as net.Socket, endUnreadable);
+		errors.run('unreadable', () => {
+			callers.handleUnreadable(error, socket as net.Socket, endUnreadable);
+		});
 	});
 
 	const joinSeeds = (): void => {
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -33,8 +33,8 @@
 import type {RequestLog} from './request-log.ts';
 import {firstServerErrorStatusCode, gatewayTimeoutStatusCode, misdirectedStatusCode} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
-import type {
-	Upstream, UpstreamAnswer, UpstreamOutcome, UpstreamRequest,
+import {
+	isSendableTarget, type Upstream, type UpstreamAnswer, type UpstreamOutcome, type UpstreamRequest,
 } from './upstream.ts';
 
 /** Source of the configuration in force, and when it came into force here. */
@@ -82,6 +82,8 @@
 	readonly upstreamRequest: UpstreamRequest;
 	/** Answers so far that were too large to buffer and whose rest is still to be read. */
 	readonly streamingAnswers: UpstreamAnswer[];
+	/** Placements that are not ended, each with what aborts its attempt. */
+	readonly running: Map<DispatchPlacement, () => void>;
 	readonly exchange: CallerExchange;
 };
 
@@ -165,6 +167,16 @@
 		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log, deliver,
 	} = dependencies;
 
+	/** Records that a slot of an instance is taken, so that it is given back however the request ends. */
+	const hold = ({running}: RequestContext, placement: DispatchPlacement): void => {
+		running.set(placement, () => undefined);
+	};
+
+	const endPlacement = ({running, service}: RequestContext, placement: DispatchPlacement, result: AttemptResult): void => {
+		running.delete(placement);
+		dispatchers.finish(service, placement, result);
+	};
+
 	const startAttempt = (context: RequestContext, placement: DispatchPlacement): RunningAttempt => {
 		const instance = catalogue.ready(context.service).find(({instanceId}) => instanceId === placement.instanceId);
 		if (instance === undefined) {
@@ -176,6 +188,7 @@
 		const {outcome, released, abort} = upstream.send({
 			service, instanceId, address, port, bornAtMs,
 		}, context.upstreamRequest, leftMs);
+		context.running.set(placement, abort);
 		const timer = setTimeout(abort, Math.max(1, leftMs));
 		const {signal} = context.exchange;
 		signal.addEventListener('abort', abort, {once: true});
@@ -279,8 +292,9 @@
 			return undefined;
 		}
 
+		hold(context, placement);
 		if (!dependencies.retryWindow(context.service).tryAcquire(dependencies.retrySlackShare(), nowMs())) {
-			dispatchers.finish(context.service, placement, 'abandoned');
+			endPlacement(context, placement, 'abandoned');
 			metrics.retriesRefused.inc({reason: 'budget-spent'});
 			return undefined;
 		}
@@ -328,12 +342,13 @@
 				return lastResult ?? rejection;
 			}
 
+			hold(context, placed.placement);
 			metrics.waitDurationMs.observe({service}, placed.waitedMs);
 			logSent(context, placed.placement, sends + 1, placed.waitedMs);
 			const ended = await runAttempt(context, placed.placement, attemptedIds, sends);
 			for (const {placement, outcome, isCancelled} of ended) {
 				const result = isCancelled ? 'abandoned' : toResult(outcome, signal.aborted);
-				dispatchers.finish(service, placement, result);
+				endPlacement(context, placement, result);
 				metrics.attempts.inc({service, result});
 				attemptedIds.push(placement.instanceId);
 				connectFailures += Number(outcome.type === 'unreachable');
@@ -371,6 +386,18 @@
 		}
 	};
 
+	/** Gives back what the request still holds of instances when its attempts end by an error. */
+	const runAttemptsToEnd = async (context: RequestContext): Promise<FinalResult> => {
+		try {
+			return await runAttempts(context);
+		} finally {
+			for (const [placement, abort] of context.running) {
+				abort();
+				endPlacement(context, placement, 'abandoned');
+			}
+		}
+	};
+
 	/** Closes the connections of streaming answers that are not passed to the caller. */
 	const closeUnusedAnswers = ({streamingAnswers}: RequestContext, final: FinalResult): void => {
 		for (const answer of streamingAnswers) {
@@ -430,6 +457,10 @@
 			return refuseWith('malformed-request', 'no host');
 		}
 
+		if (!isSendableTarget(incoming.url ?? '/')) {
+			return refuseWith('malformed-request', 'target');
+		}
+
 		if (headBytesOf(incoming) > dependencies.maxHeadBytes()) {
 			return refuseDisallowed('headers-too-large', 'headers');
 		}
@@ -451,7 +482,7 @@
 			return refuseWith('draining', 'may outlast the shutdown', stoppingRetryMs);
 		}
 
-		const final = await runAttempts(context);
+		const final = await runAttemptsToEnd(context);
 		closeUnusedAnswers(context, final);
 		if (final.type !== 'caller-gone') {
 			dispatchers.recordOutcome(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
@@ -526,6 +557,7 @@
 				isIdempotent,
 			},
 			streamingAnswers: [],
+			running: new Map(),
 			exchange,
 		};
 		await deliver(response, exchange, context, await serveRouted(context));
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -88,6 +88,12 @@
 
 const msPerSecond = 1000;
 
+/** What can be written in the first line of a request, and as its host; the parser of requests lets more pass. */
+const sendableTarget = /^[\u0021-\u007E\u0080-\u00FF]+$/v;
+
+/** Whether a request with this target can be sent to an instance as the caller wrote it. */
+export const isSendableTarget = (target: string): boolean => sendableTarget.test(target);
+
 const keepAliveHintMs = (header: string | string[] | undefined): number => {
 	const seconds = /timeout=(\d+)/v.exec(String(header ?? ''))?.[1];
 	return seconds === undefined ? Number.POSITIVE_INFINITY : Number(seconds) * msPerSecond;
