fix(gateway): an answer that can't be passed on or handled ends its attempt only

Callers saw: a signed answer with the status 000 or 099 closed their connection without an answer. An error in the handling of an answer's head would have ended the process, since it arises in an event.

Cause: the status was not looked at, and `writeHead` throws for one below 100. `takeAnswer` ran without a catch.

Fix: an answer of a status below 200 counts as broken, so that the caller gets 502. What the handling of a head throws is recorded and ends that attempt.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -376,6 +376,7 @@
 		nowMs,
 		localAddress: settings.address,
 		headerNames,
+		errors,
 		onConnect() {
 			metrics.connections.inc();
 		},
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -9,14 +9,16 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {createIdleLimit, type InstanceRun} from '@egretwing/core';
-import {isSelfDelimited, maxInformationalResponses} from '@egretwing/node';
+import {isSelfDelimited, maxInformationalResponses, type ErrorBarrier} from '@egretwing/node';
 import type {ReceivedBody} from './body.ts';
 import {
 	connectTimeoutMs, maxBufferedAnswerBytes, idleCloseMarginMs, maxDiscardedAnswerBytes, maxDiscardMs, maxIdleConnectionMs, maxReadHeadBytes, maxRequestsPerConnection,
 } from './constants.ts';
 import {readNotice, type InstanceNotice} from './instance-notice.ts';
 import {watchReset} from './reset.ts';
-import {firstServerErrorStatusCode, misdirectedStatusCode, unavailableStatusCode} from './status-codes.ts';
+import {
+	firstFinalStatusCode, firstServerErrorStatusCode, misdirectedStatusCode, unavailableStatusCode,
+} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
 
 /** Destination of an attempt. */
@@ -81,6 +83,7 @@
 	readonly nowMs: () => number;
 	readonly localAddress: string;
 	readonly headerNames: HeaderNames;
+	readonly errors: ErrorBarrier;
 	readonly onConnect: () => void;
 	/** Called when an answer says something of its instance, before the attempt ends. */
 	readonly onNotice: (target: UpstreamTarget, notice: InstanceNotice, answer: {readonly requestId: string | undefined; readonly statusCode: number}) => void;
@@ -213,6 +216,10 @@
 
 	// Without a signature the caller would attribute it to the gateway: a success, a final refusal, or a promise that nothing ran.
 	const statusCode = answer.statusCode ?? 0;
+	if (statusCode < firstFinalStatusCode) {
+		return `answer with the status ${statusCode}, which is none`;
+	}
+
 	const isMisleading = statusCode < firstServerErrorStatusCode || statusCode === unavailableStatusCode;
 	if (isMisleading && answer.headers[names.signature] === undefined) {
 		return `answer ${statusCode} without the signature of the instance`;
@@ -223,7 +230,7 @@
 
 /** Creates the client of the instances. */
 export const createUpstream = ({
-	nowMs, localAddress, headerNames, onConnect, onNotice,
+	nowMs, localAddress, headerNames, errors, onConnect, onNotice,
 }: UpstreamOptions): Upstream => {
 	const idleLimit = createIdleLimit();
 	const agents = new Map<string, GuardedAgent>();
@@ -423,7 +430,15 @@
 				outgoing.destroy(new Error('too many informational answers'));
 			}
 		});
-		outgoing.once('response', takeAnswer);
+		outgoing.once('response', answer => {
+			try {
+				takeAnswer(answer);
+			} catch (error) {
+				errors.record('answer', error);
+				answer.destroy();
+				fail('answer could not be handled');
+			}
+		});
 		outgoing.on('error', error => {
 			failUnlessReceived(error.message);
 		});
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -10,6 +10,7 @@
 import {
 	createUpstream, type UpstreamOptions, type UpstreamOutcome, type UpstreamRequest,
 } from '../src/upstream.ts';
+import {openBarrier} from './support/errors.ts';
 
 const address = '127.0.0.1';
 /** Exceeds the buffers of a loopback connection. */
@@ -85,7 +86,35 @@
 
 describe('upstream', () => {
 	const create = (onNotice: UpstreamOptions['onNotice'] = () => undefined) => createUpstream({
-		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, onConnect: () => undefined, onNotice,
+		nowMs: () => performance.now(), localAddress: address, headerNames: defaultHeaderNames, errors: openBarrier, onConnect: () => undefined, onNotice,
+	});
+
+	// Guards against an exception on an answer, which arises in an event and would end the process.
+	it('ends the attempt when the notice of an answer can\'t be handled', async () => {
+		const instance = await startInstance([completeAnswer('r1', 'ok', 'egretwing-leaving: 1\r\n')]);
+		const places: string[] = [];
+		const upstream = createUpstream({
+			nowMs: () => performance.now(),
+			localAddress: address,
+			headerNames: defaultHeaderNames,
+			errors: {
+				...openBarrier,
+				record(place) {
+					places.push(place);
+				},
+			},
+			onConnect: () => undefined,
+			onNotice() {
+				throw new Error('notice');
+			},
+		});
+		const {outcome} = upstream.send({
+			service: 's', instanceId: 'i', address, port: instance.port, bornAtMs: 1,
+		}, request(), 1000);
+		expect(describeOutcome(await outcome)).to.equal('broken');
+		expect(places).to.deep.equal(['answer']);
+		upstream.close();
+		instance.close();
 	});
 
 	const noticeCases: ReadonlyArray<{readonly title: string; readonly answer: string; readonly notice: InstanceNotice | undefined}> = [
@@ -174,6 +203,10 @@
 		{
 			title: 'refuses a truncated answer', answer: completeAnswer('r1').replace('content-length: 2', 'content-length: 9'), end: 'end', outcome: 'broken',
 		},
+		// Guards against a status that can't be passed on, which closed the caller's connection without an answer.
+		...['000', '099'].map(statusCode => ({
+			title: `refuses a signed answer of the status ${statusCode}`, answer: completeAnswer('r1').replace('200', statusCode), outcome: 'broken',
+		})),
 		{title: 'refuses bytes that are no HTTP answer', answer: 'garbage\r\n\r\n', outcome: 'broken'},
 		{title: 'reports a reset after sending as broken', answer: '', outcome: 'broken'},
 		{
