fix(gateway): apply the configured time for a head to every head of a request

Callers who sent bytes of a head and never its end kept their connections, and the memory of the head, for as long as they liked.

Cause: `header_timeout_ms` was used only as the idle time between requests, which each byte of the head renews, and not at all for the first head.

Now Node.js checks heads against it, twice a second, and the answer is 408 `headers-too-slow`. A head that is incomplete because the gateway itself has stopped reading the connection does not count.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -3,6 +3,9 @@
 /** Interval of the periodic work on queued requests, instances and peers: far below one service time. */
 export const tickIntervalMs = 100;
 
+/** Interval at which heads of requests are checked for the configured time: a small part of it. */
+export const headCheckIntervalMs = 500;
+
 /** Interval at which connections to instances that have left are closed. */
 export const connectionCleanupIntervalMs = 1000;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
-	drainAcceptShare, drainEndShare, joinIntervalMs, maxReadHeadBytes, processLogIntervalMs, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
+	drainAcceptShare, drainEndShare, headCheckIntervalMs, joinIntervalMs, maxReadHeadBytes, processLogIntervalMs, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
 } from './constants.ts';
 import {createDeliver} from './deliver.ts';
 import {createDispatchers} from './dispatchers.ts';
@@ -175,6 +175,7 @@
 				headLimit.take(config.limits, nowMs());
 				// Node.js applies this timeout until the head of the next request is complete, which may take `headerTimeoutMs`.
 				server.keepAliveTimeout = Math.max(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
+				server.headersTimeout = config.limits.headerTimeoutMs;
 				metrics.configVersion.set(config.version);
 				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
 				if (config.limits.maxHeaderBytes >= maxReadHeadBytes) {
@@ -447,7 +448,7 @@
 	// The configured head limit is checked per request, so that a change also applies to open connections. A missing host header
 	// is checked per request as well, since Node.js would refuse it without an event that could be logged or counted.
 	const server = http.createServer({
-		requestTimeout: 0, headersTimeout: 0, keepAlive: true, maxHeaderSize: maxReadHeadBytes, requireHostHeader: false,
+		requestTimeout: 0, headersTimeout: 0, connectionsCheckingInterval: headCheckIntervalMs, keepAlive: true, maxHeaderSize: maxReadHeadBytes, requireHostHeader: false,
 	}, handleGuarded);
 	// By default Node.js silently drops headers beyond a count; here their total size is limited instead.
 	server.maxHeadersCount = 0;
@@ -469,6 +470,11 @@
 	};
 
 	server.on('clientError', (error, socket) => {
+		// A head that is not complete because the gateway itself stopped reading is not the caller's fault.
+		if ((error as NodeJS.ErrnoException).code === 'ERR_HTTP_REQUEST_TIMEOUT' && callers.isReadPaused(socket as net.Socket)) {
+			return;
+		}
+
 		errors.run('unreadable', () => {
 			callers.handleUnreadable(error, socket as net.Socket, endUnreadable);
 		});
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -210,6 +210,29 @@
 	it('takes uploads again once the callers of unfinished ones are gone', async () => {
 		const uploads = Array.from({length: 6}, (_, number) => upload(`gone-${number}`, megabyte, megabyte - 1));
 		await delay(300);
+	// Guards against heads that never end: each keeps a connection and its memory for ever.
+	const slowHeads: ReadonlyArray<readonly [title: string, first: string]> = [
+		['the first head of a connection', ''],
+		['a later head of a connection', headOf('earlier', '/r/small')],
+	];
+	for (const [title, first] of slowHeads) {
+		it(`refuses ${title} that does not end within the configured time, though bytes keep coming`, async () => {
+			const caller = open();
+			const trickle = setInterval(() => {
+				caller.socket.write('x: y\r\n');
+			}, 200);
+			caller.socket.write(`${first}GET /r/slow HTTP/1.1\r\nhost: a.example\r\n`);
+			try {
+				await delay(config.limits.headerTimeoutMs + 1500);
+			} finally {
+				clearInterval(trickle);
+			}
+
+			expect(caller.received().match(/(?<=HTTP\/1\.1 )\d+/gv)).to.deep.equal([...(first === '' ? [] : ['200']), '408']);
+			expect(caller.received()).to.contain('egretwing-kind: headers-too-slow');
+		});
+	}
+
 		for (const {socket} of uploads) {
 			socket.destroy();
 		}
--- a/packages/node/src/caller-connections.ts
+++ b/packages/node/src/caller-connections.ts
@@ -39,6 +39,8 @@
 	readonly begin: (incoming: http.IncomingMessage, response: http.ServerResponse, isLast: boolean) => CallerExchange;
 	/** Calls `handle` once the requests that were read before the error are answered. */
 	readonly handleUnreadable: (error: Error, socket: net.Socket, handle: UnreadableHandler) => void;
+	/** Whether nothing is read from the connection until some of its requests are answered. */
+	readonly isReadPaused: (socket: net.Socket) => boolean;
 	/** Closes the connections without an unanswered request. */
 	readonly closeIdle: () => void;
 };
@@ -183,6 +185,7 @@
 
 			update(socket, connection);
 		},
+		isReadPaused: socket => connections.get(socket)?.isReadPaused === true,
 		closeIdle() {
 			for (const [socket, {pipeline, idleReadBytes}] of connections) {
 				if (pipeline.unanswered().length === 0 && socket.bytesRead === idleReadBytes) {
