fix(gateway): count the answers that a gateway holds towards the memory for callers' bytes

Callers of a gateway whose other callers wait for many answers, or read none, saw their connections closed when the platform killed it for its memory.

Cause: up to 1 MB of each answer was buffered, over any number of requests.

Now each piece of an answer is counted with the body of its request until the caller has taken the answer. At the bound an answer is not buffered any further: its rest is streamed, as that of a large one is. Nothing is dropped or run again for it. The held bytes are in the log line `process state` and in `egretwing_held_bytes`.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -511,7 +511,9 @@
 	});
 
 	const logProcess = async (): Promise<void> => {
-		logger.info('process state', {...describeProcess(), maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections()});
+		logger.info('process state', {
+			...describeProcess(), heldBytes: memory.heldBytes(), heldLimitBytes: memory.limitBytes, maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections(),
+		});
 	};
 
 	const reconnectUnresponsive = (): void => {
@@ -529,7 +531,8 @@
 		}
 	};
 
-	const logProcessIfDue = async (timeMs: number): Promise<void> => {
+	const reportProcess = async (timeMs: number): Promise<void> => {
+		metrics.heldBytes.set(memory.heldBytes());
 		if (timeMs >= nextProcessLogMs) {
 			nextProcessLogMs = timeMs + processLogIntervalMs;
 			await logProcess();
@@ -559,7 +562,7 @@
 		['reader-watch', watchReaders],
 		['readers', tickReaders],
 		['dispatch', dispatchers.tick],
-		['process-log', logProcessIfDue],
+		['process', reportProcess],
 		['cleanup', cleanUpIfDue],
 	];
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -35,6 +35,8 @@
 	readonly instances: Gauge<'service' | 'state'>;
 	readonly configVersion: Gauge;
 	readonly members: Gauge;
+	/** Bytes held for callers: bodies and answers. */
+	readonly heldBytes: Gauge;
 };
 
 const durationBucketsMs = [1, 5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000];
@@ -88,6 +90,7 @@
 			name: 'egretwing_instances', help: 'Instances by service and state at this gateway', labelNames: ['service', 'state'], registers,
 		}),
 		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
+		heldBytes: new Gauge({name: 'egretwing_held_bytes', help: 'Bytes of bodies and answers held for callers', registers}),
 		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
 	};
 };
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -555,6 +555,7 @@
 				headers: {...forwardedHeaders(incoming.headers, ownHeaders(headerNames)), host: requestTarget.host},
 				body: read.body,
 				isIdempotent,
+				reserve: lease.reserve,
 			},
 			streamingAnswers: [],
 			running: new Map(),
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -35,6 +35,8 @@
 	readonly body: ReceivedBody | null;
 	/** Whether it may run more than once, so that it may be sent on an idle connection that the instance may have dropped. */
 	readonly isIdempotent: boolean;
+	/** Takes memory for a piece of an answer; what comes after one that does not fit is not buffered. */
+	readonly reserve: (sizeBytes: number) => boolean;
 };
 
 /** An answer of an instance; `body` is complete, or `rest` streams the part that was not buffered. */
@@ -342,7 +344,7 @@
 			const onData = (chunk: Buffer): void => {
 				chunks.push(chunk);
 				sizeBytes += chunk.length;
-				if (sizeBytes > maxBufferedAnswerBytes) {
+				if (!request.reserve(chunk.length) || sizeBytes > maxBufferedAnswerBytes) {
 					answer.pause();
 					answer.off('data', onData);
 					settle({type: 'answered', answer: {...toAnswer(answer, chunks), rest: answer, isRestWhole: isComplete}});
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -63,9 +63,12 @@
 		});
 		incoming.once('end', () => {
 			bodySizes.push(sizeBytes);
+			const waitMs = Number(/wait=(\d+)/v.exec(incoming.url ?? '')?.[1] ?? 0);
 			const answerBytes = Number(/bytes=(\d+)/v.exec(incoming.url ?? '')?.[1] ?? 2);
 			response.writeHead(200, {'egretwing-request-id': String(incoming.headers['egretwing-request-id']), 'egretwing-signature': 'signed', 'content-length': answerBytes});
-			response.end(Buffer.alloc(answerBytes));
+			setTimeout(() => {
+				response.end(Buffer.alloc(answerBytes));
+			}, waitMs);
 		});
 	});
 	await new Promise<void>(resolve => {
@@ -207,9 +210,6 @@
 		});
 	}
 
-	it('takes uploads again once the callers of unfinished ones are gone', async () => {
-		const uploads = Array.from({length: 6}, (_, number) => upload(`gone-${number}`, megabyte, megabyte - 1));
-		await delay(300);
 	// Guards against heads that never end: each keeps a connection and its memory for ever.
 	const slowHeads: ReadonlyArray<readonly [title: string, first: string]> = [
 		['the first head of a connection', ''],
@@ -233,6 +233,33 @@
 		});
 	}
 
+	// Guards against answers that wait for their turn and together take the memory of the machine.
+	it('holds no more of waiting answers than the memory allows, and delivers all of them', async () => {
+		const answerBytes = 900_000;
+		// The gateway sends several requests at a time only to an instance that has answered.
+		await askSmall('trial-1');
+		await askSmall('trial-2');
+		const runsBefore = instance.bodySizes.length;
+		const caller = open();
+		caller.socket.write(headOf('first', '/r/first?wait=1000'));
+		for (let number = 0; number < 7; number++) {
+			caller.socket.write(headOf(`waiting-${number}`, `/r/waiting?bytes=${answerBytes}`));
+		}
+
+		await delay(700);
+		const response = await fetch(`http://${address}:${port + 3}/metrics`);
+		const metrics = await response.text();
+		const heldBytes = Number(/^egretwing_held_bytes (\d+)$/mv.exec(metrics)?.[1]);
+		expect(heldBytes).to.be.within(2 * megabyte, 4 * megabyte);
+		await delay(1200);
+		expect(caller.received().match(/(?<=HTTP\/1\.1 )\d+/gv)).to.deep.equal(Array.from({length: 8}, () => '200'));
+		expect(caller.received().length).to.be.above(7 * answerBytes);
+		expect(instance.bodySizes.length - runsBefore).to.equal(8);
+	});
+
+	it('takes uploads again once the callers of unfinished ones are gone', async () => {
+		const uploads = Array.from({length: 6}, (_, number) => upload(`gone-${number}`, megabyte, megabyte - 1));
+		await delay(300);
 		for (const {socket} of uploads) {
 			socket.destroy();
 		}
