test(platform): odd requests and held ports are shared

The table of odd requests, the sockets that hold a port and the sender of raw bytes move out of the tests of the ends of a process, so that the soak can use the same ones. No case and no check changes.

--- a/test/platform/process-ends.test.ts
+++ b/test/platform/process-ends.test.ts
@@ -1,7 +1,5 @@
 import {performance} from 'node:perf_hooks';
 import net from 'node:net';
-import dgram from 'node:dgram';
-import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {networkOf} from '../support/network.ts';
@@ -9,6 +7,8 @@
 	buildGateway, gatewayPorts, operatorPort, startGateways, type SoakGateways,
 } from './soak/gateways.ts';
 import {createSoakStore, type SoakStore} from './soak/store.ts';
+import {holdPort, type PortKind} from './support/held-port.ts';
+import {oddRequests, sendBytes} from './support/odd-requests.ts';
 import {handlerDelayMs, idleProgram, median} from './support/signal-handlers.ts';
 
 const network = networkOf(215);
@@ -32,30 +32,10 @@
 	});
 };
 
-/** Sends bytes and resolves with what comes back until the other side closes, or until `waitMs` have passed. */
-const sendBytes = async (port: number, bytes: string, waitMs = 500): Promise<string> => new Promise(resolve => {
-	const socket = net.connect({host: address, port});
-	let text = '';
-	const end = (): void => {
-		socket.destroy();
-		resolve(text);
-	};
-
-	socket.setTimeout(waitMs, end);
-	socket.on('data', chunk => {
-		text += chunk.toString('latin1');
-	});
-	socket.once('error', end);
-	socket.once('close', end);
-	socket.once('connect', () => {
-		socket.write(bytes, 'latin1');
-	});
-});
-
 const statusOf = (answer: string): number => Number(/^HTTP\/1\.1 (\d{3})/v.exec(answer)?.[1] ?? 0);
 
 const isReady = async (): Promise<boolean> =>
-	statusOf(await sendBytes(gatewayPorts.ready, 'GET /readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')) === 200;
+	statusOf(await sendBytes(address, gatewayPorts.ready, 'GET /readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')) === 200;
 
 const untilReady = async (): Promise<void> => {
 	const untilMs = performance.now() + readyWithinMs;
@@ -83,41 +63,6 @@
 	}
 };
 
-const headOf = (target: string): string => `GET ${target} HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n`;
-
-const oddRequests: ReadonlyArray<readonly [title: string, bytes: string]> = [
-	['a target of two slashes', headOf('//')],
-	['a target with an invalid authority', headOf('//[')],
-	['an absolute target without a host', headOf('http://')],
-	['a target with an invalid escape', headOf('/%zz?service=%zz&zone=%')],
-	['a target with a tab', headOf('/upload/x\ty')],
-	['the target of all resources', 'OPTIONS * HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n'],
-	['a tunnel', 'CONNECT //:x HTTP/1.1\r\nhost: ends.example\r\nconnection: close\r\n\r\n'],
-	['an upgrade', 'GET // HTTP/1.1\r\nhost: ends.example\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n'],
-	['bytes that are no request', '\u0000\u0001\u0002\u00FF\u00FE\r\n\r\n'],
-];
-
-/** Occupies a port of the gateway's address, as a process that was killed may for a while. */
-const holdPort = async (kind: 'stream' | 'datagram', port: number): Promise<() => void> => {
-	if (kind === 'datagram') {
-		const socket = dgram.createSocket('udp4');
-		socket.bind(port, address);
-		await once(socket, 'listening');
-		return () => {
-			socket.close();
-		};
-	}
-
-	const server = net.createServer(socket => {
-		socket.destroy();
-	});
-	server.listen(port, address);
-	await once(server, 'listening');
-	return () => {
-		server.close();
-	};
-};
-
 describe('process of the gateway', function () {
 	this.timeout(60_000);
 
@@ -127,7 +72,7 @@
 			await withGateway(async gateways => {
 				await untilReady();
 				for (const [, bytes] of oddRequests) {
-					await sendBytes(port, bytes, 200);
+					await sendBytes(address, port, bytes, 200);
 				}
 
 				await delay(200);
@@ -150,7 +95,7 @@
 	});
 
 	// Guards against a process that ends, again and again, while another socket still holds one of its ports.
-	const held: ReadonlyArray<readonly [name: string, kind: 'stream' | 'datagram', port: number]> = [
+	const held: ReadonlyArray<readonly [name: string, kind: PortKind, port: number]> = [
 		['front', 'stream', gatewayPorts.front],
 		['readiness', 'stream', gatewayPorts.ready],
 		['lookup', 'stream', gatewayPorts.lookup],
@@ -160,7 +105,7 @@
 	];
 	for (const [name, kind, port] of held) {
 		it(`waits for its ${name} port (${kind}) while another socket holds it`, async () => {
-			const release = await holdPort(kind, port);
+			const release = await holdPort(kind, address, port);
 			await withGateway(async gateways => {
 				try {
 					await delay(1500);
