test(soak): faults that may end a process (--ends), and what each end left behind

An end has code or signal, age, peak of memory and last line in its flaw; kills for memory count also in a process that the run had told to stop. A signal to a process that has already ended does not excuse that end. A gateway that isn't listening on one of its ports at the end is a flaw, in all runs.

--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -1,14 +1,18 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import net from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createRandom} from '@egretwing/core';
 import {catchesHangup} from '../support/signal-handlers.ts';
 import type {Call, CallEnd} from './callers.ts';
+import {checkListening} from './ends.ts';
 import {buildGateway, gatewayPorts, startGateways} from './gateways.ts';
 import type {Run} from './instances.ts';
 import {checkNotices, type NoticeRecords, type SaidNotice} from './notices.ts';
-import {drawSchedule} from './schedule.ts';
+import {drawSchedule, leastSignalAgeMs} from './schedule.ts';
 import {
 	checkRecovery, checkLostAnswers, checkRuns, runSoak,
 } from './soak.ts';
@@ -59,6 +63,57 @@
 		});
 	}
 
+	it('shows no flaw under seed 3 with faults that may end a process', async () => {
+		const {flaws, served} = await runSoak({
+			...size, ends: true, seed: 3, file: await buildGateway(), network: `127.${networkPart}.3`, requestsPerSecond: 30,
+		});
+		expect(flaws).to.deep.equal([]);
+		expect(served).to.be.above(0);
+	});
+
+	const ends: ReadonlyArray<readonly [title: string, program: string, memoryMegabytes: number, flaw: RegExp]> = [
+		[
+			'its exit code, age, peak of memory and last line',
+			'setTimeout(() => { throw new TypeError("odd"); }, 300)',
+			350,
+			/^gateway-0 ended with 1 after \d{3,4} ms, peak [1-9]\d* MB, last line: TypeError: odd$/v,
+		],
+		[
+			'its signal',
+			'console.log("first"); setTimeout(() => process.kill(process.pid, "SIGHUP"), 300)',
+			350,
+			/^gateway-0 ended with SIGHUP after \d{3,4} ms, peak [1-9]\d* MB, last line: first$/v,
+		],
+		[
+			'memory over the limit',
+			'console.log("first"); setTimeout(() => undefined, 2000)',
+			10,
+			/^gateway-0 was killed for its memory after \d+ ms, peak [1-9]\d* MB, last line: (?:first)?$/v,
+		],
+	];
+	for (const [title, program, memoryMegabytes, flaw] of ends) {
+		it(`tells of a process that ended by itself: ${title}`, async () => {
+			const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-ends-'));
+			const file = path.join(folder, 'program.cjs');
+			writeFileSync(file, program);
+			const gateways = startGateways({
+				file, addresses: [`127.${networkPart}.252.1`], dataCentreOf: () => 'dc-1', storeAddress: `127.${networkPart}.252.100`, memoryMegabytes,
+			});
+			try {
+				while (gateways.startCount(0) < 2) {
+					await delay(10);
+				}
+
+				// A signal to a process that has ended excuses nothing.
+				gateways.signal(0, 'SIGKILL');
+				expect(gateways.unexpectedExits()[0]).to.match(flaw);
+			} finally {
+				await gateways.stop();
+				rmSync(folder, {recursive: true, force: true});
+			}
+		});
+	}
+
 	// Under the seeds 100, 101, 120 and 125 of manual runs, SIGHUP ended a process that was still starting.
 	it('does not end a starting process by SIGHUP before it listens', async () => {
 		const address = `127.${networkPart}.251.1`;
@@ -85,6 +140,19 @@
 		expect(draw().every(({atMs}) => atMs <= size.durationMs - size.calmMs)).to.equal(true);
 	});
 
+	it('draws faults that may end a process only if they are asked for, each kind within some seeds, and none below the age at which SIGHUP can be handled', () => {
+		const kinds = new Set(['odd-requests', 'early-signal', 'hold-port', 'uploads', 'settings']);
+		const draw = (ends: boolean) => Array.from({length: 20}, (_, seed) => drawSchedule(createRandom(seed), {...size, ends}).map(({action}) => action)).flat();
+		const drawn = draw(true);
+		expect(draw(false).some(({type}) => kinds.has(type))).to.equal(false);
+		expect(new Set(drawn.map(({type}) => type))).to.include.all.keys([...kinds]);
+		expect(drawn.every(action => action.type !== 'early-signal' || action.agesMs.every(ageMs => ageMs >= leastSignalAgeMs))).to.equal(true);
+	});
+
+	it('reports each port that no gateway listens on at the end', async () => {
+		expect(await checkListening([`127.${networkPart}.253.1`])).to.have.length(5);
+	});
+
 	const cases: ReadonlyArray<{readonly title: string; readonly calls: readonly Call[]; readonly runs: readonly Run[]; readonly flaws: number}> = [
 		{
 			title: 'accepts a write that ran once and was answered', calls: [call(answered(200))], runs: [run('i1')], flaws: 0,
