fix(soak): a reset waits for an end that is on the way

Seen: the process of a soak run used a core without a system call after its last line, three times, and had to be ended by hand.

Cause: Node.js refuses to reset a connection while its end is on the way (EINVAL). The handle counts as closing but stays open, and a process that ends waits for it in a busy loop (Environment::CleanupHandles, seen with gdb on a small program with the same signs). The proxy reset connections in the turn in which it had ended them, when gateways ended as it was closed.

The reset is sent once the end was, so that the handle closes.

--- a/test/platform/soak/proxy.ts
+++ b/test/platform/soak/proxy.ts
@@ -3,6 +3,7 @@
 import net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {listen} from '@egretwing/node';
+import {resetSocket} from '../support/reset-socket.ts';
 
 /** Fault that applies to all connections of a proxy. */
 export type ProxyFault
@@ -53,7 +54,7 @@
 
 	const server = net.createServer({allowHalfOpen: true}, incoming => {
 		if (fault.type === 'reset') {
-			incoming.resetAndDestroy();
+			resetSocket(incoming);
 			return;
 		}
 
@@ -62,7 +63,7 @@
 		pairs.add(pair);
 		for (const [socket, other] of [[incoming, outgoing], [outgoing, incoming]] as const) {
 			socket.on('error', () => {
-				other.resetAndDestroy();
+				resetSocket(other);
 			});
 			socket.on('close', () => {
 				pairs.delete(pair);
@@ -77,8 +78,8 @@
 
 	const resetAll = (): void => {
 		for (const [incoming, outgoing] of pairs) {
-			incoming.resetAndDestroy();
-			outgoing.resetAndDestroy();
+			resetSocket(incoming);
+			resetSocket(outgoing);
 		}
 	};
 
