--- a/test/platform/process-ends.test.ts
+++ b/test/platform/process-ends.test.ts
@@ -121,7 +121,7 @@
 
 	// Guards against settings that a starting process ignores, since they change after it has read them and before it heeds SIGHUP.
 	it('reloads settings that change while it waits for a port', async () => {
-		const release = await holdPort('stream', gatewayPorts.front);
+		const release = await holdPort('stream', address, gatewayPorts.front);
 		await withGateway(async gateways => {
 			const hasLogged = async (text: string, withinMs: number): Promise<boolean> => {
 				for (const untilMs = performance.now() + withinMs; performance.now() < untilMs;) {
