fix(gateway): peers accept each instance entry that a reader of the store accepts

Callers saw: nothing yet; the checks of peers' messages are new. A removed key that is just the prefix of instances makes an entry without an id, and the store's schema takes any number as a revision. Messages with such an entry were refused whole, so that one key would have kept all changes from the other gateways.

Cause: the checks were stricter than the decoding of what the store holds.

Evidence: "of which none is changed are all accepted" failed with such a removal added (1 of 1), and passes now.

Fix: the id of an entry may be any text, revisions any finite number, as in the decoding of the store's answers.

--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -31,7 +31,7 @@
 });
 
 const entries = isListOf(isRecord({
-	instanceId: isName, revision: isInteger, record: orNull(instanceRecord), isLapsed: optional(isFlag), usableForMs: optional(isNumber),
+	instanceId: isText, revision: isNumber, record: orNull(instanceRecord), isLapsed: optional(isFlag), usableForMs: optional(isNumber),
 }));
 
 const config = isRecord({
@@ -54,13 +54,13 @@
 });
 
 const catalogueMessage = isVariant({
-	news: isRecord({entries, instancesAsOf: isInteger, configVersion: isInteger}),
-	compare: isRecord({digest: isRecord({configVersion: isInteger, instances: isInteger, instancesAsOf: isInteger}), isReply: optional(isFlag)}),
+	news: isRecord({entries, instancesAsOf: isNumber, configVersion: isInteger}),
+	compare: isRecord({digest: isRecord({configVersion: isInteger, instances: isNumber, instancesAsOf: isNumber}), isReply: optional(isFlag)}),
 	pull: isRecord({
-		configVersion: isInteger, wantsInstances: isFlag, afterRevision: optional(isInteger), takesPacked: optional(isFlag),
+		configVersion: isInteger, wantsInstances: isFlag, afterRevision: optional(isNumber), takesPacked: optional(isFlag),
 	}),
 	state: isRecord({
-		isPacked: optional(isFlag), config: optional(config), entries: optional(entries), packedConfig: optional(isBytes), packedEntries: optional(isBytes), instancesAsOf: isInteger,
+		isPacked: optional(isFlag), config: optional(config), entries: optional(entries), packedConfig: optional(isBytes), packedEntries: optional(isBytes), instancesAsOf: isNumber,
 	}),
 });
 
--- a/packages/gateway/test/hostile-peers.test.ts
+++ b/packages/gateway/test/hostile-peers.test.ts
@@ -209,6 +209,8 @@
 		},
 	},
 	news({instanceId: 'i', revision: 3, record}),
+	// The store may hold a removed key that is nothing but the prefix of instances.
+	news({instanceId: '', revision: 3, record: null}),
 	news({
 		instanceId: 'i', revision: 4, record: null, isLapsed: true, usableForMs: 10,
 	}),
