--- a/packages/gateway/test/dispatchers.test.ts
+++ b/packages/gateway/test/dispatchers.test.ts
@@ -2,7 +2,7 @@
 import {
 	createCatalogue, createManualClock, createRandom, type DispatcherState, type DispatchReport,
 } from '@egretwing/core';
-import {createLogger} from '@egretwing/node';
+import {createErrorBarrier, createLogger} from '@egretwing/node';
 import {createDispatchers, type Dispatchers} from '../src/dispatchers.ts';
 import {openBarrier} from './support/errors.ts';
 
@@ -146,3 +146,52 @@
 		expect(states.at(-1)).to.include({paused: 1});
 	});
 });
+
+describe('tick of the dispatchers', () => {
+	// Guards against one service whose error keeps the queues of all services after it from being served.
+	it('goes on with the other services when one fails', async () => {
+		const clock = createManualClock(1000);
+		const catalogue = createCatalogue();
+		catalogue.mergeInstances(['s', 't'].map((service, index) => ({
+			instanceId: `i-${service}`,
+			revision: index + 1,
+			record: {
+				service, address: '10.0.0.1', port: 80 + index, dataCentre: 'a', slots: 2, state: 'ready', warmupLeftMs: 0, bornAtMs: 1,
+			},
+		})), 2, clock.nowMs());
+		const reported: string[] = [];
+		const errorLines: string[] = [];
+		const dispatchers = createDispatchers({
+			dataCentre: 'a',
+			catalogue,
+			random: createRandom(1),
+			nowMs: clock.nowMs,
+			logger: createLogger('test', 'h', 0),
+			errors: createErrorBarrier({
+				logger: createLogger('test', 'h', 0, line => {
+					errorLines.push(line);
+				}),
+				nowMs: clock.nowMs,
+			}),
+			isUnplaced: () => false,
+			sendReport(service) {
+				reported.push(service);
+				if (service === 's') {
+					throw new Error('report');
+				}
+			},
+			onState: () => undefined,
+		});
+		for (const service of ['s', 't']) {
+			await dispatchers.place(service, {
+				requestId: 'r', rank: 0, isIdempotent: true, isReturning: false, bodyBytes: 0, objectiveAtMs: 2000, finalAtMs: 3000, attemptedIds: [],
+			}, new AbortController().signal);
+		}
+
+		clock.advanceMs(100);
+		dispatchers.tick();
+		await Promise.resolve();
+		expect(reported).to.deep.equal(['s', 't']);
+		expect(errorLines).to.have.length(1);
+	});
+});
