feat(gateway): refuse large bodies while the measured memory of the process is short

The budget counts bytes of callers and assumes what the process itself needs. Garbage, heads and other parts may take more, and the platform's limit applies to the resident memory.

The log says when it begins and ends.

--- a/packages/core/src/load/memory-budget.ts
+++ b/packages/core/src/load/memory-budget.ts
@@ -5,6 +5,9 @@
  * Load pattern: many callers upload large bodies at the same time, each within the limit of one body, and finish none; callers
  * with small requests come beside them. Large requests may not take the last part of the budget, which is kept for small ones.
  * A request whose next bytes don't fit gives back all of its bytes, so that the others can go on.
+ *
+ * Garbage and other parts of the process may take more than was assumed. While its measured memory is short, large requests get
+ * nothing; small ones are still taken, since their bytes hardly count and memory that was given back may stay resident for long.
  */
 
 const bytesPerMegabyte = 1_048_576;
@@ -30,6 +33,9 @@
 /** Memory that each held piece takes beside its bytes: a buffer object and what it points to. */
 const pieceOverheadBytes = 256;
 
+/** Share of the memory of a machine above which it is short. */
+const shortShare = 0.85;
+
 /** The bytes that one request holds. */
 export type MemoryLease = {
 	/** Takes `sizeBytes` for one more piece. Returns false, and takes nothing, when they don't fit or the lease was released. */
@@ -42,7 +48,9 @@
 export type MemoryBudget = {
 	readonly limitBytes: number;
 	readonly heldBytes: () => number;
-	/** Whether a request of this size could be held if no other one was there. */
+	/** Says whether the measured memory of the process is short. */
+	readonly setShort: (isShort: boolean) => void;
+	/** Whether a request of this size could be held now if no other one was there. */
 	readonly fitsAlone: (sizeBytes: number) => boolean;
 	readonly open: () => MemoryLease;
 };
@@ -51,23 +59,32 @@
 export const memoryLimitBytes = (memoryMegabytes: number): number =>
 	Math.max(minLimitBytes, Math.floor((memoryMegabytes - processMegabytes) * heldShare * bytesPerMegabyte));
 
+/** Whether the memory of a process, as measured, comes near that of its machine. */
+export const isMemoryShort = (residentBytes: number, memoryMegabytes: number): boolean =>
+	residentBytes > memoryMegabytes * bytesPerMegabyte * shortShare;
+
 /** Creates a budget of which nothing is held. */
 export const createMemoryBudget = (limitBytes: number): MemoryBudget => {
 	const largeLimitBytes = Math.floor(limitBytes * (1 - smallShare));
 	let heldBytes = 0;
+	let isShort = false;
 
 	return {
 		limitBytes,
 		heldBytes: () => heldBytes,
-		fitsAlone: sizeBytes => sizeBytes <= Math.max(maxSmallBytes, largeLimitBytes),
+		setShort(isNowShort) {
+			isShort = isNowShort;
+		},
+		fitsAlone: sizeBytes => sizeBytes <= maxSmallBytes || (!isShort && sizeBytes <= largeLimitBytes),
 		open() {
 			let ownBytes = 0;
 			let isReleased = false;
 			return {
 				reserve(sizeBytes) {
 					const pieceBytes = sizeBytes + pieceOverheadBytes;
-					const boundBytes = ownBytes + pieceBytes <= maxSmallBytes ? limitBytes : largeLimitBytes;
-					if (isReleased || heldBytes + pieceBytes > boundBytes) {
+					const isSmall = ownBytes + pieceBytes <= maxSmallBytes;
+					const boundBytes = isSmall ? limitBytes : largeLimitBytes;
+					if (isReleased || (isShort && !isSmall) || heldBytes + pieceBytes > boundBytes) {
 						return false;
 					}
 
--- a/packages/core/test/load/memory-budget.test.ts
+++ b/packages/core/test/load/memory-budget.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {createMemoryBudget, memoryLimitBytes, type MemoryLease} from '@egretwing/core';
+import {
+	createMemoryBudget, isMemoryShort, memoryLimitBytes, type MemoryLease,
+} from '@egretwing/core';
 
 const megabyte = 1_048_576;
 const chunkBytes = 65_536;
@@ -82,6 +84,26 @@
 		});
 	}
 
+	const whileShort: ReadonlyArray<readonly [title: string, isShort: boolean, sizeBytes: number, isTaken: boolean]> = [
+		['refuses a large request while the measured memory is short', true, 100_000, false],
+		['takes a small request while the measured memory is short', true, 10_000, true],
+		['takes a large request once it is not short any more', false, 100_000, true],
+	];
+	for (const [title, isShort, sizeBytes, isTaken] of whileShort) {
+		it(title, () => {
+			const budget = createMemoryBudget(10 * megabyte);
+			budget.setShort(true);
+			budget.setShort(isShort);
+			expect([budget.fitsAlone(sizeBytes), budget.open().reserve(sizeBytes)]).to.deep.equal([isTaken, isTaken]);
+		});
+	}
+
+	for (const memoryMegabytes of [128, 350, 2048]) {
+		it(`takes the memory of a machine of ${memoryMegabytes} MB for short before it is used up`, () => {
+			expect([0.5, 0.8, 0.9].map(share => isMemoryShort(share * memoryMegabytes * megabyte, memoryMegabytes))).to.deep.equal([false, false, true]);
+		});
+	}
+
 	it('knows which sizes never fit', () => {
 		const budget = createMemoryBudget(10 * megabyte);
 		expect([1, 8, 9].map(megabytes => budget.fitsAlone(megabytes * megabyte))).to.deep.equal([true, true, false]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,11 +2,13 @@
 
 import http from 'node:http';
 import type net from 'node:net';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	createCatalogue,
 	createMembership,
 	createMemoryBudget,
+	isMemoryShort,
 	memoryLimitBytes,
 	createPrefixRouteTable,
 	createRandom,
@@ -76,6 +78,8 @@
 	readonly store: StoreClient;
 	readonly headerNames: HeaderNames;
 	readonly logger: Logger;
+	/** Resident memory of the process. */
+	readonly residentBytes?: () => number;
 };
 
 const createSelfHost = (settings: GatewaySettings): EntryHost => {
@@ -86,7 +90,9 @@
 };
 
 /** Starts a gateway; rejects when an address can't be bound. */
-export const startGateway = async (settings: GatewaySettings, {store, headerNames, logger}: GatewayDependencies): Promise<Gateway> => {
+export const startGateway = async (settings: GatewaySettings, {
+	store, headerNames, logger, residentBytes = process.memoryUsage.rss,
+}: GatewayDependencies): Promise<Gateway> => {
 	const {hostId, peerPort} = settings;
 	const {nowMs} = createProcessClock();
 	const startedAtMs = nowMs();
@@ -113,6 +119,7 @@
 	let seeds = settings.seedAddresses;
 	let nextCleanupMs = 0;
 	let nextProcessLogMs = startedAtMs + processLogIntervalMs;
+	let wasMemoryShort = false;
 	let hasAnnouncedUp = false;
 	let shutdownPlan: ShutdownPlan | undefined;
 	let nextJoinMs = 0;
@@ -516,6 +523,17 @@
 		});
 	};
 
+	const watchMemory = (): void => {
+		const bytes = residentBytes();
+		const isShort = isMemoryShort(bytes, settings.memoryMegabytes);
+		memory.setShort(isShort);
+		metrics.heldBytes.set(memory.heldBytes());
+		if (isShort !== wasMemoryShort) {
+			wasMemoryShort = isShort;
+			logger.warn(isShort ? 'memory short' : 'memory no longer short', {residentBytes: bytes, heldBytes: memory.heldBytes(), memoryMegabytes: settings.memoryMegabytes});
+		}
+	};
+
 	const reconnectUnresponsive = (): void => {
 		for (const id of catalogueSync.takeUnresponsivePeers()) {
 			const host = fleet.hosts().get(id);
@@ -532,7 +550,6 @@
 	};
 
 	const reportProcess = async (timeMs: number): Promise<void> => {
-		metrics.heldBytes.set(memory.heldBytes());
 		if (timeMs >= nextProcessLogMs) {
 			nextProcessLogMs = timeMs + processLogIntervalMs;
 			await logProcess();
@@ -562,6 +579,7 @@
 		['reader-watch', watchReaders],
 		['readers', tickReaders],
 		['dispatch', dispatchers.tick],
+		['memory', watchMemory],
 		['process', reportProcess],
 		['cleanup', cleanUpIfDue],
 	];
