--- a/packages/node/src/http.ts
+++ b/packages/node/src/http.ts
@@ -19,13 +19,21 @@
 
 /** Resolves with the bound port once `server` listens on `address`; rejects if the address can't be bound. */
 export const listen = async (server: Server, port: number, address: string): Promise<number> => new Promise((resolve, reject) => {
-	server.once('error', reject);
-	server.listen(port, address, () => {
-		server.off('error', reject);
+	const onListening = (): void => {
+		server.off('error', onError);
 		// A connection that can't be accepted, for want of descriptors, is an error of the listener, which would end the process.
 		server.on('error', () => undefined);
 		resolve((server.address() as AddressInfo).port);
-	});
+	};
+
+	const onError = (error: Error): void => {
+		server.off('listening', onListening);
+		reject(error);
+	};
+
+	server.once('error', onError);
+	server.once('listening', onListening);
+	server.listen(port, address);
 });
 
 /** Reads a request body as JSON; rejects if it is larger than `limitBytes` or is not valid JSON. */
--- a/packages/node/test/ports.test.ts
+++ b/packages/node/test/ports.test.ts
@@ -1,7 +1,15 @@
+import dgram from 'node:dgram';
+import {once} from 'node:events';
+import net from 'node:net';
 import {expect} from 'chai';
-import {createLogger, openWhenFree} from '@egretwing/node';
+import {
+	bindDatagrams, createLogger, listen, openWhenFree,
+} from '@egretwing/node';
+import {networkOf} from '../../../test/support/network.ts';
 
 const logger = createLogger('test', 'host', 0);
+const address = `${networkOf(217)}.1`;
+const port = 7000;
 const failure = (code: string): Error => Object.assign(new Error(code), {code});
 
 describe('listener whose port is in use', () => {
@@ -43,4 +51,28 @@
 			expect(calls).to.equal(attempts);
 		});
 	}
+
+	// Guards against a wait for a port that takes a descriptor with each attempt.
+	it('closes a datagram socket that can not be bound', async () => {
+		const holder = dgram.createSocket('udp4').bind(port, address);
+		await once(holder, 'listening');
+		const socket = dgram.createSocket('udp4');
+		const isClosed = new Promise(resolve => {
+			socket.once('close', () => {
+				resolve(true);
+			});
+		});
+		const failed = await bindDatagrams(socket, port, address).catch((error: unknown) => (error as NodeJS.ErrnoException).code);
+		expect([failed, await isClosed]).to.deep.equal(['EADDRINUSE', true]);
+		holder.close();
+	});
+
+	it('leaves no handlers at a server that can not be bound', async () => {
+		const holder = net.createServer().listen(port, address);
+		await once(holder, 'listening');
+		const server = net.createServer();
+		const failed = await listen(server, port, address).catch((error: unknown) => (error as NodeJS.ErrnoException).code);
+		expect([failed, server.listenerCount('listening'), server.listenerCount('error')]).to.deep.equal(['EADDRINUSE', 0, 0]);
+		holder.close();
+	});
 });
