fix(node): what reports on a process needs no descriptor

Reading the resident memory opens a file, which threw EMFILE inside the handler of uncaught errors. Memory that can't be read is left out of the line now, heap and buffers are read without a file. 'heeds SIGHUP (SIGTERM) while its callers take all descriptors' failed before (code 7; no line 'stop').

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,6 @@
 
 import http from 'node:http';
 import type net from 'node:net';
-import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	createCatalogue,
@@ -31,7 +30,7 @@
 } from '@egretwing/core';
 import {
 	createErrorBarrier, createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen,
-	handleClientError, openWhenFree, trackCallerConnections, type ErrorBarrier, type Logger, type OperatorServer, type ProcessMetrics,
+	handleClientError, openWhenFree, readResidentBytes, trackCallerConnections, type ErrorBarrier, type Logger, type OperatorServer, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
 import {
@@ -79,7 +78,7 @@
 	readonly headerNames: HeaderNames;
 	readonly logger: Logger;
 	/** Resident memory of the process. */
-	readonly residentBytes?: () => number;
+	readonly residentBytes?: () => number | undefined;
 };
 
 const createSelfHost = (settings: GatewaySettings): EntryHost => {
@@ -91,7 +90,7 @@
 
 /** Starts a gateway; rejects when an address can't be bound. */
 export const startGateway = async (settings: GatewaySettings, {
-	store, headerNames, logger, residentBytes = process.memoryUsage.rss,
+	store, headerNames, logger, residentBytes = readResidentBytes,
 }: GatewayDependencies): Promise<Gateway> => {
 	const {hostId, peerPort} = settings;
 	const {nowMs} = createProcessClock();
@@ -525,7 +524,7 @@
 
 	const watchMemory = (): void => {
 		const bytes = residentBytes();
-		const isShort = isMemoryShort(bytes, settings.memoryMegabytes);
+		const isShort = bytes === undefined ? wasMemoryShort : isMemoryShort(bytes, settings.memoryMegabytes);
 		memory.setShort(isShort);
 		metrics.heldBytes.set(memory.heldBytes());
 		if (isShort !== wasMemoryShort) {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -37,7 +37,9 @@
 } from './refusal.ts';
 export {handleClientError} from './client-error.ts';
 export type {ClientErrorResult} from './client-error.ts';
-export {createLagMeter, createProcessMetrics, describeProcess} from './process-report.ts';
+export {
+	createLagMeter, createProcessMetrics, describeProcess, readResidentBytes,
+} from './process-report.ts';
 export type {LagMeter, ProcessFields, ProcessMetrics} from './process-report.ts';
 export {createBoundedWriter} from './bounded-writer.ts';
 export type {BoundedWriter} from './bounded-writer.ts';
--- a/packages/node/src/process-report.ts
+++ b/packages/node/src/process-report.ts
@@ -2,6 +2,7 @@
 
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {getHeapStatistics} from 'node:v8';
 import {Counter, Gauge, type Registry} from 'prom-client';
 
 const bytesPerMegabyte = 1_048_576;
@@ -13,23 +14,37 @@
 /** Age and memory of this process. */
 export type ProcessFields = {
 	readonly ageMs: number;
-	/** Resident memory, which the limit of the machine applies to, and its largest value so far. */
-	readonly residentMegabytes: number;
+	/** Resident memory, which the limit of the machine applies to, and its largest value so far; absent while it can't be read. */
+	readonly residentMegabytes?: number;
 	readonly peakMegabytes: number;
 	readonly heapMegabytes: number;
 	/** Memory of buffers, outside of the heap. */
 	readonly bufferMegabytes: number;
 };
 
+/**
+ * Resident memory of this process; undefined while it can't be read, which takes a descriptor.
+ *
+ * What reports on a process must not fail where the process is in trouble.
+ */
+export const readResidentBytes = (): number | undefined => {
+	try {
+		return process.memoryUsage.rss();
+	} catch {
+		return undefined;
+	}
+};
+
 /** Returns age and memory of this process, for a log line. */
 export const describeProcess = (): ProcessFields => {
-	const {rss, heapUsed, arrayBuffers} = process.memoryUsage();
+	const residentBytes = readResidentBytes();
+	const {used_heap_size: heapBytes, external_memory: bufferBytes} = getHeapStatistics();
 	return {
 		ageMs: Math.round(performance.now()),
-		residentMegabytes: toMegabytes(rss),
+		...(residentBytes !== undefined && {residentMegabytes: toMegabytes(residentBytes)}),
 		peakMegabytes: toMegabytes(process.resourceUsage().maxRSS * bytesPerKilobyte),
-		heapMegabytes: toMegabytes(heapUsed),
-		bufferMegabytes: toMegabytes(arrayBuffers),
+		heapMegabytes: toMegabytes(heapBytes),
+		bufferMegabytes: toMegabytes(bufferBytes),
 	};
 };
 
@@ -79,9 +94,9 @@
 	};
 
 	gauge('process_start_time_seconds', 'Unix time of the start of the process', () => performance.timeOrigin / msPerSecond);
-	gauge('process_resident_memory_bytes', 'Resident memory', () => process.memoryUsage.rss());
+	gauge('process_resident_memory_bytes', 'Resident memory; 0 while it can not be read', () => readResidentBytes() ?? 0);
 	gauge('process_peak_memory_bytes', 'Largest resident memory so far', () => process.resourceUsage().maxRSS * bytesPerKilobyte);
-	gauge('process_heap_used_bytes', 'Heap in use', () => process.memoryUsage().heapUsed);
+	gauge('process_heap_used_bytes', 'Heap in use', () => getHeapStatistics().used_heap_size);
 	return {
 		unexpectedErrors: new Counter({
 			name: 'egretwing_unexpected_errors_total', help: 'Errors that no code expected, by the place that caught them', labelNames: ['place'], registers,
--- a/test/platform/process-ends.test.ts
+++ b/test/platform/process-ends.test.ts
@@ -49,11 +49,11 @@
 };
 
 /** Runs one gateway beside a store while `act` is in progress. */
-const withGateway = async (act: (gateways: SoakGateways) => Promise<void>): Promise<void> => {
+const withGateway = async (act: (gateways: SoakGateways) => Promise<void>, limits: {readonly maxDescriptors?: number} = {}): Promise<void> => {
 	const store = await createSoakStore(storeAddress, gatewayPorts.store);
 	configure(store);
 	const gateways = startGateways({
-		file: await buildGateway(), addresses: [address], dataCentreOf: () => 'dc-1', storeAddress, memoryMegabytes,
+		file: await buildGateway(), addresses: [address], dataCentreOf: () => 'dc-1', storeAddress, memoryMegabytes, ...limits,
 	});
 	try {
 		await act(gateways);
@@ -157,6 +157,31 @@
 		});
 	});
 
+	// Guards against a report on the process that needs a descriptor, and so ends the process for want of one.
+	for (const signal of ['SIGHUP', 'SIGTERM'] as const) {
+		it(`heeds ${signal} while its callers take all descriptors`, async () => {
+			const maxDescriptors = 60;
+			await withGateway(async gateways => {
+				await untilReady();
+				const sockets = Array.from({length: maxDescriptors + 20}, () => {
+					const socket = net.connect({host: address, port: gatewayPorts.front});
+					socket.on('error', () => undefined);
+					socket.write('GET /upload/x HTTP/1.1\r\nhost: ends.example\r\n');
+					return socket;
+				});
+				await delay(500);
+				gateways.signal(0, signal);
+				await delay(2500);
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+
+				expect(gateways.logs().join('')).to.include(`"signal":"${signal}"`).and.to.include(signal === 'SIGTERM' ? '"message":"stop"' : '');
+				expect([gateways.unexpectedExits(), gateways.startCount(0)]).to.deep.equal([[], signal === 'SIGTERM' ? 2 : 1]);
+			}, {maxDescriptors});
+		});
+	}
+
 	// Guards against callers within the limit of one body that together take the memory of the machine.
 	it('stays within the memory of its machine while 40 callers upload 9.9 MB each and finish none', async () => {
 		const bodyBytes = 9_900_000;
--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -99,6 +99,8 @@
 	readonly addresses: readonly string[];
 	readonly dataCentreOf: (number: number) => string;
 	readonly storeAddress: string;
+	/** Limit on the descriptors of a process; that of this process where it is absent. */
+	readonly maxDescriptors?: number;
 	/** Memory above which a process is killed, as the platform does; its exit counts as unexpected. */
 	readonly memoryMegabytes?: number;
 };
@@ -107,7 +109,7 @@
 
 /** Starts the gateways; one that exits is restarted, as the platform does. */
 export const startGateways = ({
-	file, addresses, dataCentreOf, storeAddress, memoryMegabytes,
+	file, addresses, dataCentreOf, storeAddress, memoryMegabytes, maxDescriptors,
 }: SoakGatewaysOptions): SoakGateways => {
 	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-soak-'));
 	const children = new Map<number, ChildProcess>();
@@ -152,7 +154,9 @@
 	const start = (number: number): void => {
 		const settings = settingsFile(number);
 		const startedAtMs = performance.now();
-		const child = spawn(process.execPath, [...leadingArguments, file], {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+		const command = [process.execPath, ...leadingArguments, file];
+		const limited = maxDescriptors === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${maxDescriptors}; exec "$@"`, 'sh', ...command];
+		const child = spawn(limited[0]!, limited.slice(1), {env: {EGRETWING_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
 		const record: ProcessRecord = {
 			number, startedAtMs, peakBytes: 0, lastLine: '', isSignalled: false, isOverMemory: false,
 		};
