fix(gateway): a reader of the store that fails by an error of its own hands over to another

Found by the review: a reader whose call or whose handling threw stayed elected, as the others took it for one that reads, while it brought nothing. With the reader going on after the error, the same would repeat for as long as the store's answer is there. It counts as a reader that the store does not answer now, so that the next in rank reads. Both cases of store-reader.test.ts failed before (no hand-over).

--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -203,9 +203,11 @@
 			}
 		} catch (error) {
 			errors.record('store-reader', error);
-			// What was read may not have been applied.
+			// What was read may not have been applied. Another reader takes over, as from one that the store does not answer.
 			needsFullRead = true;
-			nextCallMs = nowMs() + storeRetryMs;
+			errors.run('store-reader', () => {
+				recordFailure('undecodable');
+			});
 		} finally {
 			isRunning = false;
 		}
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -234,11 +234,12 @@
 		['reads everything again after a read that could not be applied', 'read', ['all', 'all']],
 	];
 	for (const [title, failAt, expected] of failures) {
-		// Guards against a reader that never reads again, since an error has left it marked as running.
+		// Guards against a reader that never reads again, since an error has left it marked as running, while the others count on it.
 		it(title, async () => {
 			const clock = createManualClock(startMs);
 			const calls: string[] = [];
 			const recorded: string[] = [];
+			const handedOver: string[] = [];
 			let reads = 0;
 			const take = async (call: string): Promise<Result<StoreRead, StoreFailure>> => {
 				calls.push(call);
@@ -270,7 +271,9 @@
 					}
 				},
 				onReachable: () => undefined,
-				onFailure: () => undefined,
+				onFailure(failure) {
+					handedOver.push(failure);
+				},
 			});
 			for (let round = 0; round < rounds && calls.length < 2; round++) {
 				reader.tick();
@@ -280,7 +283,7 @@
 				clock.advanceMs(roundMs);
 			}
 
-			expect([calls, recorded]).to.deep.equal([expected, ['store-reader']]);
+			expect([calls, recorded, handedOver]).to.deep.equal([expected, ['store-reader'], ['undecodable']]);
 		});
 	}
 });
