--- a/packages/node/src/error-barrier.ts
+++ b/packages/node/src/error-barrier.ts
@@ -39,11 +39,12 @@
 			return;
 		}
 
-		logger.error('unexpected error', {
-			place, error: error instanceof Error ? error.stack : String(error), unlogged: state.unlogged, ...describeProcess(),
-		});
+		const {unlogged} = state;
 		state.lastLineMs = nowMs();
 		state.unlogged = 0;
+		logger.error('unexpected error', {
+			place, error: error instanceof Error ? error.stack : String(error), unlogged, ...describeProcess(),
+		});
 	};
 
 	return {
