fix(gateway): a connection that is reset while its end is on the way is closed

Cause: Node.js can't reset a connection whose end is on the way (EINVAL) and keeps its descriptor for good; a process that waits for its handles at its end spins on them. Traced by the endless runs of the soak; the gateway resets callers' connections where an answer breaks off.

--- a/packages/gateway/src/deliver.ts
+++ b/packages/gateway/src/deliver.ts
@@ -4,7 +4,9 @@
 import {
 	createRefusal, minRetryAfterMs, type ErrorKind, type Refusal,
 } from '@egretwing/core';
-import {forwardedHeaders, refuse, type CallerExchange} from '@egretwing/node';
+import {
+	forwardedHeaders, refuse, resetSocket, type CallerExchange,
+} from '@egretwing/node';
 import {timerSlackMs} from './constants.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
@@ -52,7 +54,9 @@
 
 /** Resets the connection, since an orderly close would make an answer without a length look complete. */
 const resetConnection = (response: http.ServerResponse): void => {
-	response.socket?.resetAndDestroy();
+	if (response.socket !== null) {
+		resetSocket(response.socket);
+	}
 };
 
 const writeAnswer = (response: http.ServerResponse, {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -23,6 +23,7 @@
 export {createOperatorServer} from './operator.ts';
 export type {OperatorHandler, OperatorOptions, OperatorServer} from './operator.ts';
 export {surviveUncaught} from './uncaught.ts';
+export {resetSocket} from './reset-socket.ts';
 export {openWhenFree} from './ports.ts';
 export type {OpenWhenFreeOptions} from './ports.ts';
 export {onShutdownSignal} from './shutdown.ts';
--- a/test/platform/reset-socket.test.ts
+++ b/packages/node/test/reset-socket.test.ts
@@ -2,8 +2,8 @@
 import net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {networkOf} from '../support/network.ts';
-import {resetSocket} from './support/reset-socket.ts';
+import {resetSocket} from '@egretwing/node';
+import {networkOf} from '../../../test/support/network.ts';
 
 const address = `${networkOf(216)}.1`;
 const closedWithinMs = 500;
--- a/packages/standin/src/backend/instance.ts
+++ b/packages/standin/src/backend/instance.ts
@@ -7,7 +7,7 @@
 import {pipeline} from 'node:stream/promises';
 import {Readable} from 'node:stream';
 import type {Random} from '@egretwing/core';
-import {listen, sendJson} from '@egretwing/node';
+import {listen, resetSocket, sendJson} from '@egretwing/node';
 import {requestUrl, sleep} from '../http.ts';
 import type {InstanceSettings} from '../settings.ts';
 import {createFaults} from './faults.ts';
@@ -105,7 +105,7 @@
 		}
 
 		if (faults.applies('resetAfterWrite')) {
-			request.socket.resetAndDestroy();
+			resetSocket(request.socket);
 			return;
 		}
 
@@ -239,7 +239,7 @@
 	const closeAll = (): void => {
 		closeListener();
 		for (const socket of sockets) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 		}
 	};
 
@@ -335,7 +335,7 @@
 	const listener = createNetServer({pauseOnConnect: true}, async socket => {
 		counts.connects++;
 		if (sockets.size >= settings.connections) {
-			socket.resetAndDestroy();
+			resetSocket(socket);
 			return;
 		}
 
--- a/test/platform/soak/proxy.ts
+++ b/test/platform/soak/proxy.ts
@@ -2,8 +2,7 @@
 
 import net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {listen} from '@egretwing/node';
-import {resetSocket} from '../support/reset-socket.ts';
+import {listen, resetSocket} from '@egretwing/node';
 
 /** Fault that applies to all connections of a proxy. */
 export type ProxyFault
