refactor(soak): one check for a port that is listened on

The flaw 'isn't listening on its ... port' brought a second copy of the check that soak.test.ts has.

--- a/test/platform/soak/ends.ts
+++ b/test/platform/soak/ends.ts
@@ -142,22 +142,22 @@
 	}
 };
 
+/** Whether a connection to the port can be opened. */
+export const isListening = async (host: string, port: number): Promise<boolean> => new Promise(resolve => {
+	const socket = net.connect({host, port});
+	socket.once('connect', () => {
+		socket.destroy();
+		resolve(true);
+	});
+	socket.once('error', () => {
+		resolve(false);
+	});
+});
+
 /** Finds ports that no gateway listens on. */
 export const checkListening = async (addresses: readonly string[]): Promise<readonly string[]> => {
 	const ports = (['front', 'ready', 'lookup', 'peer', 'operator'] as const).map(name => [name, portNumbers[name]] as const);
-	const checks = addresses.flatMap((address, number) => ports.map(async ([name, port]) => {
-		const isOpen = await new Promise<boolean>(resolve => {
-			const socket = net.connect({host: address, port});
-			socket.once('connect', () => {
-				socket.destroy();
-				resolve(true);
-			});
-			socket.once('error', () => {
-				resolve(false);
-			});
-		});
-		return isOpen ? [] : [`gateway-${number} isn't listening on its ${name} port at the end`];
-	}));
+	const checks = addresses.flatMap((address, number) => ports.map(async ([name, port]) => await isListening(address, port) ? [] : [`gateway-${number} isn't listening on its ${name} port at the end`]));
 	const found = await Promise.all(checks);
 	return found.flat();
 };
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -1,5 +1,4 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -8,7 +7,7 @@
 import {createRandom} from '@egretwing/core';
 import {catchesHangup} from '../support/signal-handlers.ts';
 import type {Call, CallEnd} from './callers.ts';
-import {checkListening} from './ends.ts';
+import {checkListening, isListening} from './ends.ts';
 import {buildGateway, gatewayPorts, startGateways} from './gateways.ts';
 import type {Run} from './instances.ts';
 import {checkNotices, type NoticeRecords, type SaidNotice} from './notices.ts';
@@ -38,17 +37,6 @@
 });
 const answered = (statusCode: number, flaw = ''): CallEnd => ({type: 'answered', statusCode, flaw});
 
-const isListening = async (host: string, port: number): Promise<boolean> => new Promise(resolve => {
-	const socket = net.connect({host, port});
-	socket.once('connect', () => {
-		socket.destroy();
-		resolve(true);
-	});
-	socket.once('error', () => {
-		resolve(false);
-	});
-});
-
 describe('soak of the gateway', function () {
 	this.timeout(60_000);
 
