feat(gateway): access keys of workspaces

A configuration may hold workspaces with access keys, a rank and a quota. A request is passed on with the name of its workspace in place of its key, and refused with 401 when its key is not in force; a public route needs none. Without workspaces in the configuration nothing changes.

--- a/packages/core/src/catalogue/index.ts
+++ b/packages/core/src/catalogue/index.ts
@@ -5,5 +5,5 @@
 export {createPrefixRouteTable, pickService} from './prefix-routes.ts';
 export type {PrefixRouteTable} from './prefix-routes.ts';
 export type {
-	CallerLimits, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, WeightedService,
+	CallerLimits, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, WeightedService, Workspace, WorkspaceQuota,
 } from './types.ts';
--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -26,6 +26,26 @@
 	readonly rank: number;
 	/** Not empty. */
 	readonly services: readonly WeightedService[];
+	/** Whether its requests need no access key although the configuration has workspaces. */
+	readonly isPublic?: boolean;
+};
+
+/** Limit on the requests of a workspace, over all gateways together. */
+export type WorkspaceQuota = {
+	readonly ratePerSecond: number;
+	/** Requests allowed beyond the rate, at once. */
+	readonly burst: number;
+};
+
+/** A workspace: callers that share access keys, a priority and a quota. */
+export type Workspace = {
+	readonly name: string;
+	/** Digests of its access keys; the keys themselves are kept nowhere. */
+	readonly keyDigests: readonly string[];
+	/** Priority of its requests instead of that of their route; 0 is the most urgent. */
+	readonly rank?: number;
+	/** Absent where its requests are not limited. */
+	readonly quota?: WorkspaceQuota;
 };
 
 /** Configuration of a service. */
@@ -51,6 +71,8 @@
 	readonly routes: readonly PrefixRoute[];
 	readonly services: readonly CatalogueService[];
 	readonly limits: CallerLimits;
+	/** Absent where requests need no access key. */
+	readonly workspaces?: readonly Workspace[];
 };
 
 /** The registration that an instance writes about itself. */
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -17,6 +17,8 @@
 	readonly requestId: string;
 	/** Priority; 0 is the highest. */
 	readonly rank: number;
+	/** Workspace whose access key the request carries, if any. */
+	readonly workspace?: string;
 	readonly isIdempotent: boolean;
 	/** True when the caller retries after a rejection. */
 	readonly isReturning: boolean;
--- a/packages/core/src/errors/answers.ts
+++ b/packages/core/src/errors/answers.ts
@@ -10,6 +10,7 @@
 	'headers-too-large': {statusCode: 431, ran: 'not-run', title: 'The headers of the request are too large'},
 	'headers-too-slow': {statusCode: 408, ran: 'not-run', title: 'The headers of the request did not arrive in time'},
 	'no-route': {statusCode: 404, ran: 'not-run', title: 'No route matches the request'},
+	'key-unknown': {statusCode: 401, ran: 'not-run', title: 'The request carries no access key that is in force'},
 	'request-too-large': {statusCode: 413, ran: 'not-run', title: 'The request is larger than the route allows'},
 	'not-ready': {
 		statusCode: 503, ran: 'not-run', title: 'This entry holds no configuration yet', retryAfterSeconds: 1,
--- a/packages/core/src/errors/types.ts
+++ b/packages/core/src/errors/types.ts
@@ -9,6 +9,7 @@
 		| 'headers-too-large'
 		| 'headers-too-slow'
 		| 'no-route'
+		| 'key-unknown'
 		| 'request-too-large'
 		| 'not-ready'
 		| 'draining'
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,6 +67,7 @@
 } from './catalogue/index.ts';
 export type {
 	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
+	Workspace, WorkspaceQuota,
 } from './catalogue/index.ts';
 export {
 	createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
@@ -83,6 +84,8 @@
 export type {
 	ReaderCandidate, ReaderElection, ReaderWatch, CatalogueSync, CatalogueChange, CatalogueMessage, CatalogueSend,
 } from './catalogue-sync/index.ts';
+export {createWorkspaceAccess} from './workspaces/access.ts';
+export type {AccessDecision, WorkspaceAccess} from './workspaces/access.ts';
 export {gatewaysForCaller, placeCallers, toCallerGateways} from './placement/callers.ts';
 export type {CallerGateway} from './placement/callers.ts';
 export {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 	isMemoryShort,
 	memoryLimitBytes,
 	createPrefixRouteTable,
+	createWorkspaceAccess,
 	createRandom,
 	createReaderElection,
 	createReaderWatch,
@@ -29,7 +30,7 @@
 	type ShutdownPlan,
 } from '@egretwing/core';
 import {
-	createErrorBarrier, createLagMeter, createOperatorServer, createProcessClock, describeProcess, listen,
+	createErrorBarrier, createLagMeter, createOperatorServer, createProcessClock, describeProcess, digestKey, listen,
 	handleClientError, openWhenFree, readResidentBytes, trackCallerConnections, type ErrorBarrier, type Logger, type OperatorServer, type ProcessMetrics,
 } from '@egretwing/node';
 import {createConfigStaleness} from './config-staleness.ts';
@@ -114,6 +115,7 @@
 	const peerEnds = createPeerEndWatch();
 	const tickLag = createLagMeter(tickIntervalMs);
 	let routes = createPrefixRouteTable([]);
+	let access = createWorkspaceAccess({}, digestKey);
 	let configOrigin: ConfigOrigin | undefined;
 	let seeds = settings.seedAddresses;
 	let nextCleanupMs = 0;
@@ -176,6 +178,7 @@
 		onChange({source, config, entries}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
+				access = createWorkspaceAccess(config, digestKey);
 				configOrigin = {source, sinceMs: nowMs()};
 				configStaleness.recordInForce(nowMs());
 				headLimit.take(config.limits, nowMs());
@@ -183,7 +186,9 @@
 				server.keepAliveTimeout = Math.max(config.limits.idleTimeoutMs, config.limits.headerTimeoutMs);
 				server.headersTimeout = config.limits.headerTimeoutMs;
 				metrics.configVersion.set(config.version);
-				logger.info('configuration in force', {version: config.version, routes: config.routes.length, source});
+				logger.info('configuration in force', {
+					version: config.version, routes: config.routes.length, workspaces: config.workspaces?.length, source,
+				});
 				if (config.limits.maxHeaderBytes >= maxReadHeadBytes) {
 					logger.warn('configured header limit exceeds the limit of the parser', {maxHeaderBytes: config.limits.maxHeaderBytes, maxReadHeadBytes});
 				}
@@ -413,6 +418,7 @@
 		random,
 		catalogue,
 		routes: () => routes,
+		access: () => access,
 		configOrigin: () => configOrigin,
 		isConfigPossiblyStale: () => configStaleness.isPossiblyStale(catalogue.digest().configVersion, nowMs()),
 		maxHeadBytes: () => headLimit.bytes(nowMs()),
--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -46,11 +46,15 @@
 		maxAttempts: isCount,
 		rank: isNumber,
 		services: value => isListOf(isRecord({service: isText, weight: isNotNegative}))(value) && (value as readonly unknown[]).length > 0,
+		isPublic: optional(isFlag),
 	})),
 	services: isListOf(isRecord({name: isText, healthPath: isText, connectionsPerInstance: isCount})),
 	limits: isRecord({
 		maxHeaderBytes: isPositive, maxBodyBytes: isPositive, headerTimeoutMs: isPositive, idleTimeoutMs: isPositive,
 	}),
+	workspaces: optional(isListOf(isRecord({
+		name: isName, keyDigests: isListOf(isText), rank: optional(isNumber), quota: optional(isRecord({ratePerSecond: isPositive, burst: isNotNegative})),
+	}))),
 });
 
 const catalogueMessage = isVariant({
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -17,6 +17,8 @@
 	type RejectReason,
 	type RetryWindow,
 	type ShutdownPlan,
+	type Workspace,
+	type WorkspaceAccess,
 } from '@egretwing/core';
 import {forwardedHeaders, type CallerExchange} from '@egretwing/node';
 import {readBody, type ReadBodyResult} from './body.ts';
@@ -49,6 +51,8 @@
 	readonly random: Random;
 	readonly catalogue: Catalogue;
 	readonly routes: () => PrefixRouteTable;
+	/** Access keys of the configuration in force. */
+	readonly access: () => WorkspaceAccess;
 	readonly configOrigin: () => ConfigOrigin | undefined;
 	/** Whether a newer configuration may be in force elsewhere, with routes or higher limits that this gateway does not know yet. */
 	readonly isConfigPossiblyStale: () => boolean;
@@ -75,6 +79,8 @@
 type RequestContext = {
 	readonly requestId: string;
 	readonly route: PrefixRoute;
+	/** Workspace that the request belongs to, if any. */
+	readonly workspace: Workspace | undefined;
 	readonly service: string;
 	readonly arrivedAtMs: number;
 	readonly finalAtMs: number;
@@ -159,7 +165,9 @@
 const isDeliverable = ({exchange}: RequestContext, outcome: UpstreamOutcome): boolean =>
 	outcome.type !== 'answered' || outcome.answer.isBounded || exchange.decideClose(true);
 
-const ownHeaders = (names: HeaderNames): readonly string[] => [names.deadlineMs, names.targetInstance];
+/** Headers of a caller's request that instances don't get as the caller wrote them. */
+const ownHeaders = (names: HeaderNames, isKeyed: boolean): readonly string[] =>
+	[names.deadlineMs, names.targetInstance, ...(isKeyed ? [names.workspace, 'authorization'] : [])];
 
 /** Creates the handler of callers' requests. */
 export const createServe = (dependencies: ServeDependencies): ((incoming: http.IncomingMessage, response: http.ServerResponse, exchange: CallerExchange) => Promise<void>) => {
@@ -246,7 +254,8 @@
 
 	const toDispatchRequest = (context: RequestContext, attemptedIds: readonly string[]): DispatchRequest => ({
 		requestId: context.requestId,
-		rank: context.route.rank,
+		rank: context.workspace?.rank ?? context.route.rank,
+		...(context.workspace !== undefined && {workspace: context.workspace.name}),
 		isIdempotent: context.route.semantics === 'idempotent',
 		isReturning: context.isReturning || attemptedIds.length > 0,
 		bodyBytes: context.upstreamRequest.body?.sizeBytes ?? 0,
@@ -466,7 +475,12 @@
 		}
 
 		const lookup = toLookup(target);
-		return dependencies.routes().match(lookup.hostName, lookup.path) ?? refuseUnrouted(lookup);
+		const route = dependencies.routes().match(lookup.hostName, lookup.path);
+		if (route === undefined) {
+			return refuseUnrouted(lookup);
+		}
+
+		return dependencies.access().decide(route, incoming.headers.authorization).type === 'allowed' ? route : refuseDisallowed('key-unknown', 'access key');
 	};
 
 	/** Time at which the request gets its final answer, counted from when it was read. */
@@ -541,9 +555,19 @@
 			return;
 		}
 
+		// The key may have been withdrawn or moved while the body arrived, or while earlier requests of the connection were answered.
+		const access = dependencies.access();
+		const current = access.decide(route, incoming.headers.authorization);
+		if (current.type === 'unknown-key') {
+			await deliver(response, exchange, {...unrouted, service}, refuseDisallowed('key-unknown', 'access key withdrawn'));
+			return;
+		}
+
+		const {workspace} = current;
 		const context: RequestContext = {
 			requestId,
 			route,
+			workspace,
 			service,
 			arrivedAtMs,
 			finalAtMs,
@@ -552,7 +576,11 @@
 				requestId: requestId === '' ? undefined : requestId,
 				method: incoming.method ?? 'GET',
 				target: requestTarget.target,
-				headers: {...forwardedHeaders(incoming.headers, ownHeaders(headerNames)), host: requestTarget.host},
+				headers: {
+					...forwardedHeaders(incoming.headers, ownHeaders(headerNames, access.isKeyed)),
+					...(workspace !== undefined && {[headerNames.workspace]: workspace.name}),
+					host: requestTarget.host,
+				},
 				body: read.body,
 				isIdempotent,
 				reserve: lease.reserve,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -58,6 +58,8 @@
 	readonly signature: string;
 	/** In an answer: `1` when the instance is leaving and wants no new requests. */
 	readonly leaving: string;
+	/** In a request to an instance: name of the workspace whose access key the caller sent. */
+	readonly workspace: string;
 };
 
 /** Default header names, for platforms without names of their own. */
@@ -68,4 +70,5 @@
 	notExecuted: 'egretwing-not-executed',
 	signature: 'egretwing-signature',
 	leaving: 'egretwing-leaving',
+	workspace: 'egretwing-workspace',
 };
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -28,6 +28,7 @@
 export type {OpenWhenFreeOptions} from './ports.ts';
 export {onShutdownSignal} from './shutdown.ts';
 export {runDaemon} from './main.ts';
+export {digestKey} from './key-digest.ts';
 export {isSelfDelimited, forwardedHeaders} from './headers.ts';
 export type {Headers} from './headers.ts';
 export {bindDatagrams} from './datagrams.ts';
