feat(core): fair order of waiting requests between workspaces

Requests of equal rank waited in the order of their objectives, so that a workspace that sent many times its usual took the slots of all others. They now start in proportion to what the workspaces usually send (start-time fair queueing), and a waiting request that others go before is refused once its time is lost.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -17,7 +17,7 @@
 import type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, DeferredDecision, Placement, RejectReason,
 } from './types.ts';
-import {compareUrgency, createWaitQueue} from './wait-queue.ts';
+import {createWaitQueue} from './wait-queue.ts';
 
 /** Dispatch decisions of one gateway for one service. */
 export type Dispatcher<Request extends DispatchRequest> = {
@@ -64,6 +64,18 @@
 	/** Final answers to callers in the last `outcomeWindowMs`, and those of them that were not served. */
 	readonly answered: number;
 	readonly unserved: number;
+	/** Present once requests name workspaces. */
+	readonly contention?: Contention;
+};
+
+/** Contention between workspaces for the slots of a service, as seen by one gateway. */
+export type Contention = {
+	/** Waiting requests. */
+	readonly waiting: number;
+	/** Workspaces with waiting requests. */
+	readonly waitingWorkspaces: number;
+	/** Requests rejected while they waited, since the state was last read, because others were put before them. */
+	readonly displaced: number;
 };
 
 /** Creates the dispatcher of a gateway in `dataCentre`; `isUnplaced` returns true while callers are sent to other gateways. */
@@ -72,6 +84,8 @@
 	const queue = createWaitQueue<Request>();
 	let serviceMs = initialServiceMs;
 	let isStopped = false;
+	/** Requests displaced since the last call of `state`. */
+	let displaced = 0;
 	let outcomes: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
 
 	const countUnserved = (nowMs: number): number => {
@@ -127,19 +141,33 @@
 		return {type: 'reject', reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, jitteredMs)))};
 	};
 
-	/** Latest start of a waiting request. Only the final deadline counts when the objective can't be met, and for a returning caller, who has only the answer left to lose. */
-	const latestStartMs = (request: Request, nowMs: number): number => {
+	/** Only the final deadline counts when the objective can't be met, and for a returning caller, who has only the answer left to lose. */
+	const isObjectiveLost = (request: Request, nowMs: number): boolean => request.isReturning || nowMs + serviceMs > request.objectiveAtMs;
+
+	/** Start after which a request that waits has lost what it waits for. */
+	const lastUsefulStartMs = (request: Request, nowMs: number): number => {
 		const lastMs = request.finalAtMs - serviceMs;
-		if (request.isReturning || nowMs + serviceMs > request.objectiveAtMs) {
-			return lastMs;
-		}
+		return isObjectiveLost(request, nowMs) ? lastMs : Math.min(lastMs, request.objectiveAtMs - serviceMs);
+	};
 
-		return Math.min(lastMs, nowMs + (maxWaitShare * (request.objectiveAtMs - serviceMs - nowMs)));
+	/** Latest expected start with which a request is queued. */
+	const latestStartMs = (request: Request, nowMs: number): number => {
+		const lastMs = request.finalAtMs - serviceMs;
+		return isObjectiveLost(request, nowMs) ? lastMs : Math.min(lastMs, nowMs + (maxWaitShare * (request.objectiveAtMs - serviceMs - nowMs)));
 	};
 
 	const prefersToWait = (request: Request, nowMs: number): boolean =>
 		queue.waitedMs(request, nowMs) < preferredWaitFactor * serviceMs && nowMs + (2 * serviceMs) < request.finalAtMs;
 
+	const acquire = (request: Request, context: ChoiceContext, isWaitPreferred: boolean): Placement | undefined => {
+		const placement = pool.acquire(request, context, isWaitPreferred);
+		if (placement !== undefined) {
+			queue.recordStart(request);
+		}
+
+		return placement;
+	};
+
 	return {
 		setInstances: pool.setInstances,
 		submit(request, nowMs) {
@@ -157,19 +185,24 @@
 				return reject('no-instance', context);
 			}
 
+			if (request.attemptedIds.length === 0) {
+				queue.recordArrival(request, nowMs);
+			}
+
+			const before = queue.before(request);
 			// Requests that prefer to wait leave the risky instances to the others.
-			const isFirst = queue.inOrder().every(other => prefersToWait(other, nowMs) || compareUrgency(other, request) > 0);
-			const placement = isFirst ? pool.acquire(request, context, true) : undefined;
+			const isFirst = before.every(other => prefersToWait(other, nowMs));
+			const placement = isFirst ? acquire(request, context, true) : undefined;
 			if (placement !== undefined) {
 				return {type: 'send', placement, waitedMs: 0};
 			}
 
-			if (expectedStartMs(availableAtMs, queue.countBefore(request), context) > latestStartMs(request, nowMs)) {
-				const lastChance = isFirst ? pool.acquire(request, context, false) : undefined;
+			if (expectedStartMs(availableAtMs, before.length, context) > latestStartMs(request, nowMs)) {
+				const lastChance = isFirst ? acquire(request, context, false) : undefined;
 				return lastChance === undefined ? reject(reasonAt(availableAtMs, nowMs), context) : {type: 'send', placement: lastChance, waitedMs: 0};
 			}
 
-			queue.add(request, nowMs);
+			queue.add(request, lastUsefulStartMs(request, nowMs), nowMs);
 			return {type: 'wait'};
 		},
 		finish(placement, result, nowMs) {
@@ -187,10 +220,11 @@
 			const decisions: Array<DeferredDecision<Request>> = [];
 			const context = contextAt(nowMs);
 			let isFull = false;
+			let ahead = 0;
 			for (const request of queue.inOrder()) {
 				const waitedMs = queue.waitedMs(request, nowMs);
 				const isWaitPreferred = prefersToWait(request, nowMs);
-				const placement = isFull ? undefined : pool.acquire(request, context, isWaitPreferred);
+				const placement = isFull ? undefined : acquire(request, context, isWaitPreferred);
 				if (placement !== undefined) {
 					queue.remove(request);
 					decisions.push({request, decision: {type: 'send', placement, waitedMs}});
@@ -199,9 +233,13 @@
 
 				isFull ||= !isWaitPreferred && request.attemptedIds.length === 0;
 				const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
-				if (availableAtMs + (serviceMs / 2) >= request.finalAtMs) {
+				const isDisplaced = queue.isDisplaced(request, expectedStartMs(availableAtMs, ahead, context));
+				if (isDisplaced || availableAtMs + (serviceMs / 2) >= request.finalAtMs) {
+					displaced += Number(isDisplaced);
 					queue.remove(request);
 					decisions.push({request, decision: reject(reasonAt(availableAtMs, nowMs), context)});
+				} else {
+					ahead++;
 				}
 			}
 
@@ -242,8 +280,10 @@
 		},
 		state(nowMs) {
 			const unserved = countUnserved(nowMs);
+			const contention = {waiting: queue.length(), waitingWorkspaces: queue.workspaces(), displaced};
+			displaced = 0;
 			return {
-				...pool.countInstances(contextAt(nowMs)), isSpread: isSpread(nowMs), answered: outcomes.length, unserved,
+				...pool.countInstances(contextAt(nowMs)), isSpread: isSpread(nowMs), answered: outcomes.length, unserved, ...(queue.isShared() && {contention}),
 			};
 		},
 	};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,12 +211,16 @@
 
 	const dispatchers = createDispatchers({
 		dataCentre: settings.dataCentre, catalogue, random, nowMs, logger, isUnplaced: fleet.isUnplaced, errors, sendReport: sendReportToPeers,
-		onState(service, {known, avoided, awaitingTrial, rested, paused}) {
+		onState(service, {known, avoided, awaitingTrial, rested, paused, contention}) {
 			for (const [state, count] of Object.entries({
 				known, avoided, awaitingTrial, rested, paused,
 			})) {
 				metrics.instances.set({service, state}, count);
 			}
+
+			for (const [state, count] of Object.entries(contention ?? {})) {
+				metrics.contention.set({service, state}, count);
+			}
 		},
 	});
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -33,6 +33,8 @@
 	readonly heldDurationMs: Histogram;
 	/** Instances by service and their state as this gateway sees it. */
 	readonly instances: Gauge<'service' | 'state'>;
+	/** Contention between workspaces by service, see `Contention`. */
+	readonly contention: Gauge<'service' | 'state'>;
 	readonly configVersion: Gauge;
 	readonly members: Gauge;
 	/** Bytes held for callers: bodies and answers. */
@@ -89,6 +91,9 @@
 		instances: new Gauge({
 			name: 'egretwing_instances', help: 'Instances by service and state at this gateway', labelNames: ['service', 'state'], registers,
 		}),
+		contention: new Gauge({
+			name: 'egretwing_contention', help: 'Waiting requests, workspaces with some, and requests displaced in the last second', labelNames: ['service', 'state'], registers,
+		}),
 		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
 		heldBytes: new Gauge({name: 'egretwing_held_bytes', help: 'Bytes of bodies and answers held for callers', registers}),
 		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
