fix(gateway): what pipelined requests hold is given back when their caller leaves

A response that waits for its turn on a connection is not closed by Node.js, so that its bytes stayed counted for the life of the process: callers that pipeline and leave could use up the account.

--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -509,6 +509,8 @@
 		const arrivedAtMs = nowMs();
 		const lease = dependencies.memory.open();
 		response.once('close', lease.release);
+		// Node.js closes no response that waits for its turn.
+		exchange.signal.addEventListener('abort', lease.release, {once: true});
 		const idHeader = incoming.headers[headerNames.requestId];
 		const requestId = typeof idHeader === 'string' ? idHeader : '';
 		const unrouted: DeliveredRequest = {
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -260,6 +260,24 @@
 		expect(instance.bodySizes.length - runsBefore).to.equal(8);
 	});
 
+	// Guards against requests that never get their turn and stay counted for the life of the process.
+	it('counts nothing more for pipelined requests once their caller is gone', async () => {
+		// The gateway sends several requests at a time only to an instance that has answered.
+		await askSmall('trial-3');
+		await askSmall('trial-4');
+		const caller = open();
+		caller.socket.write(headOf('first', '/r/first?wait=1000'));
+		for (let number = 0; number < 4; number++) {
+			caller.socket.write(headOf(`left-${number}`, '/r/left?bytes=500000'));
+		}
+
+		await delay(500);
+		caller.socket.destroy();
+		await delay(300);
+		const response = await fetch(`http://${address}:${port + 3}/metrics`);
+		expect(/^egretwing_held_bytes (\d+)$/mv.exec(await response.text())?.[1]).to.equal('0');
+	});
+
 	// Guards against memory that the count of held bytes does not show.
 	it('refuses large bodies and serves small requests while its measured memory is short', async () => {
 		residentBytes = memoryMegabytes * megabyte;
