feat(gateway): hedges of the slowest answers, within a limit that the operator sets

A few slow answers spoil the latency of all. An idempotent request whose answer is among the slowest share of its service may be sent to an instance on another backend server, while slots are free and the hedges of the window stay within `maxExtraShare` of the requests. Off where the setting is absent; at-most-once requests are never hedged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -86,6 +86,10 @@
 } from './catalogue-sync/index.ts';
 export {createWorkspaceAccess} from './workspaces/access.ts';
 export type {AccessDecision, WorkspaceAccess} from './workspaces/access.ts';
+export {createHedgePolicy} from './hedging/index.ts';
+export type {
+	HedgeLimits, HedgePolicy, HedgeRoom, HedgeVerdict, LatencyQuantile,
+} from './hedging/index.ts';
 export {gatewaysForCaller, placeCallers, toCallerGateways} from './placement/callers.ts';
 export type {CallerGateway} from './placement/callers.ts';
 export {
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -10,6 +10,7 @@
 	type DispatchReport,
 	type DispatchRequest,
 	type Dispatcher,
+	type HedgeRoom,
 	type DispatcherState,
 	type InstanceRun,
 	type LiveInstance,
@@ -39,6 +40,8 @@
 	/** Time until an instance of the service is out of its pause; 0 when one is. */
 	readonly pausedMs: (service: string) => number;
 	readonly serviceMs: (service: string) => number;
+	/** Slots of a service, and what uses or awaits them. */
+	readonly room: (service: string) => HedgeRoom;
 	readonly receiveReport: (service: string, peerId: string, report: DispatchReport) => void;
 	/** State of the dispatcher, and of one instance, for logs. */
 	readonly explain: (service: string, instanceId?: string) => Readonly<Record<string, unknown>>;
@@ -235,6 +238,7 @@
 		},
 		pausedMs: name => serviceOf(name).dispatcher.pausedMs(nowMs()),
 		serviceMs: name => serviceOf(name).dispatcher.serviceMs(),
+		room: name => serviceOf(name).dispatcher.snapshot(nowMs()),
 		receiveReport(name, peerId, peerReport) {
 			// A report on instances that are not known here says nothing, and must not create a service for each name that it could hold.
 			if (!services.has(name) && !catalogue.entries().some(({record}) => record?.service === name)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import {createDeliver} from './deliver.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
+import {createHedging} from './hedging.ts';
 import {createHeadLimit} from './head.ts';
 import {createMesh, type MeshMessage, type MeshPeer} from './mesh.ts';
 import {createGatewayMetrics} from './metrics.ts';
@@ -430,6 +431,9 @@
 		dispatchers,
 		upstream,
 		memory,
+		hedging: createHedging({
+			limits: settings.hedging, nowMs, metrics, log,
+		}),
 		retryWindow: retryWindowOf,
 		retrySlackShare: () => slackShareOf(fleet.placedIds().includes(hostId), fleet.placedIds().length, fleet.hosts().size),
 		headerNames,
--- a/packages/gateway/src/hedge.ts
+++ b/packages/gateway/src/hedge.ts
@@ -23,12 +23,18 @@
 	readonly isCancelled: boolean;
 };
 
-/** When and how a second attempt is made. */
-export type HedgeOptions = {
-	/** Time without an answer after which a second attempt is made. */
+/** A moment at which a second attempt may be made. */
+export type HedgeChance = {
+	/** Time without an answer after which it comes. */
 	readonly afterMs: number;
-	/** Starts the second attempt; undefined when no slot is free or the retry budget is spent. */
+	/** Starts the second attempt; undefined when no slot is free or a limit is reached. */
 	readonly startSecond: () => RunningAttempt | undefined;
+};
+
+/** When and how a second attempt is made. */
+export type HedgeOptions = {
+	/** In order of their time; none is used after one that started an attempt. */
+	readonly chances: readonly HedgeChance[];
 	readonly isGood: (outcome: UpstreamOutcome) => boolean;
 };
 
@@ -46,9 +52,27 @@
 	return isSilent;
 };
 
+/** Starts the second attempt at the first chance that allows it; undefined when the first attempt ends before. */
+const startWhenSilent = async (first: RunningAttempt, chances: readonly HedgeChance[]): Promise<RunningAttempt | undefined> => {
+	let waitedMs = 0;
+	for (const {afterMs, startSecond} of chances) {
+		if (!(await isSilentAfter(first, afterMs - waitedMs))) {
+			return undefined;
+		}
+
+		waitedMs = afterMs;
+		const second = startSecond();
+		if (second !== undefined) {
+			return second;
+		}
+	}
+
+	return undefined;
+};
+
 /** Runs the attempt, and a second one if it is silent; the last of the returned attempts decides the result. */
-export const runHedged = async (first: RunningAttempt, {afterMs, startSecond, isGood}: HedgeOptions): Promise<readonly EndedAttempt[]> => {
-	const second = await isSilentAfter(first, afterMs) ? startSecond() : undefined;
+export const runHedged = async (first: RunningAttempt, {chances, isGood}: HedgeOptions): Promise<readonly EndedAttempt[]> => {
+	const second = await startWhenSilent(first, chances);
 	if (second === undefined) {
 		return [await toEnded(first)];
 	}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,8 @@
 	readonly retries: Counter<'reason'>;
 	/** Retries and hedges that were not made, by reason. */
 	readonly retriesRefused: Counter<'reason'>;
+	/** Hedges against slow answers: `sent`, `won`, `cancelled`, or why one was not sent (`limit-spent`, `no-room`). */
+	readonly hedges: Counter<'service' | 'event'>;
 	/** Attempts by service and result. */
 	readonly attempts: Counter<'service' | 'result'>;
 	readonly connections: Counter;
@@ -68,6 +70,9 @@
 		retriesRefused: new Counter({
 			name: 'egretwing_retries_refused_total', help: 'Repeated sends not made, by reason', labelNames: ['reason'], registers,
 		}),
+		hedges: new Counter({
+			name: 'egretwing_hedges_total', help: 'Hedges against slow answers by service: sent, won, cancelled, or why one was not sent', labelNames: ['service', 'event'], registers,
+		}),
 		attempts: new Counter({
 			name: 'egretwing_attempts_total', help: 'Attempts by service and end', labelNames: ['service', 'result'], registers,
 		}),
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -29,7 +29,10 @@
 	refuseWith, type Deliver, type DeliveredRequest, type FinalResult,
 } from './deliver.ts';
 import type {Dispatchers, PlacementResult} from './dispatchers.ts';
-import {runHedged, type EndedAttempt, type RunningAttempt} from './hedge.ts';
+import {
+	runHedged, type EndedAttempt, type HedgeChance, type RunningAttempt,
+} from './hedge.ts';
+import type {HedgedRequest, Hedging} from './hedging.ts';
 import {headBytesOf} from './head.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
@@ -64,6 +67,8 @@
 	readonly upstream: Upstream;
 	/** What may be held for callers, over all requests. */
 	readonly memory: MemoryBudget;
+	/** Hedges against the slowest answers. */
+	readonly hedging: Hedging;
 	readonly retryWindow: (service: string) => RetryWindow;
 	/** This gateway's share of the fixed part of the fleet's retry budget. */
 	readonly retrySlackShare: () => number;
@@ -172,7 +177,7 @@
 /** Creates the handler of callers' requests. */
 export const createServe = (dependencies: ServeDependencies): ((incoming: http.IncomingMessage, response: http.ServerResponse, exchange: CallerExchange) => Promise<void>) => {
 	const {
-		nowMs, catalogue, dispatchers, upstream, headerNames, metrics, log, deliver,
+		nowMs, catalogue, dispatchers, upstream, hedging, headerNames, metrics, log, deliver,
 	} = dependencies;
 
 	/** Records that a slot of an instance is taken, so that it is given back however the request ends. */
@@ -295,7 +300,7 @@
 	};
 
 	/** Starts a second attempt beside a silent first one if an instance has a free slot and the retry budget allows it. */
-	const startHedge = (context: RequestContext, attemptedIds: readonly string[], attempt: number): RunningAttempt | undefined => {
+	const startSecond = (context: RequestContext, attemptedIds: readonly string[], attempt: number): RunningAttempt | undefined => {
 		const placement = dispatchers.placeNow(context.service, toDispatchRequest(context, attemptedIds));
 		if (placement === undefined) {
 			return undefined;
@@ -313,25 +318,70 @@
 		return startAttempt(context, placement);
 	};
 
-	const runAttempt = async (context: RequestContext, placement: DispatchPlacement, attemptedIds: readonly string[], sends: number): Promise<readonly EndedAttempt[]> => {
-		const first = startAttempt(context, placement);
-		const mayHedge = context.route.semantics === 'idempotent' && sends + 2 <= context.route.maxAttempts;
-		if (!mayHedge) {
-			return [{placement, outcome: await first.ended, isCancelled: false}];
-		}
+	/** Instances on the backend server of `instanceId`, which share its faults. */
+	const instancesBeside = (service: string, instanceId: string): readonly string[] => {
+		const instances = catalogue.ready(service);
+		const address = instances.find(instance => instance.instanceId === instanceId)?.address;
+		return instances.filter(instance => instance.address === address).map(instance => instance.instanceId);
+	};
+
+	/** Hedge of an answer that is among the slowest; it is sent at once if the limits allow it, and to another backend server. */
+	const slowAnswerChance = (context: RequestContext, {instanceId}: DispatchPlacement, attemptedIds: readonly string[], hedged: HedgedRequest): HedgeChance => ({
+		afterMs: hedged.threshold.latencyMs,
+		startSecond() {
+			if (!hedging.tryStart(hedged, dispatchers.room(context.service))) {
+				return undefined;
+			}
 
-		return runHedged(first, {
+			const second = startSecond(context, [...attemptedIds, instanceId, ...instancesBeside(context.service, instanceId)], attemptedIds.length + 2);
+			if (second !== undefined) {
+				hedging.recordSent(hedged, second.placement.instanceId);
+			}
+
+			return second;
+		},
+	});
+
+	/** Runs an attempt that may be hedged. The last of the returned attempts decides the result. */
+	const runHedgeable = async (context: RequestContext, placement: DispatchPlacement, attemptedIds: readonly string[], sends: number): Promise<readonly EndedAttempt[]> => {
+		const {service, requestId} = context;
+		const threshold = hedging.threshold(service);
+		const hedged = threshold === undefined ? undefined : {requestId, service, threshold};
+		const chances: HedgeChance[] = [{
 			afterMs: hedgeDelayMs({
 				nowMs: nowMs(),
-				serviceMs: dispatchers.serviceMs(context.service),
+				serviceMs: dispatchers.serviceMs(service),
 				objectiveAtMs: context.arrivedAtMs + context.route.latencyObjectiveMs,
-				usedBudgetShare: dependencies.retryWindow(context.service).usedShare(dependencies.retrySlackShare(), nowMs()),
+				usedBudgetShare: dependencies.retryWindow(service).usedShare(dependencies.retrySlackShare(), nowMs()),
 			}),
-			startSecond: () => startHedge(context, [...attemptedIds, placement.instanceId], sends + 2),
+			startSecond: () => startSecond(context, [...attemptedIds, placement.instanceId], sends + 2),
+		}];
+		if (hedged !== undefined) {
+			chances.push(slowAnswerChance(context, placement, attemptedIds, hedged));
+		}
+
+		const ended = await runHedged(startAttempt(context, placement), {
+			chances: chances.toSorted((left, right) => left.afterMs - right.afterMs),
 			isGood: outcome => toResult(outcome, false) === 'good',
 		});
+		for (const {placement: {startedAtMs}, outcome, isCancelled} of ended.filter(attempt => attempt.placement === placement)) {
+			if (isCancelled || toResult(outcome, false) === 'good') {
+				hedging.recordLatency(service, nowMs() - startedAtMs);
+			}
+		}
+
+		if (hedged !== undefined) {
+			hedging.recordEnd(hedged, ended.at(-1)!.placement.instanceId);
+		}
+
+		return ended;
 	};
 
+	const runAttempt = async (context: RequestContext, placement: DispatchPlacement, attemptedIds: readonly string[], sends: number): Promise<readonly EndedAttempt[]> =>
+		context.route.semantics === 'idempotent' && sends + 2 <= context.route.maxAttempts
+			? runHedgeable(context, placement, attemptedIds, sends)
+			: [{placement, outcome: await startAttempt(context, placement).ended, isCancelled: false}];
+
 	const runAttempts = async (context: RequestContext): Promise<FinalResult> => {
 		const {requestId, service, exchange: {signal}} = context;
 		const attemptedIds: string[] = [];
@@ -340,6 +390,10 @@
 		let connectFailures = 0;
 		let lastResult: FinalResult | undefined;
 		dependencies.retryWindow(service).recordRequest(nowMs());
+		if (context.route.semantics === 'idempotent') {
+			hedging.recordRequest(service);
+		}
+
 		for (;;) {
 			const placed = await dispatchers.place(service, toDispatchRequest(context, attemptedIds), signal);
 			if (placed.type === 'cancelled') {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -5,6 +5,11 @@
 /** Memory of the machine where the settings name none. */
 const defaultMemoryMegabytes = 350;
 
+/** Largest share of hedges that can be set: beyond it, answers that are not slow would be hedged as well. */
+const maxHedgeShare = 0.2;
+
+const defaultHedgeWindowMs = 10_000;
+
 const port = z.int().min(1).max(65_535);
 
 /** Schema of the settings. */
@@ -27,6 +32,13 @@
 	capacity: z.number().positive(),
 	/** Retry budget of a service over all gateways: `ratio` of its requests plus `slack` retries within each window. */
 	retryLimits: z.object({ratio: z.number().min(0), slack: z.number().min(0), windowMs: z.number().positive()}),
+	/** Limit on the extra work by which the slowest answers of idempotent requests are cut; absent: no such hedges. */
+	hedging: z.object({
+		/** Hedges of a service over all gateways, as a share of its requests. */
+		maxExtraShare: z.number().min(0).max(maxHedgeShare),
+		/** Time over which they are counted, and latencies are observed. */
+		windowMs: z.number().positive().default(defaultHedgeWindowMs),
+	}).optional(),
 	/** Time within which the process has to end after a shutdown signal. */
 	shutdownMs: z.number().positive(),
 	/** Number of usable gateways in a data centre for each one that its callers are told; defaults to that of `placeCallers`. */
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -178,6 +178,18 @@
 		});
 	}
 
+	const hedgings: ReadonlyArray<readonly [title: string, written: unknown, expected: unknown]> = [
+		['no hedges of slow answers where they name none', undefined, undefined],
+		['no hedges of slow answers where they are null', null, undefined],
+		['a limit on hedges with its window', {maxExtraShare: 0.02, windowMs: 5000}, {maxExtraShare: 0.02, windowMs: 5000}],
+		['a limit on hedges with a window of 10 s', {maxExtraShare: 0.02}, {maxExtraShare: 0.02, windowMs: 10_000}],
+	];
+	for (const [title, hedging, expected] of hedgings) {
+		it(`give ${title}`, () => {
+			expect(translateSettings(rendered({hedging})).unwrap().gateway.hedging).to.deep.equal(expected);
+		});
+	}
+
 	const capacities: ReadonlyArray<readonly [cpuShare: number, cores: number, link: number, capacity: number]> = [
 		[0.54, 1, 1000, 0.54],
 		[0.675, 2, 200, 1.35],
@@ -195,6 +207,7 @@
 		['peerPort', {peerPort: 'x'}],
 		['storeAddress', {storeAddress: null}],
 		['grace_s', {bounds: {grace_s: 'soon'}}],
+		['hedging.maxExtraShare', {hedging: {maxExtraShare: 1}}],
 	];
 	for (const [field, changes] of refused) {
 		it(`are refused with the name of the field ${field}`, () => {
