feat(gateway): order what the store holds by era and revision

A store that comes back from an older copy gives revisions out again. Era and revision are one number from the store client on, so that catalogue, history, digests and peers compare as before; a watch that meets another era is a gap, and what the store has lost is treated as lapsed. Without the header Store-Era the number is the revision: nothing changes.

--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -6,9 +6,12 @@
  * change, repair losses. The work of one gateway does not grow with the number of gateways, and complete catalogues are
  * sent only to gateways that start, or whose state is not a recent one. Large objects, a configuration or all instances,
  * are announced and sent on request; a gateway pulls them from one peer at a time.
+ *
+ * When the store has come back from an older copy, in a later era, all instances are announced and pulled as at a start.
  */
 
-import type {Catalogue} from '../catalogue/catalogue.ts';
+import {reconcileFullRead, type Catalogue} from '../catalogue/catalogue.ts';
+import {eraOf} from '../catalogue/store-order.ts';
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
 import {sampleItems, type Random} from '../random.ts';
 import {
@@ -46,7 +49,7 @@
 export type StoreRead = {
 	readonly config?: FleetConfig;
 	readonly entries?: readonly InstanceEntry[];
-	/** Revision up to which the instances are known; absent when they were not read. */
+	/** Order in the store up to which the instances are known; absent when they were not read. */
 	readonly instancesAsOf?: number;
 };
 
@@ -62,7 +65,7 @@
 
 /** Result of a merge. */
 type MergedChange = CatalogueChange & {
-	/** True when all instances became known by this merge. */
+	/** True when all instances of the store, or of its present era, became known by this merge. */
 	readonly isFirstComplete: boolean;
 };
 
@@ -94,6 +97,8 @@
 	const configPull = createSinglePull(isReceivingFrom);
 	/** Version of the configuration being pulled; 0 for none. */
 	let wantedVersion = 0;
+	/** Order of the store, of whose era all instances are being pulled; 0 for none. */
+	let wantedAsOf = 0;
 
 	/** Selects the next peer in the order of ids and random peers of the own data centre, filled up with others where it has too few. */
 	const selectLocalPeers = (count: number, except: string): readonly string[] => {
@@ -121,7 +126,11 @@
 		return [...idsByDataCentre.values()].flatMap(ids => sampleItems(ids, count, random));
 	};
 
-	const hasAllInstances = (): boolean => catalogue.digest().instancesAsOf !== -1;
+	/** Whether all instances are known in an era of the store that is not before the one of `asOf`. */
+	const hasAllInstances = (asOf = 0): boolean => {
+		const {instancesAsOf} = catalogue.digest();
+		return instancesAsOf !== -1 && eraOf(instancesAsOf) >= eraOf(asOf);
+	};
 
 	const recordState = (nowMs: number): void => {
 		const {instances, instancesAsOf} = catalogue.digest();
@@ -129,17 +138,19 @@
 	};
 
 	const merge = (source: string, {config, entries = [], instancesAsOf = -1}: StoreRead, nowMs: number): MergedChange | undefined => {
-		const wasComplete = hasAllInstances();
+		const hadInstances = hasAllInstances();
+		const wasComplete = hasAllInstances(instancesAsOf);
 		const isNewConfig = config !== undefined && catalogue.mergeConfig(config);
 		const merged = catalogue.mergeInstances(entries, instancesAsOf, nowMs);
 		recordState(nowMs);
 		history.recordMerged(merged, nowMs);
-		const isFirstComplete = !wasComplete && hasAllInstances();
+		const isFirstComplete = !wasComplete && hasAllInstances(instancesAsOf);
+		const isNewEra = isFirstComplete && hadInstances;
 		if (!isNewConfig && merged.length === 0 && !isFirstComplete) {
 			return undefined;
 		}
 
-		if (isNewConfig || merged.some(({record}) => record?.state !== 'ready')) {
+		if (isNewConfig || isNewEra || merged.some(({record}) => record?.state !== 'ready')) {
 			urgentChangeAtMs = nowMs;
 		}
 
@@ -189,6 +200,12 @@
 
 	const pullInstances = (from: string, nowMs: number): readonly CatalogueSend[] => instancesPull.offer(from, nowMs) ? [createPull(from, false, true)] : [];
 
+	/** Pulls all instances from a peer that knows them up to `asOf`, until a state arrives or they are known in that era. */
+	const pullInstancesOf = (from: string, asOf: number, nowMs: number): readonly CatalogueSend[] => {
+		wantedAsOf = Math.max(wantedAsOf, asOf);
+		return pullInstances(from, nowMs);
+	};
+
 	const pullConfig = (from: string, version: number, nowMs: number): readonly CatalogueSend[] => {
 		if (version <= catalogue.digest().configVersion) {
 			return [];
@@ -225,7 +242,7 @@
 			configPull.end();
 		}
 
-		if (hasAllInstances()) {
+		if (hasAllInstances(wantedAsOf)) {
 			instancesPull.end();
 		}
 
@@ -233,14 +250,14 @@
 	};
 
 	const receiveUpdate = (from: string, message: Extract<CatalogueMessage, {type: 'news'}>, nowMs: number): readonly CatalogueSend[] => {
-		// Changes alone don't complete a catalogue: instances that were registered before are pulled.
-		const isIncomplete = !hasAllInstances();
+		// Changes alone don't complete a catalogue: instances that were registered before, or are there in a later era, are pulled.
+		const isIncomplete = !hasAllInstances(message.instancesAsOf);
 		const asOf = isIncomplete ? -1 : message.instancesAsOf;
 		const change = merge(from, {...message, instancesAsOf: asOf}, nowMs);
 		return [
 			...forward(change, from),
 			...pullConfig(from, message.configVersion, nowMs),
-			...(isIncomplete && message.instancesAsOf !== -1 ? pullInstances(from, nowMs) : []),
+			...(isIncomplete && message.instancesAsOf !== -1 ? pullInstancesOf(from, message.instancesAsOf, nowMs) : []),
 		];
 	};
 
@@ -286,11 +303,11 @@
 
 	const compareWith = (from: string, message: Extract<CatalogueMessage, {type: 'compare'}>, nowMs: number): readonly CatalogueSend[] => {
 		const {digest, isReply} = message;
-		const isOwnComplete = hasAllInstances();
-		const isPeerComplete = digest.instancesAsOf !== -1;
+		const isOwnComplete = hasAllInstances(digest.instancesAsOf);
+		const isPeerComplete = digest.instancesAsOf !== -1 && eraOf(digest.instancesAsOf) >= eraOf(catalogue.digest().instancesAsOf);
 		const isPeerBehind = (isOwnComplete && !isPeerComplete) || catalogue.digest().configVersion > digest.configVersion;
 		return [
-			...(isPeerComplete && !isOwnComplete ? pullInstances(from, nowMs) : []),
+			...(isPeerComplete && !isOwnComplete ? pullInstancesOf(from, digest.instancesAsOf, nowMs) : []),
 			...(isPeerComplete && isOwnComplete ? resolveDifference(from, message, nowMs) : []),
 			...pullConfig(from, digest.configVersion, nowMs),
 			...(isPeerBehind ? replyTo(from, isReply) : []),
@@ -338,6 +355,12 @@
 		return sendEntries(to, catalogue.entries().filter(({instanceId, revision}) => revision > (revisions.get(instanceId) ?? -1)));
 	};
 
+	/** Entries of a complete state; in a later era of the store, those that are missing from it may register again. */
+	const entriesOfState = ({entries, instancesAsOf}: Extract<CatalogueMessage, {type: 'state'}>): readonly InstanceEntry[] | undefined =>
+		entries !== undefined && instancesAsOf !== -1 && hasAllInstances() && !hasAllInstances(instancesAsOf)
+			? reconcileFullRead(entries, instancesAsOf, catalogue.entries(), {})
+			: entries;
+
 	return {
 		applyStoreRead: (read, nowMs) => announce(merge('store', read, nowMs), selectReaderPeers),
 		receive(from, message, nowMs) {
@@ -358,6 +381,7 @@
 					// An incomplete or outdated state is an answer as well; comparisons find peers that have more.
 					if (message.entries !== undefined) {
 						instancesPull.end();
+						wantedAsOf = 0;
 					}
 
 					if (message.config !== undefined) {
@@ -365,7 +389,8 @@
 						wantedVersion = 0;
 					}
 
-					const change = merge(from, message, nowMs);
+					const entries = entriesOfState(message);
+					const change = merge(from, {...message, ...(entries !== undefined && {entries})}, nowMs);
 					return [...forward(change, from), ...sendNewer(from, message)];
 				}
 			}
--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -2,14 +2,18 @@
  * Holds the newest configuration and the newest entry of each instance.
  *
  * Entries arrive in any order from the store and from peers. Configurations are ordered by version and instance
- * entries by the revision of the store, so that nothing reverts to an older state.
+ * entries by the era and revision of the store, so that nothing reverts to an older state.
  */
 
 import {hashText} from '../random.ts';
 import {lapsedRetentionMs, removedRetentionMs} from './constants.ts';
+import {
+	decideAtEraChange, isOfLaterEra, type BeforeEra, type EraDecision,
+} from './era-change.ts';
 import {createLeavingRuns, toRunKey} from './leaving-runs.ts';
+import {eraOf} from './store-order.ts';
 import type {
-	FleetConfig, InstanceEntry, InstanceRun, LiveInstance,
+	FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance,
 } from './types.ts';
 
 /** Summary of a catalogue. Catalogues with equal digests hold the same content. */
@@ -18,7 +22,7 @@
 	readonly configVersion: number;
 	/** Sum of the hashes of the known instance entries. */
 	readonly instances: number;
-	/** Revision of the store up to which the instances are known; -1 before they were read. */
+	/** Order in the store (`toStoreOrder`) up to which the instances are known; -1 before they were read. */
 	readonly instancesAsOf: number;
 };
 
@@ -26,7 +30,7 @@
 export type Catalogue = {
 	/** Replaces the configuration; returns false when the given one is not newer. */
 	readonly mergeConfig: (config: FleetConfig) => boolean;
-	/** Merges instance entries, read at the store revision `asOf`, and returns those that changed the catalogue. */
+	/** Merges instance entries, read at the order `asOf` of the store, and returns those that changed the catalogue. */
 	readonly mergeInstances: (entries: readonly InstanceEntry[], asOf: number, nowMs: number) => readonly InstanceEntry[];
 	/** Records that a run of an instance has announced that it leaves; returns false when that is known. Only the registration of another run ends it. */
 	readonly markLeaving: (run: InstanceRun, nowMs: number) => boolean;
@@ -43,14 +47,15 @@
 	readonly tick: (nowMs: number) => void;
 };
 
-type KnownInstance = {
-	readonly entry: InstanceEntry;
+type KnownInstance = BeforeEra & {
 	readonly receivedAtMs: number;
-	readonly live?: LiveInstance;
-	/** Set while an instance is kept although its registration has expired. */
+	/** Set while an instance is kept although its registration has expired, or the store has lost it. */
 	readonly keptUntilMs?: number;
 };
 
+/** Whether the instance takes new requests, as far as its registration says. */
+const isReady = ({live, withheldUntilMs}: KnownInstance): boolean => live?.state === 'ready' && withheldUntilMs === undefined;
+
 const digestOf = ({instanceId, revision}: InstanceEntry): number => hashText(`${instanceId}\n${revision}`);
 
 /** Creates an empty catalogue. */
@@ -68,22 +73,25 @@
 		readyByService.clear();
 	};
 
-	const toKnownInstance = (entry: InstanceEntry, previous: KnownInstance | undefined, nowMs: number): KnownInstance => {
-		const {record, instanceId} = entry;
-		const live = previous?.live;
-		if (record === null) {
-			if (live?.bornAtMs === 0 && entry.isLapsed !== true) {
-				// Without a time of birth, only its removal tells the next run from this one.
-				leavingRuns.forget(live);
-			}
+	const toGone = (entry: InstanceEntry, receivedAtMs: number, gone: LiveInstance | undefined): KnownInstance => ({entry, receivedAtMs, ...(gone !== undefined && {gone})});
 
-			return entry.isLapsed === true && live !== undefined
-				? {
-					entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + Math.min(entry.usableForMs ?? lapsedRetentionMs, lapsedRetentionMs),
-				}
-				: {entry, receivedAtMs: nowMs};
+	const toRemoved = (entry: InstanceEntry, previous: KnownInstance | undefined, nowMs: number): KnownInstance => {
+		const live = previous?.live;
+		if (live?.bornAtMs === 0 && entry.isLapsed !== true) {
+			// Without a time of birth, only its removal tells the next run from this one.
+			leavingRuns.forget(live);
 		}
 
+		return entry.isLapsed === true && live !== undefined && previous?.withheldUntilMs === undefined
+			? {
+				entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + Math.min(entry.usableForMs ?? lapsedRetentionMs, lapsedRetentionMs),
+			}
+			: toGone(entry, nowMs, live ?? previous?.gone);
+	};
+
+	const toRegistered = (entry: InstanceEntry & {readonly record: InstanceRecord}, previous: KnownInstance | undefined, nowMs: number): KnownInstance => {
+		const {record, instanceId} = entry;
+		const live = previous?.live;
 		if (record.bornAtMs < (live?.bornAtMs ?? 0)) {
 			// A delayed write from an earlier run says nothing about the current one.
 			return {...previous, entry, receivedAtMs: nowMs};
@@ -93,8 +101,42 @@
 		return {entry, receivedAtMs: nowMs, live: {...record, instanceId, knownSinceMs}};
 	};
 
+	const toKnownInstance = (entry: InstanceEntry, previous: KnownInstance | undefined, nowMs: number): KnownInstance => {
+		const {record} = entry;
+		const isLaterEra = previous !== undefined && isOfLaterEra(previous, entry);
+		if (isLaterEra && previous.live?.state === 'draining') {
+			// The store may have lost its report.
+			leavingRuns.add(previous.live, nowMs);
+		}
+
+		if (record === null) {
+			return toRemoved(entry, previous, nowMs);
+		}
+
+		const decision: EraDecision = isLaterEra ? decideAtEraChange(previous, {...entry, record}, nowMs) : {type: 'take'};
+		const registered = toRegistered({...entry, record}, previous, nowMs);
+		switch (decision.type) {
+			case 'take': {
+				return registered;
+			}
+
+			case 'withhold': {
+				return {...registered, withheldUntilMs: decision.untilMs};
+			}
+
+			case 'keep-known': {
+				return {...registered, keptUntilMs: decision.untilMs};
+			}
+		}
+	};
+
 	const merge = (entry: InstanceEntry, nowMs: number): boolean => {
 		const previous = known.get(entry.instanceId);
+		if (entry.record !== null && eraOf(entry.revision) < eraOf(asOfRevision)) {
+			// The store has lost it, and all that is there in the later era is known.
+			return false;
+		}
+
 		const knownRevision = previous?.entry.revision ?? -1;
 		// A reader without an outage of the store knows that the instance was removed and did not lapse.
 		const confirmsRemoval = knownRevision === entry.revision && previous?.entry.isLapsed === true && entry.isLapsed !== true;
@@ -108,13 +150,22 @@
 	};
 
 	const computeReady = (service: string): readonly LiveInstance[] => [...known.values()]
-		.flatMap(({live}) => live ?? [])
-		.filter(live => live.service === service && live.state === 'ready' && !leavingRuns.has(live))
+		.flatMap(instance => isReady(instance) ? instance.live! : [])
+		.filter(live => live.service === service && !leavingRuns.has(live))
 		.toSorted((left, right) => left.instanceId < right.instanceId ? -1 : 1);
 
-	const expire = (id: string, {entry, receivedAtMs, live, keptUntilMs}: KnownInstance, nowMs: number): void => {
+	const expire = (id: string, instance: KnownInstance, nowMs: number): void => {
+		const {
+			entry, receivedAtMs, live, keptUntilMs, withheldUntilMs,
+		} = instance;
 		if (live !== undefined && keptUntilMs !== undefined && nowMs >= keptUntilMs) {
-			known.set(id, {entry, receivedAtMs});
+			known.set(id, toGone(entry, receivedAtMs, live));
+			markChanged();
+			return;
+		}
+
+		if (withheldUntilMs !== undefined && nowMs >= withheldUntilMs) {
+			known.set(id, {entry, receivedAtMs, ...(live !== undefined && {live})});
 			markChanged();
 			return;
 		}
@@ -178,20 +229,20 @@
  * The entries that follow from a full read: those that were read, and a removal for each known id that was not.
  *
  * The pages of a read are not a consistent snapshot: a missing id was removed as of the first page, and an entry
- * known at a later revision stays.
+ * known at a later revision stays. With `lapse` the missing may register again, and may be used for `usableForMs`.
  */
 export const reconcileFullRead = (
 	read: readonly InstanceEntry[],
 	firstPageAsOf: number,
 	known: readonly InstanceEntry[],
-	isLapsed: boolean,
+	lapse: false | {readonly usableForMs?: number},
 ): readonly InstanceEntry[] => {
 	const readIds = new Set(read.map(({instanceId}) => instanceId));
 	const missing = known.filter(({instanceId, record, revision}) => record !== null && !readIds.has(instanceId) && revision <= firstPageAsOf);
 	return [
 		...read,
 		...missing.map(({instanceId}): InstanceEntry => ({
-			instanceId, revision: firstPageAsOf, record: null, ...(isLapsed && {isLapsed}),
+			instanceId, revision: firstPageAsOf, record: null, ...(lapse !== false && {isLapsed: true, ...lapse}),
 		})),
 	];
 };
--- a/packages/core/src/catalogue/constants.ts
+++ b/packages/core/src/catalogue/constants.ts
@@ -5,3 +5,9 @@
 
 /** How long the entry of a removed registration is kept, so that an older entry does not restore the instance. */
 export const removedRetentionMs = 120_000;
+
+/**
+ * Longest time for which an instance gets no requests whose removal the store has lost: three heartbeats of ten seconds, in which its
+ * registration expires once more if it is gone.
+ */
+export const withheldMs = 30_000;
--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -93,6 +93,7 @@
 /** The state of an instance id at a revision of the store. */
 export type InstanceEntry = {
 	readonly instanceId: string;
+	/** Order in the store (`toStoreOrder`): the revision, with the era of a store that has come back from an older copy. */
 	readonly revision: number;
 	/** Null when there is no registration or it describes no usable instance. */
 	readonly record: InstanceRecord | null;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -63,7 +63,7 @@
 export {rankNodes} from './placement/rendezvous.ts';
 export type {LocateAnswer, LocatedEntry, LocatedKey} from './locate/types.ts';
 export {
-	createCatalogue, createPrefixRouteTable, pickService, reconcileFullRead,
+	createCatalogue, createPrefixRouteTable, eraOf, maxEra, pickService, reconcileFullRead, revisionOf, revisionsPerEra, toStoreOrder,
 } from './catalogue/index.ts';
 export type {
 	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 	createRetryWindow,
 	createCatalogueSync,
 	reconcileFullRead,
+	revisionOf,
 	fromReportRows,
 	hashText,
 	slackShareOf,
@@ -197,7 +198,7 @@
 
 			for (const {instanceId, revision, record, isLapsed} of entries) {
 				logger.info('instance changed', {
-					instanceId, revision, service: record?.service, state: record?.state ?? 'removed', isLapsed, source,
+					instanceId, revision: revisionOf(revision), service: record?.service, state: record?.state ?? 'removed', isLapsed, source,
 				});
 			}
 		},
@@ -274,8 +275,9 @@
 		}
 	};
 
-	const onRead = (topic: StoreTopic, {config, entries, asOf}: StoreRead, isFull: boolean): void => {
-		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), false) : entries;
+	const onRead = (topic: StoreTopic, {config, entries, asOf, missingUsableForMs}: StoreRead, isFull: boolean): void => {
+		const lapse = missingUsableForMs === undefined ? false : {usableForMs: missingUsableForMs};
+		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), lapse) : entries;
 		if (config !== undefined) {
 			configStaleness.recordRead();
 		}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -27,6 +27,9 @@
 	readonly connections: Counter;
 	readonly peerBytes: Counter<'kind'>;
 	readonly storeCalls: Counter<'topic' | 'result'>;
+	/** How often the store has come back from an older copy, as it counts it; 0 before this gateway has noticed a change. */
+	readonly storeEra: Gauge;
+	readonly storeEraChanges: Counter<'topic'>;
 	/** How often this gateway read the store because it heard from none of its readers. */
 	readonly readerSilences: Counter;
 	readonly requestDurationMs: Histogram<'service'>;
@@ -83,6 +86,10 @@
 		storeCalls: new Counter({
 			name: 'egretwing_store_calls_total', help: 'Calls to the platform store by topic and result', labelNames: ['topic', 'result'], registers,
 		}),
+		storeEra: new Gauge({name: 'egretwing_store_era', help: 'Era of the platform store since its last change that was noticed here', registers}),
+		storeEraChanges: new Counter({
+			name: 'egretwing_store_era_changes_total', help: 'Times that the platform store came back from an older copy, by topic', labelNames: ['topic'], registers,
+		}),
 		readerSilences: new Counter({name: 'egretwing_reader_silences_total', help: 'Times that none of the store readers was heard from', registers}),
 		requestDurationMs: new Histogram({
 			name: 'egretwing_request_duration_ms', help: 'Time from request to final answer', labelNames: ['service'], buckets: durationBucketsMs, registers,
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -2,10 +2,11 @@
  * Reads one topic of the platform's store while this gateway is one of its elected readers.
  *
  * Starts with a full read where nothing is known, then watches for changes. Each failure is reported to the fleet, so that
- * another gateway takes over at once.
+ * another gateway takes over at once. When the store has come back from an older copy, in a later era, it is read in full, and what
+ * is missing then or is removed soon after may be written again, as after an outage.
  */
 
-import type {InstanceEntry} from '@egretwing/core';
+import {eraOf, revisionOf, type InstanceEntry} from '@egretwing/core';
 import type {ErrorBarrier, Logger} from '@egretwing/node';
 import {
 	minLapsingOutageMs, maxWatchGapMs, storeRecoveryMs, storeRetryMs, watchIntervalMs, watchWaitMs,
@@ -32,7 +33,7 @@
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
 	readonly errors: ErrorBarrier;
-	/** Revision up to which another reader has read, from which to watch; -1 when nothing is known. */
+	/** Order in the store up to which another reader has read, from which to watch; -1 when nothing is known. */
 	readonly knownAsOf: () => number;
 };
 
@@ -68,6 +69,10 @@
 	/** The same from the reports of other readers, while this one does not read. */
 	let othersFailingSinceMs: number | undefined;
 	let recoveredAtMs = Number.NEGATIVE_INFINITY;
+	/** When this reader learned that the store has come back from an older copy. */
+	let eraChangedAtMs = Number.NEGATIVE_INFINITY;
+	/** Era of the store; -1 when none is known. */
+	let era = -1;
 	/** Entries that were marked as lapsed since `recoveredAtMs`, without the mark. */
 	let lapsedEntries: InstanceEntry[] = [];
 	let nextCallMs = 0;
@@ -77,6 +82,24 @@
 	let changedAtMs = Number.NEGATIVE_INFINITY;
 	let changingSinceMs = Number.NEGATIVE_INFINITY;
 
+	const observeEra = (order: number): void => {
+		const previous = era;
+		era = Math.max(era, eraOf(order));
+		if (previous === -1 || era === previous) {
+			return;
+		}
+
+		logger.warn('store came back from an older copy', {
+			topic, era, previousEra: previous, revision: revisionOf(order),
+		});
+		metrics.storeEra.set(era);
+		metrics.storeEraChanges.inc({topic});
+		eraChangedAtMs = nowMs();
+		recoveredAtMs = eraChangedAtMs;
+		readingSinceMs = eraChangedAtMs;
+		lapsedEntries = [];
+	};
+
 	const observeKnown = (): void => {
 		const known = options.knownAsOf();
 		if (known <= knownAsOf) {
@@ -84,6 +107,7 @@
 		}
 
 		knownAsOf = known;
+		observeEra(known);
 		if (nowMs() - changedAtMs >= minLapsingOutageMs) {
 			changingSinceMs = nowMs();
 		}
@@ -105,7 +129,7 @@
 	const endOutage = (): boolean => {
 		const isLapsing = nowMs() - (outageSinceMs() ?? nowMs()) >= minLapsingOutageMs;
 		if (isLapsing) {
-			recoveredAtMs = returnedAtMs();
+			recoveredAtMs = Math.max(returnedAtMs(), eraChangedAtMs);
 			lapsedEntries = [];
 		}
 
@@ -136,8 +160,8 @@
 	};
 
 	const recordFailure = (failure: StoreFailure): void => {
-		if (failure === 'history-gone') {
-			logger.warn('store history gone', {topic, asOf});
+		if (failure === 'history-gone' || failure === 'era-changed') {
+			logger.warn(failure === 'history-gone' ? 'store history gone' : 'store era changed', {topic, revision: revisionOf(asOf)});
 			needsFullRead = true;
 			return;
 		}
@@ -157,6 +181,7 @@
 		}
 
 		asOf = Math.max(asOf, read.asOf);
+		observeEra(asOf);
 		if (!isRecovering()) {
 			options.onRead(topic, read, isFull);
 			return;
@@ -165,9 +190,16 @@
 		lapsedEntries.push(...read.entries.filter(({record}) => record === null));
 		// One deadline for all: an instance that is removed late in the recovery must not be used longer than after a removal without an outage.
 		const usableForMs = recoveredAtMs + storeRecoveryMs - nowMs();
-		options.onRead(topic, {...read, entries: read.entries.map(entry => markLapsed(entry, usableForMs))}, isFull);
+		options.onRead(topic, {
+			...read,
+			entries: read.entries.map(entry => markLapsed(entry, usableForMs)),
+			...(isFull && recoveredAtMs === eraChangedAtMs && {missingUsableForMs: usableForMs}),
+		}, isFull);
 	};
 
+	/** Whether a full read shows the store before its return from an older copy, which is known already. */
+	const isOutdated = (read: StoreRead): boolean => eraOf(read.asOf) < eraOf(Math.max(asOf, options.knownAsOf()));
+
 	const callStore = async (): Promise<void> => {
 		const from = Math.max(asOf, options.knownAsOf());
 		// A watch returns every version written since; a full read returns only the newest.
@@ -188,6 +220,11 @@
 			return;
 		}
 
+		if (isFull && isOutdated(result.value)) {
+			recordFailure('outdated');
+			return;
+		}
+
 		recordSuccess();
 		needsFullRead = false;
 		applyRead(result.value, isFull);
@@ -222,7 +259,8 @@
 		},
 		readingForMs: () => isReading() ? nowMs() - readingSinceMs : undefined,
 		observeOther(readingForMs) {
-			if (!isRecovering()) {
+			// All readers face the same return from an older copy, which another one may not have noticed yet.
+			if (!isRecovering() || recoveredAtMs === eraChangedAtMs) {
 				return;
 			}
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -13,6 +13,10 @@
 		| 'turned-away'
 	/** The store no longer holds the changes asked for. */
 		| 'history-gone'
+	/** The store has come back from an older copy since the revision that the call continued from, or while it was read. */
+		| 'era-changed'
+	/** The answer is older than the store's return from an older copy, which is known. */
+		| 'outdated'
 	/** The answer can't be decoded. */
 		| 'undecodable';
 
@@ -29,8 +33,10 @@
 	readonly config?: FleetConfig;
 	readonly entries: readonly InstanceEntry[];
 	readonly refused: readonly RefusedEntry[];
-	/** Revision to watch from. */
+	/** Order (`toStoreOrder`) to watch from. */
 	readonly asOf: number;
+	/** In a full read just after the store has come back from an older copy: time for which instances that are missing from it may still be used. */
+	readonly missingUsableForMs?: number;
 };
 
 /** Part of the store that is read. */
@@ -40,8 +46,8 @@
 export type StoreClient = {
 	/** Reads a whole topic, at least as new as at the time of the call. */
 	readonly readAll: (topic: StoreTopic) => Promise<Result<StoreRead, StoreFailure>>;
-	/** Waits up to `waitMs` for changes after a revision. */
-	readonly watch: (topic: StoreTopic, afterRevision: number, waitMs: number) => Promise<Result<StoreRead, StoreFailure>>;
+	/** Waits up to `waitMs` for changes after an order of the store. */
+	readonly watch: (topic: StoreTopic, afterOrder: number, waitMs: number) => Promise<Result<StoreRead, StoreFailure>>;
 	readonly close: () => void;
 };
 
