--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createManualClock, type InstanceEntry} from '@egretwing/core';
+import {createManualClock, toStoreOrder, type InstanceEntry} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {
@@ -11,6 +11,10 @@
 
 const read = (asOf: number, entries: readonly InstanceEntry[] = []): Result<StoreRead, StoreFailure> => Ok({entries, refused: [], asOf});
 
+/** Order of a revision in the second era. */
+const later = (revision: number): number => toStoreOrder(2, revision);
+const earlier = (revision: number): number => toStoreOrder(1, revision);
+
 const removal = (revision: number): InstanceEntry => ({instanceId: 'i-1', revision, record: null});
 
 type Step = {
@@ -63,8 +67,9 @@
 		errors: openBarrier,
 		knownAsOf: () => typeof knownAsOf === 'number' ? knownAsOf : knownAsOf(clock.nowMs()),
 		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
-		onRead(_topic, {entries, asOf}, isFull) {
-			reported.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}`);
+		onRead(_topic, {entries, asOf, missingUsableForMs}, isFull) {
+			const missing = missingUsableForMs === undefined ? '' : ` missing usable for ${missingUsableForMs}`;
+			reported.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}${missing}`);
 		},
 		onReachable() {
 			reported.push('reachable');
@@ -140,6 +145,69 @@
 		});
 	}
 
+	const eraCases: ReadonlyArray<{readonly title: string; readonly steps: readonly Step[]; readonly knownAsOf: KnownAsOf; readonly calls: readonly string[]; readonly reported: readonly string[]}> = [
+		{
+			title: 'reads everything when its watch meets the later era, and lets what is missing be written again',
+			steps: [{answer: read(earlier(9))}, {answer: Err('era-changed')}, {answer: read(later(5))}, {answer: read(later(6), [removal(later(6))])}],
+			knownAsOf: earlier(8),
+			calls: [`watch ${earlier(8)}`, `watch ${earlier(9)}`, 'all', `watch ${later(5)}`],
+			reported: [`changes ${earlier(9)}`, `full ${later(5)} missing usable for 2500`, `changes ${later(6)} lapsed`],
+		},
+		{
+			title: 'reads everything when the revision is gone, also where the later era shows only then',
+			steps: [{answer: Err('history-gone')}, {answer: read(later(5))}, {answer: read(later(6))}],
+			knownAsOf: earlier(8),
+			calls: [`watch ${earlier(8)}`, 'all', `watch ${later(5)}`],
+			reported: [`full ${later(5)} missing usable for 2500`, `changes ${later(6)}`],
+		},
+		{
+			title: 'does not let anything be written again once registrations must be back',
+			steps: [{answer: Err('era-changed')}, {answer: read(later(5)), pauseMs: 2600}, {answer: read(later(6), [removal(later(6))])}],
+			knownAsOf: earlier(8),
+			calls: [`watch ${earlier(8)}`, 'all', `watch ${later(5)}`],
+			reported: [`full ${later(5)} missing usable for 2500`, `changes ${later(6)}`],
+		},
+		{
+			title: 'watches on in the later era that another reader has read, and lets what is removed be written again',
+			steps: [{answer: read(earlier(9)), pauseMs: 1000}, {answer: read(later(6), [removal(later(6))])}],
+			knownAsOf: nowMs => nowMs < startMs + 1000 ? earlier(8) : later(5),
+			calls: [`watch ${earlier(8)}`, `watch ${later(5)}`],
+			reported: [`changes ${earlier(9)}`, `changes ${later(6)} lapsed`],
+		},
+		{
+			title: 'refuses a full read of the earlier era, hands over and does not go back',
+			steps: [{answer: Err('era-changed')}, {answer: read(earlier(90))}, {answer: read(later(7))}, {answer: read(later(8))}],
+			knownAsOf: later(5),
+			calls: [`watch ${later(5)}`, 'all', 'all', `watch ${later(7)}`],
+			reported: ['outdated', 'reachable', `full ${later(7)}`, `changes ${later(8)}`],
+		},
+		{
+			title: 'keeps the mark when another reader, which may not have noticed the later era, has read for long',
+			steps: [
+				{answer: Err('era-changed')},
+				{answer: read(later(5))},
+				{answer: read(later(6), [removal(later(6))]), otherReadingForMs: 9000},
+				{answer: read(later(7), [removal(later(7))])},
+			],
+			knownAsOf: earlier(8),
+			calls: [`watch ${earlier(8)}`, 'all', `watch ${later(5)}`, `watch ${later(6)}`],
+			reported: [`full ${later(5)} missing usable for 2500`, `changes ${later(6)} lapsed`, `changes ${later(7)} lapsed`],
+		},
+		{
+			title: 'takes the first era that it reads for no change',
+			steps: [{answer: read(later(5))}, {answer: read(later(6), [removal(later(6))])}],
+			knownAsOf: -1,
+			calls: ['all', `watch ${later(5)}`],
+			reported: [`full ${later(5)}`, `changes ${later(6)}`],
+		},
+	];
+	for (const {title, steps, knownAsOf, calls, reported} of eraCases) {
+		it(`after the store came back from an older copy ${title}`, async () => {
+			const played = await play(steps, knownAsOf);
+			expect({calls: played.calls, reported: played.reported}).to.deep.equal({calls, reported});
+		});
+	}
+
 	/** Other readers get a change each 400 ms, but for a time without one. */
 	const readByOthers = (gapFromMs: number, gapUntilMs: number) => (nowMs: number): number => {
 		const readMs = nowMs < gapUntilMs ? Math.min(nowMs, gapFromMs) : nowMs;
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -3,11 +3,13 @@
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
+import {maxEra, toStoreOrder} from '@egretwing/core';
 import {createStoreClient} from '../../platform/store-client.ts';
 
 const address = '127.0.0.1';
 
-type Answer = {readonly statusCode: number; readonly body?: unknown} | 'reset' | 'silent';
+/** `era` is the header Store-Era. */
+type Answer = {readonly statusCode: number; readonly body?: unknown; readonly era?: number | string} | 'reset' | 'silent';
 
 /** Starts a store that gives the next of `answers` to each call. */
 const startStore = async (answers: readonly Answer[]) => {
@@ -25,7 +27,7 @@
 			return;
 		}
 
-		response.writeHead(answer.statusCode, {'content-type': 'application/json'});
+		response.writeHead(answer.statusCode, {'content-type': 'application/json', ...(answer.era !== undefined && {'Store-Era': answer.era})});
 		response.end(answer.body === undefined ? '' : JSON.stringify(answer.body));
 	});
 	await new Promise<void>(resolve => {
@@ -257,4 +259,51 @@
 			close();
 		});
 	}
+
+	const page = (era: number | string | undefined, asOf: number, truncated = false): Answer => ({
+		statusCode: 200, ...(era !== undefined && {era}), body: {items: [item(`i-${asOf}`, asOf)], truncated, as_of: asOf},
+	});
+	const changes = (era: number | undefined, asOf: number): Answer => ({statusCode: 200, ...(era !== undefined && {era}), body: {events: [item('i-1', asOf)], as_of: asOf}});
+	type Step = readonly [call: 'read' | 'config' | number, answer: Answer, result: number | string];
+	const order = (revision: number): number => toStoreOrder(3, revision);
+	const eraCases: ReadonlyArray<readonly [title: string, steps: readonly Step[]]> = [
+		['counts revisions as they are in a store that names no era', [['read', page(undefined, 7), 7], [7, changes(undefined, 9), 9]]],
+		['orders revisions by era', [['read', page(3, 7), order(7)], [order(7), changes(3, 9), order(9)]]],
+		[
+			'does not watch on across a change of era, although the revision is there',
+			[['read', page(3, 7), order(7)], [order(7), changes(4, 9), 'era-changed'], ['read', page(4, 9), toStoreOrder(4, 9)]],
+		],
+		['does not watch on from an era that another gateway has read', [[toStoreOrder(4, 7), changes(3, 9), 'era-changed']]],
+		['does not watch on from revisions that were read where no era was named', [[7, changes(3, 9), 'era-changed']]],
+		['reports a revision that the later era does not have as gone', [[order(7), {statusCode: 410, era: 4}, 'history-gone']]],
+		[
+			'refuses a read that comes late from the earlier era',
+			[[order(7), {statusCode: 503, era: 4}, 'turned-away'], ['read', page(3, 9), 'outdated'], ['config', {statusCode: 404, era: 3}, 'outdated']],
+		],
+		['orders the absence of a configuration by era', [['config', {statusCode: 404, era: 3}, order(0)]]],
+		['refuses an era that is no number', [['read', page('x', 7), 'undecodable']]],
+		['refuses an era above the highest', [['read', page(maxEra + 1, 7), 'undecodable']]],
+		['refuses a revision that would count into the next era', [['read', page(1, 2 ** 42), 'undecodable']]],
+	];
+	for (const [title, steps] of eraCases) {
+		it(title, async () => {
+			const {client, calls, close} = await startStore(steps.map(([, answer]) => answer));
+			const results: Array<number | string> = [];
+			for (const [call] of steps) {
+				const result = typeof call === 'number' ? await client.watch('instances', call, 10) : await client.readAll(call === 'read' ? 'instances' : 'config');
+				results.push(result.isOk() ? result.value.asOf : result.error);
+			}
+
+			expect(results).to.deep.equal(steps.map(step => step[2]));
+			expect(calls.filter(call => call.includes('kv-watch')).every(call => Number(new URL(call, 'http://s').searchParams.get('after')) === 7)).to.equal(true);
+			close();
+		});
+	}
+
+	it('refuses pages of different eras', async () => {
+		const {client, close} = await startStore([page(3, 7, true), page(4, 8)]);
+		const result = await client.readAll('instances');
+		expect(result.unwrapErr()).to.equal('outdated');
+		close();
+	});
 });
