--- a/test/platform/soak/cli.ts
+++ b/test/platform/soak/cli.ts
@@ -1,4 +1,4 @@
-/** Command line for soak runs: `npm run soak -- --seeds 50 --first 1 [--seconds 12] [--gateways 4] [--instances 6] [--logs FOLDER] [--ends]`. */
+/** Command line for soak runs: `npm run soak -- --seeds 50 --first 1 [--seconds 12] [--gateways 4] [--instances 6] [--logs FOLDER] [--ends] [--eras]`. */
 
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -25,6 +25,7 @@
 		parallel: {type: 'string', default: '2'},
 		logs: {type: 'string'},
 		ends: {type: 'boolean', default: false},
+		eras: {type: 'boolean', default: false},
 	},
 });
 const file = await buildGateway();
@@ -44,6 +45,7 @@
 			calmMs: Math.min(longestCalmMs, Number(values.seconds) * msPerSecond / 2),
 			requestsPerSecond: Number(values.rate),
 			ends: values.ends,
+			eras: values.eras,
 		});
 		failures += Number(report.flaws.length > 0);
 		console.log(`seed ${seed}: ${report.flaws.length} flaws, ${report.served} of ${report.calls} served, ${report.steps.length} steps`);
--- a/test/platform/soak/schedule.ts
+++ b/test/platform/soak/schedule.ts
@@ -13,6 +13,8 @@
 		| {readonly type: 'instance-link'; readonly instance: number; readonly fault: ProxyFault}
 		| {readonly type: 'store-link'; readonly fault: ProxyFault}
 		| {readonly type: 'store-busy'; readonly isBusy: boolean}
+		/** The store comes back from a copy that is so old; what it lost is written again within `rewriteMs`. */
+		| {readonly type: 'store-copy'; readonly ageMs: number; readonly rewriteMs: number}
 		| {readonly type: 'configure'}
 		/** An instance announces that it leaves, ends a little later and is replaced by a new one. */
 		| {readonly type: 'replace'; readonly instance: number}
@@ -45,6 +47,8 @@
 	readonly calmMs: number;
 	/** Whether faults are drawn that may end a process: odd bytes, early signals, held ports, unfinished uploads, new settings. */
 	readonly ends?: boolean;
+	/** Whether the store names its era and comes back from older copies at times. */
+	readonly eras?: boolean;
 };
 
 const firstFaultMs = 1500;
@@ -67,8 +71,13 @@
 /** Time from a kill to SIGHUP, about that in which the platform starts a process again. */
 const settingsAfterMs = {least: 200, spread: 400} as const;
 
+/** Longest time for which the store is away, age of its copy, and time within which what was lost is written again. */
+const storeCopies = {
+	longestAwayMs: 1500, leastAgeMs: 300, spreadMs: 6000, rewriteMs: 1800,
+} as const;
+
 /** Draws the steps of a run in order; the same random source and size give the same steps. */
-export const drawSchedule = (random: Random, {gateways, instances, durationMs, calmMs, ends = false}: SoakSize): readonly SoakStep[] => {
+export const drawSchedule = (random: Random, {gateways, instances, durationMs, calmMs, ends = false, eras = false}: SoakSize): readonly SoakStep[] => {
 	const steps: SoakStep[] = [];
 	const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random.next() * items.length)]!;
 	const number = (count: number): number => Math.floor(random.next() * count);
@@ -128,7 +137,17 @@
 			},
 		}),
 	];
-	const allDraws = ends ? [...draws, ...endDraws] : draws;
+	const eraDraws: ReadonlyArray<(atMs: number) => void> = [
+		atMs => {
+			const backAtMs = Math.min(lastMs, atMs + number(storeCopies.longestAwayMs + 1));
+			steps.push(
+				{atMs, action: {type: 'store-busy', isBusy: true}},
+				{atMs: backAtMs, action: {type: 'store-copy', ageMs: storeCopies.leastAgeMs + number(storeCopies.spreadMs), rewriteMs: number(storeCopies.rewriteMs + 1)}},
+				{atMs: backAtMs, action: {type: 'store-busy', isBusy: false}},
+			);
+		},
+	];
+	const allDraws = [...draws, ...(ends ? endDraws : []), ...(eras ? eraDraws : [])];
 
 	for (let atMs = firstFaultMs; atMs < lastMs; atMs += meanGapMs * 2 * random.next()) {
 		pick(allDraws)(atMs);
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -59,6 +59,15 @@
 		expect(served).to.be.above(0);
 	});
 
+	it('shows no flaw under seed 4 with a store that comes back from older copies', async () => {
+		const {flaws, served, steps} = await runSoak({
+			...size, eras: true, seed: 4, file: await buildGateway(), network: `127.${networkPart}.4`, requestsPerSecond: 30,
+		});
+		expect(steps.some(({action}) => action.type === 'store-copy')).to.equal(true);
+		expect(flaws).to.deep.equal([]);
+		expect(served).to.be.above(0);
+	});
+
 	const ends: ReadonlyArray<readonly [title: string, program: string, memoryMegabytes: number, flaw: RegExp]> = [
 		[
 			'its exit code, age, peak of memory and last line',
@@ -137,6 +146,11 @@
 		expect(drawn.every(action => action.type !== 'early-signal' || action.agesMs.every(ageMs => ageMs >= leastSignalAgeMs))).to.equal(true);
 	});
 
+	it('draws a store that comes back from an older copy only if it is asked for, within some seeds', () => {
+		const draw = (eras: boolean) => Array.from({length: 20}, (_, seed) => drawSchedule(createRandom(seed), {...size, eras}).map(({action}) => action.type)).flat();
+		expect([draw(false).includes('store-copy'), draw(true).includes('store-copy')]).to.deep.equal([false, true]);
+	});
+
 	it('reports each port that no gateway listens on at the end', async () => {
 		expect(await checkListening([`127.${networkPart}.253.1`])).to.have.length(5);
 	});
--- a/test/platform/soak/soak.ts
+++ b/test/platform/soak/soak.ts
@@ -81,6 +81,8 @@
 	readonly ends: EndsContext;
 	/** Faults in progress. */
 	readonly pending: Array<Promise<void>>;
+	/** Holds `store` while what it lost is being written again. */
+	readonly restoring: Set<'store'>;
 	version: number;
 };
 
@@ -129,6 +131,21 @@
 	context.register(index, 'ready');
 };
 
+/** Brings the store back from an older copy; the operator and the instances write again what it lost. */
+const restoreCopy = async ({store, restoring}: SoakContext, ageMs: number, rewriteMs: number): Promise<void> => {
+	if (restoring.has('store')) {
+		return;
+	}
+
+	restoring.add('store');
+	const lost = store.restoreCopy(ageMs);
+	await Promise.all(lost.map(async (write, index) => {
+		await delay(rewriteMs * (index + 1) / lost.length);
+		store.rewrite(write);
+	}));
+	restoring.delete('store');
+};
+
 const applyAction = (context: SoakContext, action: SoakAction): void => {
 	context.records.applied.push({atMs: Date.now(), action});
 	const {
@@ -173,6 +190,11 @@
 			return;
 		}
 
+		case 'store-copy': {
+			context.pending.push(restoreCopy(context, action.ageMs, action.rewriteMs));
+			return;
+		}
+
 		case 'configure': {
 			configure(context);
 			return;
@@ -264,7 +286,7 @@
 	const random = createRandom(seed + 1);
 	const addresses = Array.from({length: gateways}, (_, number) => `${network}.${number + 1}`);
 	const storeAddress = `${network}.100`;
-	const store = await createSoakStore(storeAddress, gatewayPorts.store + backendPortOffset);
+	const store = await createSoakStore(storeAddress, gatewayPorts.store + backendPortOffset, options.eras ? 1 : undefined);
 	const storeProxy = await createProxy(storeAddress, gatewayPorts.store, gatewayPorts.store + backendPortOffset);
 	const runs: Run[] = [];
 	const records: SoakContext['records'] & {readonly arrivals: Arrival[]; readonly notices: SaidNotice[]} = {
@@ -312,7 +334,7 @@
 		isCalm: () => performance.now() > calmAtMs,
 	};
 	return {
-		options, store, storeProxy, gateways: gatewayProcesses, callers, slots: instanceSlots, runs, records, startInstance, register, version: 0, addresses, ends, pending: [],
+		options, store, storeProxy, gateways: gatewayProcesses, callers, slots: instanceSlots, runs, records, startInstance, register, version: 0, addresses, ends, pending: [], restoring: new Set(),
 	};
 };
 
