feat(core): quotas of workspaces over all gateways, without a common state

Gateways count what they admit in a sliding window and report it to each other once one of them has admitted most of its static share. A silent peer is taken to admit its share, a gateway that has just started takes it that the whole limit was used before, and what it admitted in an earlier run is remembered by its peers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -96,3 +96,7 @@
 	createRequestPipeline, maxConcurrentRequests, maxReadAheadBytes, maxReadAheadRequests,
 } from './pipelining/index.ts';
 export type {RequestEffect, RequestPipeline} from './pipelining/index.ts';
+export {createQuotaGate} from './quota/index.ts';
+export type {
+	QuotaDecision, QuotaFleet, QuotaGate, QuotaGateOptions, QuotaLimits, QuotaRate, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
+} from './quota/index.ts';
