feat(gateway): quotas of workspaces are kept across gateways

Reports go as datagrams of a new kind, only while a configuration has quotas and a workspace comes near its static share. A gateway of the previous version logs the datagram as malformed and closes nothing. Refusals are 429 with the time at which the window has room; the log line has own and reported use and the limit.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -98,5 +98,5 @@
 export type {RequestEffect, RequestPipeline} from './pipelining/index.ts';
 export {createQuotaGate} from './quota/index.ts';
 export type {
-	QuotaDecision, QuotaFleet, QuotaGate, QuotaGateOptions, QuotaLimits, QuotaRate, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
+	QuotaDecision, QuotaFleet, QuotaGate, QuotaGateOptions, QuotaLimits, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
 } from './quota/index.ts';
--- a/packages/core/src/quota/ceilings.ts
+++ b/packages/core/src/quota/ceilings.ts
@@ -1,7 +1,8 @@
 /** Translates the quota of a workspace to numbers of requests in a window. */
 
+import type {WorkspaceQuota} from '../catalogue/types.ts';
 import {targetShare} from './constants.ts';
-import type {QuotaLimits, QuotaRate} from './types.ts';
+import type {QuotaLimits} from './types.ts';
 
 /** Numbers of requests in a window, over all gateways. */
 export type Ceilings = {
@@ -14,7 +15,7 @@
 };
 
 /** Numbers of requests for a quota. */
-export const toCeilings = ({ratePerSecond, burst}: QuotaRate, {windowMs, overageShare, slack}: QuotaLimits): Ceilings => {
+export const toCeilings = ({ratePerSecond, burst}: WorkspaceQuota, {windowMs, overageShare, slack}: QuotaLimits): Ceilings => {
 	const limit = (ratePerSecond * windowMs / 1000) + burst;
 	const ceiling = (limit * (1 + overageShare)) + slack;
 	return {limit, target: limit + ((ceiling - limit) * targetShare), ceiling};
--- a/packages/core/src/quota/index.ts
+++ b/packages/core/src/quota/index.ts
@@ -3,5 +3,5 @@
 export {createQuotaGate} from './quota-gate.ts';
 export type {QuotaGate, QuotaGateOptions} from './quota-gate.ts';
 export type {
-	QuotaDecision, QuotaFleet, QuotaLimits, QuotaRate, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
+	QuotaDecision, QuotaFleet, QuotaLimits, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
 } from './types.ts';
--- a/packages/core/src/quota/quota-gate.ts
+++ b/packages/core/src/quota/quota-gate.ts
@@ -5,6 +5,7 @@
  * workspaces, which cost no messages: a gateway speaks of a workspace when it has admitted most of its static share, or hears that a peer has.
  */
 
+import type {WorkspaceQuota} from '../catalogue/types.ts';
 import type {Random} from '../random.ts';
 import {toCeilings, type Ceilings} from './ceilings.ts';
 import {
@@ -15,14 +16,14 @@
 } from './fleet-use.ts';
 import {createPeerUse, type PeerUse} from './peer-use.ts';
 import type {
-	QuotaDecision, QuotaFleet, QuotaLimits, QuotaRate, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
+	QuotaDecision, QuotaFleet, QuotaLimits, QuotaReport, QuotaRow, QuotaSend, QuotaUse,
 } from './types.ts';
 import {createUseWindow, type UseWindow} from './use-window.ts';
 
 /** Quotas of one gateway. */
 export type QuotaGate = {
 	/** Replaces the quotas by workspace; workspaces without one are not limited. Use so far counts on. */
-	readonly setQuotas: (quotas: ReadonlyMap<string, QuotaRate>) => void;
+	readonly setQuotas: (quotas: ReadonlyMap<string, WorkspaceQuota>) => void;
 	readonly setFleet: (fleet: QuotaFleet) => void;
 	/** Decides on a request, and counts it if it is admitted. */
 	readonly admit: (workspace: string, nowMs: number) => QuotaDecision;
@@ -72,7 +73,7 @@
 	const workspaces = new Map<string, Workspace>();
 	const talking = new Set<Workspace>();
 	const urgent = new Set<Workspace>();
-	let quotas: ReadonlyMap<string, QuotaRate> = new Map();
+	let quotas: ReadonlyMap<string, WorkspaceQuota> = new Map();
 	let fleet = noFleet;
 	let lastReportMs = Number.NEGATIVE_INFINITY;
 	/** Gateways that callers are not sent to and that report nonetheless, with the time of the last report that they sent or that named them. */
--- a/packages/core/src/quota/types.ts
+++ b/packages/core/src/quota/types.ts
@@ -1,13 +1,5 @@
 /** Types of quotas. */
 
-/** Limit on the requests of a workspace, over all gateways. */
-export type QuotaRate = {
-	/** Requests per second; 0 for no limit. */
-	readonly ratePerSecond: number;
-	/** Requests beyond the rate in a window. */
-	readonly burst: number;
-};
-
 /** How strictly quotas have to hold over all gateways. */
 export type QuotaLimits = {
 	/** Time over which requests are counted, in milliseconds. */
--- a/packages/core/test/quota/fleet-model.ts
+++ b/packages/core/test/quota/fleet-model.ts
@@ -1,7 +1,7 @@
 /** Simulates the quota of one workspace over many gateways in virtual time, with splits, lost reports, kills and callers that move. */
 
 import {
-	createQuotaGate, createRandom, type QuotaFleet, type QuotaGate, type QuotaLimits, type QuotaRate, type QuotaSend, type Random,
+	createQuotaGate, createRandom, type QuotaFleet, type QuotaGate, type QuotaLimits, type WorkspaceQuota, type QuotaSend, type Random,
 } from '@egretwing/core';
 
 /** The limits under which quotas have to hold. */
@@ -19,7 +19,7 @@
 	/** Longest time that a message takes. */
 	readonly maxDelayMs: number;
 	/** Quotas and the time from which each is in force. */
-	readonly quotas: ReadonlyArray<{readonly atMs: number; readonly quota: QuotaRate}>;
+	readonly quotas: ReadonlyArray<{readonly atMs: number; readonly quota: WorkspaceQuota}>;
 	/** Requests per second of the workspace. */
 	readonly perSecond: (nowMs: number) => number;
 	/** Share of requests that are given back. */
@@ -74,7 +74,7 @@
 /** Time after which a gateway that has just started knows the others. */
 const joinMs = 300;
 
-const ceilingOf = ({ratePerSecond, burst}: QuotaRate): number =>
+const ceilingOf = ({ratePerSecond, burst}: WorkspaceQuota): number =>
 	(((ratePerSecond * quotaLimits.windowMs / 1000) + burst) * (1 + quotaLimits.overageShare)) + quotaLimits.slack;
 
 /** Finds the window with the most admissions compared with what is allowed for it. */
@@ -113,7 +113,7 @@
 	let used: readonly number[] = [];
 	let nextMoveMs = 0;
 
-	const quotaAt = (nowMs: number): QuotaRate => run.quotas.findLast(({atMs}) => atMs <= nowMs)!.quota;
+	const quotaAt = (nowMs: number): WorkspaceQuota => run.quotas.findLast(({atMs}) => atMs <= nowMs)!.quota;
 
 	const createGate = (nowMs: number): QuotaGate => {
 		const gate = createQuotaGate({limits: quotaLimits, random, startedAtMs: nowMs});
--- a/packages/core/test/quota/runs.ts
+++ b/packages/core/test/quota/runs.ts
@@ -1,6 +1,6 @@
 /** Runs of the simulation of quotas, from seeds. */
 
-import {createRandom, type QuotaRate} from '@egretwing/core';
+import {createRandom, type WorkspaceQuota} from '@egretwing/core';
 import {quotaLimits, type Run} from './fleet-model.ts';
 
 /** A run with trouble of all kinds. */
@@ -12,7 +12,7 @@
 	const gateways = oneOf([3, 10, 20, 44, 86]);
 	const placed = Math.max(1, Math.round(gateways / 20 * oneOf([1, 1, 2])));
 	const ratePerSecond = oneOf([1, 5, 20, 60, 200]);
-	const quota: QuotaRate = {ratePerSecond, burst: Math.round(ratePerSecond * between(0, 3))};
+	const quota: WorkspaceQuota = {ratePerSecond, burst: Math.round(ratePerSecond * between(0, 3))};
 	const usualPerSecond = ratePerSecond * between(0.2, 0.9);
 	const hotFromMs = between(1000, 12_000);
 	const hotUntilMs = hotFromMs + between(3000, 8000);
@@ -47,7 +47,7 @@
 	/** Gateways that callers are sent to, and those of them that they use. */
 	readonly placed: number;
 	readonly usedGateways: number;
-	readonly quota: QuotaRate;
+	readonly quota: WorkspaceQuota;
 	/** Requests as a share of what the quota allows in a window. */
 	readonly share: number;
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -131,3 +131,15 @@
 
 /** Longest time for which the same newer version counts while it does not arrive: a peer that keeps naming it is wrong or can't send it. */
 export const maxConfigStalenessWindowMs = 5 * configStalenessWindowMs;
+
+/** Time for which a gateway that was lost without a word counts as one that may be cut off and serve on: far longer than a split lasts. */
+export const lostPeerMemoryMs = 300_000;
+
+/** Number of gateways that share a quota at least, so that what a gateway admitted is known elsewhere when it is killed. */
+export const minQuotaGateways = 3;
+
+/** Maximum size of the rows of one report on quotas, in bytes: a datagram less the names of the sender and of other gateways, so that none goes over a stream, which earlier versions would close. */
+export const maxQuotaRowsBytes = 700;
+
+/** Interval at which workspaces without use are forgotten. */
+export const quotaCleanupIntervalMs = 1000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
 import {createGatewayMetrics} from './metrics.ts';
 import {createPeerEndWatch} from './peer-ends.ts';
 import {createRequestLog} from './request-log.ts';
+import {createQuotas} from './quotas.ts';
 import {createServe, isMissingHost, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
 import {createStoreReader, type StoreReader} from './store-reader.ts';
@@ -181,6 +182,7 @@
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
 				access = createWorkspaceAccess(config, digestKey);
+				quotas.setWorkspaces(config.workspaces);
 				configOrigin = {source, sinceMs: nowMs()};
 				configStaleness.recordInForce(nowMs());
 				headLimit.take(config.limits, nowMs());
@@ -204,6 +206,20 @@
 		},
 	});
 
+	const quotas = createQuotas({
+		hostId,
+		limits: settings.quotaLimits,
+		random,
+		nowMs,
+		fleet,
+		members: membership.members,
+		seedCount: () => seeds.filter(address => address !== settings.address).length,
+		metrics,
+		send(id, report) {
+			sendTo(id, {type: 'quota', report}, 'datagram');
+		},
+	});
+
 	const sendReportToPeers = (service: string, report: DispatchReport): void => {
 		const rows = toReportRows(report);
 		for (const id of fleet.recentlyPlacedPeerIds()) {
@@ -363,6 +379,11 @@
 				return;
 			}
 
+			case 'quota': {
+				quotas.receive(from.hostId, message.report);
+				return;
+			}
+
 			case 'store': {
 				receiveStoreState(from.hostId, message);
 			}
@@ -431,6 +452,7 @@
 		maxHeadBytes: () => headLimit.bytes(nowMs()),
 		shutdownPlan: () => shutdownPlan,
 		dispatchers,
+		quotas,
 		upstream,
 		memory,
 		hedging: createHedging({
@@ -594,6 +616,7 @@
 		['reader-watch', watchReaders],
 		['readers', tickReaders],
 		['dispatch', dispatchers.tick],
+		['quota', quotas.tick],
 		['memory', watchMemory],
 		['process', reportProcess],
 		['cleanup', cleanUpIfDue],
--- a/packages/gateway/src/mesh-message.ts
+++ b/packages/gateway/src/mesh-message.ts
@@ -2,7 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type {
-	EntryHost, InstanceRun, MemberMessage, ReportRow, CatalogueMessage,
+	EntryHost, InstanceRun, MemberMessage, QuotaReport, ReportRow, CatalogueMessage,
 } from '@egretwing/core';
 import {decodeValue, encodeValue, type PeerEndpoint} from '@egretwing/node';
 import {Err, Ok, type Result} from 'ts-results-es';
@@ -28,7 +28,9 @@
 	 */
 		| {readonly type: 'store'; readonly isReachable: boolean; readonly failingForMs?: number; readonly readingForMs?: number}
 	/** An instance has told the sender that it leaves. */
-		| {readonly type: 'leaving'; readonly run: InstanceRun};
+		| {readonly type: 'leaving'; readonly run: InstanceRun}
+	/** Use of workspaces at the sender. A gateway of an earlier version passes over it. */
+		| {readonly type: 'quota'; readonly report: QuotaReport};
 
 /** Sender of a message. */
 export type MeshPeer = PeerEndpoint & {readonly hostId: string};
@@ -98,7 +100,8 @@
 
 		case 'load':
 		case 'store':
-		case 'leaving': {
+		case 'leaving':
+		case 'quota': {
 			return message;
 		}
 	}
@@ -124,7 +127,8 @@
 
 		case 'load':
 		case 'store':
-		case 'leaving': {
+		case 'leaving':
+		case 'quota': {
 			return message;
 		}
 	}
--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -75,6 +75,13 @@
 	join: isRecord({host: hostRow}),
 	hosts: isRecord({hosts: isListOf(hostRow)}),
 	store: isRecord({isReachable: isFlag, failingForMs: optional(isSpanMs), readingForMs: optional(isSpanMs)}),
+	quota: isRecord({
+		report: isRecord({
+			upMs: isSpanMs,
+			rows: isListOf(isRow(isName, isNotNegative, isNotNegative, isFlag, isNotNegative, isSpanMs)),
+			strayIds: isListOf(isName),
+		}),
+	}),
 	leaving: isRecord({
 		run: isRecord({
 			instanceId: isName, bornAtMs: isNumber, address: isAddress, port: isPort,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -42,6 +42,10 @@
 	readonly contention: Gauge<'service' | 'state'>;
 	readonly configVersion: Gauge;
 	readonly members: Gauge;
+	/** Requests of workspaces with a quota: admitted, refused, or given back because they reached no instance. */
+	readonly quotaRequests: Counter<'result'>;
+	/** Estimated use of the workspace that is closest to its quota, as a share of it; 0 while none is close. */
+	readonly largestQuotaUse: Gauge;
 	/** Bytes held for callers: bodies and answers. */
 	readonly heldBytes: Gauge;
 };
@@ -108,6 +112,10 @@
 		}),
 		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
 		heldBytes: new Gauge({name: 'egretwing_held_bytes', help: 'Bytes of bodies and answers held for callers', registers}),
+		quotaRequests: new Counter({
+			name: 'egretwing_quota_requests_total', help: 'Requests of workspaces with a quota, by result', labelNames: ['result'], registers,
+		}),
+		largestQuotaUse: new Gauge({name: 'egretwing_quota_largest_use', help: 'Estimated use of the workspace closest to its quota, as a share of it', registers}),
 		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
 	};
 };
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -35,6 +35,7 @@
 import type {HedgedRequest, Hedging} from './hedging.ts';
 import {headBytesOf} from './head.ts';
 import type {GatewayMetrics} from './metrics.ts';
+import type {QuotaPermit, Quotas} from './quotas.ts';
 import type {RequestLog} from './request-log.ts';
 import {firstServerErrorStatusCode, gatewayTimeoutStatusCode, misdirectedStatusCode} from './status-codes.ts';
 import type {HeaderNames} from './types.ts';
@@ -64,6 +65,7 @@
 	/** The shutdown in progress, if any. */
 	readonly shutdownPlan: () => ShutdownPlan | undefined;
 	readonly dispatchers: Dispatchers;
+	readonly quotas: Pick<Quotas, 'admit'>;
 	readonly upstream: Upstream;
 	/** What may be held for callers, over all requests. */
 	readonly memory: MemoryBudget;
@@ -382,7 +384,7 @@
 			? runHedgeable(context, placement, attemptedIds, sends)
 			: [{placement, outcome: await startAttempt(context, placement).ended, isCancelled: false}];
 
-	const runAttempts = async (context: RequestContext): Promise<FinalResult> => {
+	const runAttempts = async (context: RequestContext, permit: QuotaPermit): Promise<FinalResult> => {
 		const {requestId, service, exchange: {signal}} = context;
 		const attemptedIds: string[] = [];
 		let mayHaveRun = false;
@@ -417,6 +419,10 @@
 				connectFailures += Number(outcome.type === 'unreachable');
 				sends += Number(outcome.type !== 'unreachable');
 				mayHaveRun ||= mayHaveRunAfter(outcome);
+				if (mayHaveRun) {
+					permit.keep();
+				}
+
 				if (outcome.type === 'answered' && outcome.answer.rest !== undefined) {
 					context.streamingAnswers.push(outcome.answer);
 				}
@@ -450,9 +456,9 @@
 	};
 
 	/** Gives back what the request still holds of instances when its attempts end by an error. */
-	const runAttemptsToEnd = async (context: RequestContext): Promise<FinalResult> => {
+	const runAttemptsToEnd = async (context: RequestContext, permit: QuotaPermit): Promise<FinalResult> => {
 		try {
-			return await runAttempts(context);
+			return await runAttempts(context, permit);
 		} finally {
 			for (const [placement, abort] of context.running) {
 				abort();
@@ -550,7 +556,13 @@
 			return refuseWith('draining', 'may outlast the shutdown', stoppingRetryMs);
 		}
 
-		const final = await runAttemptsToEnd(context);
+		const permit = dependencies.quotas.admit(context.workspace);
+		if (permit.type === 'refusal') {
+			return permit;
+		}
+
+		const final = await runAttemptsToEnd(context, permit);
+		permit.settle();
 		closeUnusedAnswers(context, final);
 		if (final.type !== 'caller-gone') {
 			dispatchers.recordOutcome(service, final.type === 'answer' && final.answer.statusCode < firstServerErrorStatusCode);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -10,6 +10,9 @@
 
 const defaultHedgeWindowMs = 10_000;
 
+/** Quotas hold over five seconds with a quarter and 20 requests to spare. */
+const defaultQuotaLimits = {windowMs: 5000, overageShare: 0.25, slack: 20};
+
 const port = z.int().min(1).max(65_535);
 
 /** Schema of the settings. */
@@ -39,6 +42,9 @@
 		/** Time over which they are counted, and latencies are observed. */
 		windowMs: z.number().positive().default(defaultHedgeWindowMs),
 	}).optional(),
+
+	/** How strictly quotas of workspaces hold over all gateways: the share of the limit, and the requests beyond it, that may be admitted in a window. */
+	quotaLimits: z.object({windowMs: z.number().positive(), overageShare: z.number().min(0), slack: z.number().min(0)}).default(defaultQuotaLimits),
 	/** Time within which the process has to end after a shutdown signal. */
 	shutdownMs: z.number().positive(),
 	/** Number of usable gateways in a data centre for each one that its callers are told; defaults to that of `placeCallers`. */
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -1,12 +1,12 @@
 import {type Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import {
-	createPrefixRouteTable, createReportScheduler, toReportRows, type InstanceEntry,
+	createPrefixRouteTable, createQuotaGate, createRandom, createReportScheduler, toReportRows, type InstanceEntry,
 } from '@egretwing/core';
 import {
 	createFrameReader, decodeValue, encodeValue, encodeFrame,
 } from '@egretwing/node';
-import {maxReportRowsBytes} from '../src/constants.ts';
+import {maxQuotaRowsBytes, maxReportRowsBytes} from '../src/constants.ts';
 import {decodeMessage, encodeMessage, type MeshMessage} from '../src/mesh-message.ts';
 import {maxDatagramBytes} from '../src/mesh.ts';
 import {createInstances} from './support/instances.ts';
@@ -55,6 +55,43 @@
 		expect(encodeMessage(sender, message).length).to.be.below(maxDatagramBytes);
 	});
 
+	it('carries a full report on quotas in one datagram, since an earlier version would close a stream at a message that it does not know', () => {
+		const gate = createQuotaGate({limits: {windowMs: 5000, overageShare: 0.25, slack: 20}, random: createRandom(1), startedAtMs: 0});
+		const names = Array.from({length: 100}, (_, index) => `orquesta-filarmonía-${1000 + index}`);
+		gate.setQuotas(new Map(names.map(name => [name, {ratePerSecond: 1000, burst: 100_000}])));
+		const peers = Array.from({length: 10}, (_, index) => `front-ga-north-a-${100 + index}`);
+		for (const peer of peers) {
+			gate.receive(peer, {upMs: 4999, rows: names.map(name => [name, 70_000, 70_000, true, 70_000, 4999]), strayIds: []}, 4000);
+		}
+
+		const {report} = gate.takeReport(maxQuotaRowsBytes, 4100)!;
+		expect(report.strayIds).to.have.length(8);
+		expect(report.rows.length).to.be.above(10);
+		const message: MeshMessage = {type: 'quota', report};
+		expect(carry(message)).to.deep.equal(message);
+		expect(encodeMessage({hostId: 'front-ga-north-a-100', address: '127.20.1.100', peerPort: 17_000}, message).length).to.be.at.most(maxDatagramBytes);
+	});
+
+	it('of a kind that is not known is passed over as malformed', () => {
+		const bytes = encodeValue([sender.hostId, sender.address, sender.peerPort, {type: 'later', report: {}}]);
+		expect(decodeMessage(bytes).unwrapErr()).to.equal('malformed');
+	});
+
+	const wrongReports: ReadonlyArray<readonly [title: string, report: unknown]> = [
+		['no rows', {upMs: 1, strayIds: []}],
+		['a negative count', {upMs: 1, rows: [['w', -1, 0, true, 0, 0]], strayIds: []}],
+		['a count that is no number', {upMs: 1, rows: [['w', Number.NaN, 0, true, 0, 0]], strayIds: []}],
+		['a short row', {upMs: 1, rows: [['w', 1, 0]], strayIds: []}],
+		['a time that is too long', {upMs: 1, rows: [['w', 1, 0, true, 0, 1e300]], strayIds: []}],
+		['names that are no text', {upMs: 1, rows: [], strayIds: [1]}],
+	];
+	for (const [title, report] of wrongReports) {
+		it(`is refused when its report on quotas has ${title}`, () => {
+			const bytes = encodeValue([sender.hostId, sender.address, sender.peerPort, {type: 'quota', report}]);
+			expect(decodeMessage(bytes).unwrapErr()).to.equal('malformed');
+		});
+	}
+
 	const config = createLargeConfig(3);
 	const messages: ReadonlyArray<readonly [title: string, message: Extract<MeshMessage, {type: 'spread'}>['message']]> = [
 		['a configuration of 1,440 routes', {type: 'state', instancesAsOf: -1, config}],
--- a/packages/gateway/test/support/settings.ts
+++ b/packages/gateway/test/support/settings.ts
@@ -19,6 +19,7 @@
 	seedAddresses: [],
 	capacity: 1,
 	retryLimits: {ratio: 0.2, slack: 10, windowMs: 10_000},
+	quotaLimits: {windowMs: 5000, overageShare: 0.25, slack: 20},
 	shutdownMs: 1500,
 	// The process of the tests holds more than a gateway does.
 	memoryMegabytes: 4096,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -167,6 +167,16 @@
 		expect(gateway.retryLimits).to.deep.equal({ratio: 0.2, slack: 62, windowMs: 10_000});
 	});
 
+	const quotaBounds: ReadonlyArray<readonly [title: string, bounds: Readonly<Record<string, unknown>>, expected: unknown]> = [
+		['as written', {quota_window_s: 3, quota_overage: 0.1, quota_slack: 7}, {windowMs: 3000, overageShare: 0.1, slack: 7}],
+		['of five seconds, a quarter and 20 requests where they name none', {}, {windowMs: 5000, overageShare: 0.25, slack: 20}],
+	];
+	for (const [title, bounds, expected] of quotaBounds) {
+		it(`have limits of quotas ${title}`, () => {
+			expect(translateSettings(rendered({bounds})).unwrap().gateway.quotaLimits).to.deep.equal(expected);
+		});
+	}
+
 	const memories: ReadonlyArray<readonly [title: string, written: unknown, memoryMegabytes: number]> = [
 		['as written', 512, 512],
 		['of 350 MB where they name none', undefined, 350],
@@ -208,6 +218,7 @@
 		['storeAddress', {storeAddress: null}],
 		['grace_s', {bounds: {grace_s: 'soon'}}],
 		['hedging.maxExtraShare', {hedging: {maxExtraShare: 1}}],
+		['quota_window_s', {bounds: {quota_window_s: 0}}],
 	];
 	for (const [field, changes] of refused) {
 		it(`are refused with the name of the field ${field}`, () => {
