feat(gateway): large answers are taken off their instance while their caller reads slowly

An answer beyond 1 MiB was read at the speed of its caller, so that an instance which cuts off unread answers broke it. A caller that has not taken its answer at its deadline is reset: buffered answers that it never read stayed counted until it left (7,230,268 bytes in the test). A broken attempt and an answer that is cut later are logged with their cause and the bytes that had arrived. upstream.ts is split (answer checks, connections).

Of the seven new tests four fail on the sources before (1,113,344 bytes held of a paused answer, wanted 8 MiB; no log line); three passed and stay. In upstream.test.ts the check that all of an aborted answer was received now waits for the release of its connection, since the rest is no longer the message of Node.js.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -66,6 +66,18 @@
 /** Answers up to this size, in bytes, are buffered until they are complete, so that a broken one can be replaced by a retry. */
 export const maxBufferedAnswerBytes = 1_048_576;
 
+/** Most bytes of one answer that are held beyond those while its caller reads slowly. */
+export const maxHeldRestBytes = 8_388_608;
+
+/** Largest share of the bytes that the process may hold that one such answer may take. */
+export const maxHeldRestShare = 0.125;
+
+/** Share of the bytes that the process may hold above which such answers take no more: the others are for uploads and for answers that can still be replaced. */
+export const maxHeldShareForRests = 0.5;
+
+/** Time that a caller has at least to take an answer that is ready: many round trips between regions. */
+export const minTakeMs = 1000;
+
 /** Largest discarded answer that is read to its end to keep its connection, in bytes: far more than a rejection needs. */
 export const maxDiscardedAnswerBytes = 65_536;
 
--- a/packages/gateway/src/deliver.ts
+++ b/packages/gateway/src/deliver.ts
@@ -7,7 +7,8 @@
 import {
 	forwardedHeaders, refuse, resetSocket, type CallerExchange,
 } from '@egretwing/node';
-import {timerSlackMs} from './constants.ts';
+import {causeOf} from './answer-checks.ts';
+import {minTakeMs, timerSlackMs} from './constants.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {RequestLog} from './request-log.ts';
 import type {UpstreamAnswer} from './upstream.ts';
@@ -59,9 +60,20 @@
 	}
 };
 
+/** Resets the connection of a caller that has not taken its answer within `withinMs`, so that what is held for it is given back. */
+const limitTake = (response: http.ServerResponse, withinMs: number, onLate: () => void): void => {
+	const timer = setTimeout(() => {
+		onLate();
+		resetConnection(response);
+	}, withinMs);
+	response.once('close', () => {
+		clearTimeout(timer);
+	});
+};
+
 const writeAnswer = (response: http.ServerResponse, {
-	statusCode, headers, body, isBounded, rest, isRestWhole,
-}: UpstreamAnswer): void => {
+	statusCode, headers, body, isBounded, rest,
+}: UpstreamAnswer, leftMs: number, onLate: () => void): void => {
 	const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
 	if (isBounded) {
 		response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
@@ -73,21 +85,24 @@
 
 	if (rest === undefined) {
 		response.end(body);
+		// Most answers are with the operating system at once.
+		if (response.writableLength > 0) {
+			limitTake(response, Math.max(minTakeMs, leftMs), onLate);
+		}
+
 		return;
 	}
 
+	limitTake(response, Math.max(1, leftMs), onLate);
+	response.once('close', () => {
+		rest.destroy();
+	});
+
 	response.write(body);
 	rest.once('error', () => {
 		resetConnection(response);
 	});
-	rest.once('end', () => {
-		if (isRestWhole?.() === true) {
-			response.end();
-		} else {
-			resetConnection(response);
-		}
-	});
-	rest.pipe(response, {end: false});
+	rest.pipe(response);
 };
 
 /** Creates the delivery of final results. */
@@ -144,7 +159,17 @@
 		switch (final.type) {
 			case 'answer': {
 				closeIfDecided(response, exchange);
-				writeAnswer(response, final.answer);
+				writeAnswer(response, final.answer, finalAtMs - nowMs(), () => {
+					log('answer not taken', {
+						requestId, service, instanceId: final.instanceId, tookMs: Math.round(nowMs() - arrivedAtMs),
+					});
+				});
+				final.answer.rest?.once('error', error => {
+					const arrivedBytes = final.answer.arrivedBytes();
+					log('answer cut', {
+						requestId, service, instanceId: final.instanceId, cause: causeOf(error, arrivedBytes), detail: error.message, arrivedBytes, tookMs: Math.round(nowMs() - arrivedAtMs),
+					});
+				});
 				metrics.requests.inc({service, result: String(final.answer.statusCode)});
 				metrics.requestDurationMs.observe({service}, tookMs);
 				log('answered', {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -417,6 +417,7 @@
 		localAddress: settings.address,
 		headerNames,
 		errors,
+		memory,
 		onConnect() {
 			metrics.connections.inc();
 		},
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -441,7 +441,7 @@
 
 			const decision = connectFailures >= maxConnectFailures ? 'attempts-spent' : decideRetry(context, outcome, sends);
 			log('attempt failed', {
-				requestId, service, instanceId, result: end, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}),
+				requestId, service, instanceId, result: end, tookMs: Math.round(nowMs() - startedAtMs), retry: decision, ...('detail' in outcome && {detail: outcome.detail}), ...(outcome.type === 'broken' && {cause: outcome.cause, arrivedBytes: outcome.arrivedBytes}),
 			});
 			// An answer of an instance takes precedence over the failure of a later attempt.
 			const final = toFinalResult(outcome, instanceId, mayHaveRun, service);
--- a/packages/gateway/src/status-codes.ts
+++ b/packages/gateway/src/status-codes.ts
@@ -1,8 +1,5 @@
 /** HTTP status codes that affect how a request is handled. */
 
-/** First of the status codes of a final answer. */
-export const firstFinalStatusCode = 200;
-
 /** 421: another instance has the address; the request did not run. */
 export const misdirectedStatusCode = 421;
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -29,6 +29,7 @@
 export {onShutdownSignal} from './shutdown.ts';
 export {runDaemon} from './main.ts';
 export {digestKey} from './key-digest.ts';
+export {isFinalStatusCode, isStatusCode} from './status.ts';
 export {isSelfDelimited, forwardedHeaders} from './headers.ts';
 export type {Headers} from './headers.ts';
 export {bindDatagrams} from './datagrams.ts';
