fix(entry): a status outside 100 to 599 is no answer

The attempt now counts as one whose connection was lost: another instance gets a request that may run twice, any other ends with an unknown outcome. Peers of an entry go the same way.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -9,7 +9,7 @@
 import type {Readable} from 'node:stream';
 import {Pool, errors, type Dispatcher} from 'undici';
 import {
-	isSelfDelimited, forwardedHeaders, maxInformationalResponses, type Headers,
+	isSelfDelimited, isStatusCode, forwardedHeaders, maxInformationalResponses, type Headers,
 } from '@egretwing/node';
 import {BodyError, createRequestBody, type BodyFault} from './body.ts';
 import {deadlineHeader, internalHeaders} from './constants.ts';
@@ -120,6 +120,14 @@
 	}
 }
 
+/** Aborts an exchange whose status code is none. */
+class InvalidStatusError extends Error {
+	constructor(statusCode: number) {
+		super(`Backend server sent the status ${statusCode}, which is none`);
+		this.name = 'InvalidStatusError';
+	}
+}
+
 /** Aborts an attempt on the side of the entry. */
 class AttemptAbortedError extends Error {
 	readonly reason: 'timeout' | 'caller-gone' | 'write-refused';
@@ -146,6 +154,11 @@
 	},
 	onRequestUpgrade: handler.onRequestUpgrade?.bind(handler),
 	onResponseStart(controller, statusCode, headers, statusMessage) {
+		if (!isStatusCode(statusCode)) {
+			controller.abort(new InvalidStatusError(statusCode));
+			return;
+		}
+
 		if ((options as GuardedOptions).notRunStatusCodes?.includes(statusCode)) {
 			controller.abort(new ShedError(statusCode, headers));
 			return;
