fix(gateway): a reader that has just failed does not tell for how long it has read

After a failure of the store that all readers meet at once, the readers elected anew ask the others for how long they have read. Ruled out: the order of the store. The new test fails without the change (6700 for undefined).

--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -41,7 +41,10 @@
 export type StoreReader = {
 	/** Starts reading if it is wanted; to be called on each tick. */
 	readonly tick: () => void;
-	/** For how long the store has answered this reader without a gap in which registrations may have expired; undefined when it has not answered lately. */
+	/**
+	 * For how long the store has answered this reader without a gap in which registrations may have expired; undefined when it has not answered
+	 * lately, or has failed since: this reader is excluded for that, and the one that asks must not take it for one that reads.
+	 */
 	readonly readingForMs: () => number | undefined;
 	/** Records for how long another reader has read, so that a failure that concerned this one alone is not taken for an outage of the store. */
 	readonly observeOther: (readingForMs: number) => void;
@@ -64,6 +67,7 @@
 	let asOf = -1;
 	let needsFullRead = false;
 	let lastSuccessMs = Number.NaN;
+	let hasFailedSince = false;
 	let readingSinceMs = Number.NaN;
 	let failingSinceMs: number | undefined;
 	/** The same from the reports of other readers, while this one does not read. */
@@ -146,6 +150,7 @@
 		}
 
 		lastSuccessMs = nowMs();
+		hasFailedSince = false;
 		const sinceMs = outageSinceMs();
 		if (sinceMs === undefined) {
 			return;
@@ -166,6 +171,7 @@
 			return;
 		}
 
+		hasFailedSince = true;
 		nextCallMs = nowMs() + storeRetryMs;
 		if (failingSinceMs === undefined) {
 			failingSinceMs = othersFailingSinceMs ?? lastAnsweredMs();
@@ -257,7 +263,7 @@
 				void run();
 			}
 		},
-		readingForMs: () => isReading() ? nowMs() - readingSinceMs : undefined,
+		readingForMs: () => isReading() && !hasFailedSince ? nowMs() - readingSinceMs : undefined,
 		observeOther(readingForMs) {
 			// All readers face the same return from an older copy, which another one may not have noticed yet.
 			if (!isRecovering() || recoveredAtMs === eraChangedAtMs) {
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -35,7 +35,7 @@
 const answerMs = 10;
 
 /** Runs a reader against scripted answers of the store; returns its calls and what it reported. */
-const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances') => {
+const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances', playedRounds = rounds) => {
 	const clock = createManualClock(startMs);
 	const calls: string[] = [];
 	const callsAtMs: number[] = [];
@@ -78,7 +78,7 @@
 			reported.push(failure);
 		},
 	});
-	for (let round = 0; round < rounds; round++) {
+	for (let round = 0; round < playedRounds; round++) {
 		reader.tick();
 		await new Promise(resolve => {
 			setImmediate(resolve);
@@ -258,6 +258,15 @@
 		expect(stopped.reader.readingForMs()).to.equal(undefined);
 	});
 
+	// Guards against two readers of which each takes the other for the one that reads, after a failure that both met.
+	it('does not tell for how long it has read once a call has failed, also when the store answers another reader again', async () => {
+		const failed: readonly Step[] = [...Array.from({length: 30}, (_, index) => ({answer: read(9 + index)})), {answer: Err('unreachable')}];
+		const {reader} = await play(failed, 8, 'instances', 64);
+		expect(reader.readingForMs()).to.equal(undefined);
+		reader.observeOtherSuccess();
+		expect(reader.readingForMs()).to.equal(undefined);
+	});
+
 	const resumed: ReadonlyArray<{readonly title: string; readonly topic: StoreTopic; readonly steps: readonly Step[]; readonly calls: readonly string[]}> = [
 		{
 			title: 'reads the configuration in full after a pause, since a watch would return each version since then',
