fix(core): keep what a returned store has lost for 2.5 s

Two seconds are the time in which it is written again; what is left is for reading and distributing it. Written again at 1.8 s it came too late where no reader read in time.

--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -6,7 +6,7 @@
  */
 
 import {hashText} from '../random.ts';
-import {lapsedRetentionMs, removedRetentionMs} from './constants.ts';
+import {lapsedRetentionMs, lostRetentionMs, removedRetentionMs} from './constants.ts';
 import {
 	decideAtEraChange, isOfLaterEra, type BeforeEra, type EraDecision,
 } from './era-change.ts';
@@ -82,9 +82,10 @@
 			leavingRuns.forget(live);
 		}
 
+		const retentionMs = previous !== undefined && isOfLaterEra(previous, entry) ? lostRetentionMs : lapsedRetentionMs;
 		return entry.isLapsed === true && live !== undefined && previous?.withheldUntilMs === undefined
 			? {
-				entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + Math.min(entry.usableForMs ?? lapsedRetentionMs, lapsedRetentionMs),
+				entry, receivedAtMs: nowMs, live, keptUntilMs: nowMs + Math.min(entry.usableForMs ?? retentionMs, retentionMs),
 			}
 			: toGone(entry, nowMs, live ?? previous?.gone);
 	};
--- a/packages/core/src/catalogue/era-change.ts
+++ b/packages/core/src/catalogue/era-change.ts
@@ -5,7 +5,7 @@
  * that has reported its leaving or was removed must not get requests again for an entry that was written before.
  */
 
-import {lapsedRetentionMs, withheldMs} from './constants.ts';
+import {lostRetentionMs, withheldMs} from './constants.ts';
 import {toRunKey} from './leaving-runs.ts';
 import {eraOf, revisionOf} from './store-order.ts';
 import type {InstanceEntry, InstanceRecord, LiveInstance} from './types.ts';
@@ -51,7 +51,7 @@
 	}
 
 	if (live !== undefined && record.bornAtMs < live.bornAtMs) {
-		return {type: 'keep-known', untilMs: nowMs + lapsedRetentionMs};
+		return {type: 'keep-known', untilMs: nowMs + lostRetentionMs};
 	}
 
 	return {type: 'take'};
--- a/packages/core/src/catalogue/types.ts
+++ b/packages/core/src/catalogue/types.ts
@@ -99,7 +99,7 @@
 	readonly record: InstanceRecord | null;
 	/** True when the registration expired while the store was unavailable, so that the instance may register again. */
 	readonly isLapsed?: boolean;
-	/** How long the instance of a lapsed registration may still be used after its receipt, in milliseconds; `lapsedRetentionMs` at most, which is the default. */
+	/** How long the instance of a lapsed registration may still be used after its receipt, in milliseconds; `lapsedRetentionMs` at most, or `lostRetentionMs` in a later era, which is the default. */
 	readonly usableForMs?: number;
 };
 
