--- a/test/platform/soak/gateways.ts
+++ b/test/platform/soak/gateways.ts
@@ -30,9 +30,10 @@
 export const operatorPort = 9464;
 
 /** Options of Node.js in the deploy file. */
-const nodeArguments = (): readonly string[] => {
+const nodeArguments = (heapMegabytes: number | undefined): readonly string[] => {
 	const command = /^run = "(?<command>[^"]+)"/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'))?.groups?.command ?? '';
-	return command.split(' ').filter(word => word.startsWith('--'));
+	const deployed = command.split(' ').filter(word => word.startsWith('--'));
+	return heapMegabytes === undefined ? deployed : deployed.map(word => word.replace(/^--max-old-space-size=.*$/v, `--max-old-space-size=${heapMegabytes}`));
 };
 
 /** Resident memory of a process; 0 once it has ended. */
@@ -103,20 +104,24 @@
 	readonly maxDescriptors?: number;
 	/** Memory above which a process is killed, as the platform does; its exit counts as unexpected. */
 	readonly memoryMegabytes?: number;
+	/** Limit on the JavaScript heap; that of the deploy file where it is absent. */
+	readonly heapMegabytes?: number;
+	/** Descriptors that the settings name, whatever the limit on the process is. */
+	readonly descriptors?: number;
 };
 
 const maxLogLines = 200_000;
 
 /** Starts the gateways; one that exits is restarted, as the platform does. */
 export const startGateways = ({
-	file, addresses, dataCentreOf, storeAddress, memoryMegabytes, maxDescriptors,
+	file, addresses, dataCentreOf, storeAddress, memoryMegabytes, maxDescriptors, heapMegabytes, descriptors,
 }: SoakGatewaysOptions): SoakGateways => {
 	const folder = mkdtempSync(path.join(os.tmpdir(), 'egretwing-soak-'));
 	const children = new Map<number, ChildProcess>();
 	const startCounts = new Map<number, number>();
 	const records = new Map<ChildProcess, ProcessRecord>();
 	const logs: string[] = [];
-	const leadingArguments = nodeArguments();
+	const leadingArguments = nodeArguments(heapMegabytes);
 	let isStopping = false;
 	let peakBytes = 0;
 
@@ -138,6 +143,7 @@
 			storeAddress: `${storeAddress}:${gatewayPorts.store}`,
 			bounds: {grace_s: 2},
 			memoryMegabytes,
+			maxDescriptors: descriptors,
 		};
 	};
 
