feat(gateway): bounds on what callers that are not controlled take of heap and descriptors

Node.js parses all that one read returned, more than a thousand requests sent ahead, before a connection can be paused; their objects were in no account, and the heap ran out. Now connections are parsed in slices of 4 KB and stop between two of them; the objects of requests, by size of head and number of fields, draw on an account of their own within the limit of the heap. While it is short, connections with a request in progress wait, and the others are parsed a little in each turn. Bytes that wait draw on the memory budget. Small pieces of a body are copied together. The listeners for lookups, readiness and operators take no bodies and parse one request of a connection at a time. The descriptors of the settings bound the connections of each listener; a new one takes the place of the one whose progress is the longest ago.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,7 +31,7 @@
 export {createRouteTable} from './routing/route-table.ts';
 export type {RouteTable} from './routing/route-table.ts';
 export {
-	createMemoryBudget, createServiceAdmission, createRetryBudget, decideRetry, isMemoryShort, memoryLimitBytes,
+	createMemoryBudget, createServiceAdmission, createRetryBudget, decideRetry, isMemoryShort, memoryLimitBytes, objectBytesOf, objectLimitBytes,
 } from './load/index.ts';
 export type {
 	AdmissionDecision, AttemptEnd, Candidate, Dispatch, FailedAttempt, LoadRefusalKind, LoadRequest, LoadSettings, LoadSnapshot, MemoryBudget, MemoryLease, Permit,
--- a/packages/core/src/load/index.ts
+++ b/packages/core/src/load/index.ts
@@ -9,5 +9,7 @@
 export type {
 	AdmissionDecision, AttemptEnd, Candidate, Dispatch, LoadRefusalKind, LoadRequest, LoadSettings, Permit, Placement,
 } from './types.ts';
-export {createMemoryBudget, isMemoryShort, memoryLimitBytes} from './memory-budget.ts';
+export {
+	createMemoryBudget, isMemoryShort, memoryLimitBytes, objectBytesOf, objectLimitBytes,
+} from './memory-budget.ts';
 export type {MemoryBudget, MemoryLease} from './memory-budget.ts';
--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -2,6 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {createBodyPieces} from './body-pieces.ts';
 
 /** A body as it was received; the pieces are not joined, since that would take its size twice. */
 export type ReceivedBody = {
@@ -58,7 +59,7 @@
 	}
 
 	return new Promise(resolve => {
-		let chunks: Buffer[] = [];
+		let pieces = createBodyPieces(reserve);
 		let sizeBytes = 0;
 		const end = (result: ReadBodyResult): void => {
 			clearTimeout(timer);
@@ -67,7 +68,7 @@
 
 		const stop = (type: 'too-large' | 'no-memory' | 'too-slow'): void => {
 			incoming.off('data', onData);
-			chunks = [];
+			pieces = createBodyPieces(() => false);
 			end({type});
 		};
 
@@ -80,12 +81,9 @@
 				return;
 			}
 
-			if (!reserve(chunk.length)) {
+			if (!pieces.add(chunk)) {
 				stop('no-memory');
-				return;
 			}
-
-			chunks.push(chunk);
 		};
 
 		// The caller closed the connection before the body was complete, so nobody is left to answer.
@@ -95,7 +93,7 @@
 
 		incoming.on('data', onData);
 		incoming.once('end', () => {
-			end(incoming.complete ? {type: 'whole', body: {chunks, sizeBytes}} : {type: 'caller-gone'});
+			end(incoming.complete ? {type: 'whole', body: {chunks: pieces.take(), sizeBytes}} : {type: 'caller-gone'});
 		});
 		incoming.once('error', onClosed);
 		incoming.once('close', onClosed);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,12 +3,14 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {getHeapStatistics} from 'node:v8';
 import {
 	createCatalogue,
 	createMembership,
 	createMemoryBudget,
 	isMemoryShort,
 	memoryLimitBytes,
+	objectLimitBytes,
 	createPrefixRouteTable,
 	createWorkspaceAccess,
 	createRandom,
@@ -38,6 +40,7 @@
 import {
 	drainAcceptShare, drainEndShare, headCheckIntervalMs, joinIntervalMs, maxReadHeadBytes, processLogIntervalMs, rejoinIntervalMs, tickIntervalMs, connectionCleanupIntervalMs,
 } from './constants.ts';
+import {connectionShares} from './connection-shares.ts';
 import {createDeliver} from './deliver.ts';
 import {createDispatchers} from './dispatchers.ts';
 import {createFleetView, type LocatedGateways} from './fleet-view.ts';
@@ -67,6 +70,8 @@
 	readonly setSeeds: (addresses: readonly string[]) => void;
 	/** Leaves the placement of callers, waits for requests in flight, answers those that are left and closes everything. */
 	readonly shutdown: () => Promise<void>;
+	/** Counts and logs a connection of another listener that was closed to keep a limit. */
+	readonly recordClosed: (listener: string, reason: string) => void;
 	/** Metrics of the process, which the program that runs the gateway counts. */
 	readonly processMetrics: ProcessMetrics;
 	/** Where errors go that no code expected. */
@@ -410,7 +415,7 @@
 		errors,
 	});
 
-	const memory = createMemoryBudget(memoryLimitBytes(settings.memoryMegabytes));
+	const memory = createMemoryBudget(memoryLimitBytes(settings.memoryMegabytes), objectLimitBytes(getHeapStatistics().heap_size_limit));
 	const log = createRequestLog(logger, nowMs);
 	const upstream = createUpstream({
 		nowMs,
@@ -499,7 +504,15 @@
 	server.maxHeadersCount = 0;
 	// The expect header concerns only the caller's connection to the gateway; an unknown expectation is ignored instead of answered by 417.
 	server.on('checkExpectation', handleGuarded);
-	const callers = trackCallerConnections(server);
+	const shares = connectionShares(settings.maxDescriptors);
+	const closedAt = (listener: string) => (reason: string): void => {
+		metrics.closedCallers.inc({listener, reason});
+		log('caller closed', {listener, reason});
+	};
+
+	const callers = trackCallerConnections(server, {
+		memory, maxConnections: shares.callers, onClosed: closedAt('front'),
+	});
 	// The closing of idle connections by Node.js also closes one whose last answer is not sent completely, or that has pipelined requests.
 	server.closeIdleConnections = callers.closeIdle;
 	const endUnreadable = (error: Error, socket: net.Socket): void => {
@@ -557,7 +570,7 @@
 
 	const logProcess = async (): Promise<void> => {
 		logger.info('process state', {
-			...describeProcess(), heldBytes: memory.heldBytes(), heldLimitBytes: memory.limitBytes, maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections(),
+			...describeProcess(), heldBytes: memory.heldBytes(), heldLimitBytes: memory.limitBytes, objectBytes: memory.objectBytes(), objectLimitBytes: memory.objectLimitBytes, maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections(),
 		});
 	};
 
@@ -566,6 +579,7 @@
 		const isShort = bytes === undefined ? wasMemoryShort : isMemoryShort(bytes, settings.memoryMegabytes);
 		memory.setShort(isShort);
 		metrics.heldBytes.set(memory.heldBytes());
+		metrics.objectBytes.set(memory.objectBytes());
 		if (isShort !== wasMemoryShort) {
 			wasMemoryShort = isShort;
 			logger.warn(isShort ? 'memory short' : 'memory no longer short', {residentBytes: bytes, heldBytes: memory.heldBytes(), memoryMegabytes: settings.memoryMegabytes});
@@ -636,6 +650,8 @@
 		port: settings.operatorPort,
 		registry: metrics.registry,
 		errors,
+		maxConnections: shares.operators,
+		onClosed: closedAt('operator'),
 		handle: (_method, url) => url.pathname === '/v1/status'
 			? {
 				program: 'egretwing-gateway', hostId, ready: hasAnnouncedUp && shutdownPlan === undefined, digest: catalogue.digest(), members: membership.members(), services: dispatchers.snapshots(),
@@ -696,6 +712,9 @@
 
 	let shutdownPromise: Promise<void> | undefined;
 	return {
+		recordClosed(listener, reason) {
+			closedAt(listener)(reason);
+		},
 		processMetrics: metrics.process,
 		errors,
 		locate: dataCentre => fleet.locate(dataCentre, shutdownPlan !== undefined),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,3 +9,4 @@
 export type {
 	HeaderNames, RefusedEntry, StoreClient, StoreFailure, StoreRead, StoreTopic,
 } from './types.ts';
+export {connectionShares, type ConnectionShares} from './connection-shares.ts';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -48,6 +48,10 @@
 	readonly largestQuotaUse: Gauge;
 	/** Bytes held for callers: bodies and answers. */
 	readonly heldBytes: Gauge;
+	/** Bytes of the objects of requests that are not answered. */
+	readonly objectBytes: Gauge;
+	/** Callers' connections that were closed to keep a limit of the process, by listener and reason. */
+	readonly closedCallers: Counter<'listener' | 'reason'>;
 };
 
 const durationBucketsMs = [1, 5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000];
@@ -116,6 +120,10 @@
 			name: 'egretwing_quota_requests_total', help: 'Requests of workspaces with a quota, by result', labelNames: ['result'], registers,
 		}),
 		largestQuotaUse: new Gauge({name: 'egretwing_quota_largest_use', help: 'Estimated use of the workspace closest to its quota, as a share of it', registers}),
+		objectBytes: new Gauge({name: 'egretwing_request_object_bytes', help: 'Estimated bytes on the heap of requests that are not answered', registers}),
+		closedCallers: new Counter({
+			name: 'egretwing_closed_callers_total', help: 'Connections of callers closed to keep a limit of the process, by listener and reason', labelNames: ['listener', 'reason'], registers,
+		}),
 		members: new Gauge({name: 'egretwing_members', help: 'Gateways believed to be up', registers}),
 	};
 };
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -582,6 +582,12 @@
 		const unrouted: DeliveredRequest = {
 			requestId, service: '', arrivedAtMs, finalAtMs: Number.POSITIVE_INFINITY,
 		};
+		if (!exchange.fitsMemory) {
+			incoming.resume();
+			await deliver(response, exchange, unrouted, refuseWith('overloaded', 'memory', memoryRetryMs));
+			return;
+		}
+
 		// A process that has just started gets its catalogue sooner than the caller would find another gateway.
 		const isCatalogueComplete = catalogue.isComplete() || (dependencies.shutdownPlan() === undefined && await dependencies.waitUntilComplete(AbortSignal.timeout(startupWaitMs)));
 		const config = catalogue.config();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -51,6 +51,8 @@
 	membersPerNamed: z.number().min(1).optional(),
 	/** Memory of the machine that the process may use, in megabytes; bounds what it holds for callers. */
 	memoryMegabytes: z.number().positive().default(defaultMemoryMegabytes),
+	/** Descriptors that the process may open; bounds the connections of callers. No limit where it is absent. */
+	maxDescriptors: z.int().positive().optional(),
 	/** Verbosity of the log, from 0 (errors only) to 4 (everything). */
 	logLevel: z.int().min(0).max(4),
 }).readonly();
--- a/packages/node/src/caller-connections.ts
+++ b/packages/node/src/caller-connections.ts
@@ -2,8 +2,12 @@
 
 import type http from 'node:http';
 import type net from 'node:net';
-import {createRequestPipeline, type RequestEffect, type RequestPipeline} from '@egretwing/core';
+import {
+	createRequestPipeline, objectBytesOf, type MemoryBudget, type MemoryLease, type RequestEffect, type RequestPipeline,
+} from '@egretwing/core';
 import {isParserError} from './client-error.ts';
+import {limitConnections} from './connection-limit.ts';
+import {createSliceQueue, readInSlices, type SlicedReading} from './sliced-reading.ts';
 
 /** How the wait of a request for its start ended. */
 export type StartResult
@@ -18,6 +22,8 @@
 export type CallerExchange = {
 	/** Number of earlier requests of the connection that were unanswered when it arrived. */
 	readonly unansweredBefore: number;
+	/** Whether the memory for requests holds this one; if not, it has to be refused. */
+	readonly fitsMemory: boolean;
 	/** Aborts when the connection closes before the answer is sent. */
 	readonly signal: AbortSignal;
 	/** Counts the body of the request towards the limit of its connection. */
@@ -58,7 +64,17 @@
 	return {settled, settle};
 };
 
+/** Bounds on what all connections of a server hold. */
+export type CallerConnectionsOptions = {
+	readonly memory?: MemoryBudget;
+	/** Number of open connections, of which the stalest is closed for a new one; no limit where it is absent. */
+	readonly maxConnections?: number;
+	/** Called when a connection is closed to keep a limit: its unread bytes don't fit the memory, or there are too many connections. */
+	readonly onClosed?: (reason: 'memory' | 'connections') => void;
+};
+
 type Request = {
+	readonly lease: MemoryLease | undefined;
 	readonly incoming: http.IncomingMessage;
 	readonly gone: AbortController;
 	readonly start: Waiter<StartResult>;
@@ -70,7 +86,8 @@
 	readonly pipeline: RequestPipeline<Request>;
 	/** Bytes read when the last request was answered: more have arrived if the next one has begun. */
 	idleReadBytes: number;
-	isReadPaused: boolean;
+	readonly reading: SlicedReading;
+	last?: http.IncomingMessage;
 	unreadable?: () => void;
 };
 
@@ -79,9 +96,24 @@
 	return httpVersionMajor === 1 && httpVersionMinor === 0 ? options.has('keep-alive') : !options.has('close');
 };
 
+/** Size of the head, and the number of its fields, as objects. */
+const headObjectBytesOf = ({url = '', rawHeaders}: http.IncomingMessage): number =>
+	objectBytesOf(rawHeaders.reduce((sumBytes, text) => sumBytes + text.length, url.length), rawHeaders.length / 2);
+
+/** Lets go of the trailers of a request, which nothing uses, once they are read. */
+const discardTrailers = (incoming: http.IncomingMessage): void => {
+	if (incoming.headers['transfer-encoding'] !== undefined) {
+		incoming.once('end', () => {
+			incoming.rawTrailers = [];
+		});
+	}
+};
+
 /** Tracks the connections of `server`. */
-export const trackCallerConnections = (server: http.Server): CallerConnections => {
+export const trackCallerConnections = (server: http.Server, {memory, maxConnections, onClosed = () => undefined}: CallerConnectionsOptions = {}): CallerConnections => {
 	const connections = new Map<net.Socket, Connection>();
+	const isShort = (): boolean => memory?.areObjectsShort() === true;
+	const queue = createSliceQueue(isShort);
 
 	const update = (socket: net.Socket, connection: Connection): void => {
 		const {pipeline} = connection;
@@ -97,24 +129,26 @@
 			return;
 		}
 
-		if (pipeline.isReadAheadFull()) {
-			connection.isReadPaused = true;
-			socket.pause();
-		} else if (connection.isReadPaused) {
-			connection.isReadPaused = false;
-			socket.resume();
-		}
+		connection.reading.update();
 	};
 
 	const track = (socket: net.Socket): Connection => {
-		const connection: Connection = {pipeline: createRequestPipeline<Request>(), idleReadBytes: 0, isReadPaused: false};
+		const pipeline = createRequestPipeline<Request>();
+		const connection: Connection = {
+			pipeline,
+			idleReadBytes: 0,
+			reading: readInSlices(socket, {
+				// A request that is not complete goes on, since it would keep its memory for nothing.
+				isHeld: () => pipeline.isReadAheadFull() || (isShort() && pipeline.current() !== undefined && connection.last?.complete === true),
+				isShort,
+				queue,
+				memory,
+				onRefused() {
+					onClosed('memory');
+				},
+			}),
+		};
 		connections.set(socket, connection);
-		// Node.js resumes the connection when it reads or discards a request's body.
-		socket.on('resume', () => {
-			if (connection.pipeline.isReadAheadFull()) {
-				socket.pause();
-			}
-		});
 		socket.once('end', () => {
 			if (connection.unreadable !== undefined) {
 				socket.destroy();
@@ -123,7 +157,8 @@
 		socket.once('close', () => {
 			connections.delete(socket);
 			const result = connection.pipeline.isClosed() ? 'not-read' : 'caller-gone';
-			for (const {gone, start, turn} of connection.pipeline.unanswered()) {
+			for (const {gone, start, turn, lease} of connection.pipeline.unanswered()) {
+				lease?.release();
 				gone.abort();
 				start.settle(result);
 				turn.settle(false);
@@ -133,17 +168,34 @@
 	};
 
 	server.on('connection', track);
+	limitConnections(server, {
+		maxConnections,
+		// A request that has arrived whole may be running.
+		isBusy(socket) {
+			const connection = connections.get(socket);
+			return connection?.pipeline.current()?.incoming.complete === true;
+		},
+		onClosed() {
+			onClosed('connections');
+		},
+	});
 	return {
 		begin(incoming, response, isLast) {
 			const {socket} = incoming;
 			const connection = connections.get(socket) ?? track(socket);
 			const {pipeline} = connection;
+			const lease = memory?.open();
+			const fitsMemory = lease?.reserveObjects(headObjectBytesOf(incoming)) ?? true;
+			connection.last = incoming;
+			connection.reading.begin(incoming);
+			discardTrailers(incoming);
 			const request: Request = {
-				incoming, gone: new AbortController(), start: createWaiter(), turn: createWaiter(), isAnswerKnown: false,
+				lease, incoming, gone: new AbortController(), start: createWaiter(), turn: createWaiter(), isAnswerKnown: false,
 			};
 			const unansweredBefore = pipeline.unanswered().length;
 			pipeline.add(request, isLast || !isKeptAlive(incoming));
 			response.once('finish', () => {
+				lease?.release();
 				// Node.js closes the connection by itself behind some answers; its own listener has run before this one.
 				pipeline.finishCurrent(!socket.writable);
 				connection.idleReadBytes = socket.bytesRead;
@@ -152,6 +204,7 @@
 			update(socket, connection);
 			return {
 				unansweredBefore,
+				fitsMemory,
 				signal: request.gone.signal,
 				recordBody(bodyBytes) {
 					pipeline.recordBody(request, bodyBytes);
@@ -179,16 +232,17 @@
 				return;
 			}
 
+			connection.reading.stop();
 			connection.unreadable ??= () => {
 				handle(error, socket);
 			};
 
 			update(socket, connection);
 		},
-		isReadPaused: socket => connections.get(socket)?.isReadPaused === true,
+		isReadPaused: socket => connections.get(socket)?.reading.isPaused() === true,
 		closeIdle() {
-			for (const [socket, {pipeline, idleReadBytes}] of connections) {
-				if (pipeline.unanswered().length === 0 && socket.bytesRead === idleReadBytes) {
+			for (const [socket, {pipeline, idleReadBytes, reading}] of connections) {
+				if (pipeline.unanswered().length === 0 && !reading.isPaused() && socket.bytesRead === idleReadBytes) {
 					socket.destroy();
 				}
 			}
--- a/packages/node/src/operator.ts
+++ b/packages/node/src/operator.ts
@@ -23,6 +23,10 @@
 	readonly registry: Registry;
 	readonly handle: OperatorHandler;
 	readonly errors?: ErrorBarrier;
+	/** Number of open connections, of which the stalest is closed for a new one; no limit where it is absent. */
+	readonly maxConnections?: number;
+	/** Called when a connection is closed to keep a limit. */
+	readonly onClosed?: (reason: string) => void;
 };
 
 /** Starts the interface: `/metrics` returns the Prometheus text format, `handle` serves all other paths. */
@@ -43,7 +47,9 @@
 		sendJson(response, 200, body);
 	};
 
-	const server = createGuardedServer({place: 'operator', errors: options.errors, handle});
+	const server = createGuardedServer({
+		place: 'operator', errors: options.errors, maxConnections: options.maxConnections, onClosed: options.onClosed, handle,
+	});
 	const port = await listen(server, options.port, options.address);
 	return {
 		port,
