--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -570,7 +570,13 @@
 
 	const logProcess = async (): Promise<void> => {
 		logger.info('process state', {
-			...describeProcess(), heldBytes: memory.heldBytes(), heldLimitBytes: memory.limitBytes, objectBytes: memory.objectBytes(), objectLimitBytes: memory.objectLimitBytes, maxLagMs: Math.round(tickLag.takeMaxMs()), connections: await countConnections(),
+			...describeProcess(),
+			heldBytes: memory.heldBytes(),
+			heldLimitBytes: memory.limitBytes,
+			objectBytes: memory.objectBytes(),
+			objectLimitBytes: memory.objectLimitBytes,
+			maxLagMs: Math.round(tickLag.takeMaxMs()),
+			connections: await countConnections(),
 		});
 	};
 
--- a/packages/node/src/caller-connections.ts
+++ b/packages/node/src/caller-connections.ts
@@ -7,7 +7,8 @@
 } from '@egretwing/core';
 import {isParserError} from './client-error.ts';
 import {limitConnections} from './connection-limit.ts';
-import {createSliceQueue, readInSlices, type SlicedReading} from './sliced-reading.ts';
+import {createSliceQueue} from './slice-queue.ts';
+import {readInSlices, type SlicedReading} from './sliced-reading.ts';
 
 /** How the wait of a request for its start ended. */
 export type StartResult
--- a/packages/node/src/guarded-server.ts
+++ b/packages/node/src/guarded-server.ts
@@ -5,7 +5,8 @@
 import {limitConnections} from './connection-limit.ts';
 import type {ErrorBarrier} from './error-barrier.ts';
 import {sendJson} from './http.ts';
-import {createSliceQueue, readInSlices, type SlicedReading} from './sliced-reading.ts';
+import {createSliceQueue} from './slice-queue.ts';
+import {readInSlices, type SlicedReading} from './sliced-reading.ts';
 
 /** Time for a request to arrive, and for a connection without any traffic, in milliseconds. */
 const requestTimeoutMs = 10_000;
--- a/packages/node/src/sliced-reading.ts
+++ b/packages/node/src/sliced-reading.ts
@@ -9,50 +9,17 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type net from 'node:net';
+import {performance} from 'node:perf_hooks';
 import type {MemoryBudget, MemoryLease} from '@egretwing/core';
+import type {SliceQueue} from './slice-queue.ts';
 
-/** Largest slice outside of a body, and in a body of unknown length, in bytes. */
+/** Largest slice outside of a body, and bounds on one in a body of unknown length, in bytes. */
 const headSliceBytes = 4096;
-const bodySliceBytes = 16_384;
+const minBodySliceBytes = 1024;
+const maxBodySliceBytes = 16_384;
 
-/** Bytes that all connections of a process parse in one turn of the event loop, beside those that go through at once. */
-const turnBytes = 65_536;
-const shortTurnBytes = 16_384;
-
-/** Queue of the connections of a process that have bytes left. */
-export type SliceQueue = {
-	readonly add: (pump: () => number) => void;
-};
-
-/** Creates the queue; `isShort` says that the process should parse little at a time. */
-export const createSliceQueue = (isShort: () => boolean): SliceQueue => {
-	let waiting = new Set<() => number>();
-
-	const run = (): void => {
-		let leftBytes = isShort() ? shortTurnBytes : turnBytes;
-		for (const pump of waiting) {
-			waiting.delete(pump);
-			leftBytes -= pump();
-			if (leftBytes <= 0) {
-				break;
-			}
-		}
-
-		if (waiting.size > 0) {
-			setImmediate(run);
-		}
-	};
-
-	return {
-		add(pump) {
-			if (waiting.size === 0) {
-				setImmediate(run);
-			}
-
-			waiting = waiting.add(pump);
-		},
-	};
-};
+/** A body of unknown length is parsed in smaller slices after one that took longer, and in larger ones after one that did not. */
+const sliceMs = 0.5;
 
 /** A connection whose bytes are parsed in slices. */
 export type SlicedReading = {
@@ -96,6 +63,7 @@
 	let sliceBytes = 0;
 	let last: http.IncomingMessage | undefined;
 	let isStopped = false;
+	let bodySliceBytes = headSliceBytes;
 
 	// A parser that Node.js has paused would take more bytes for an error.
 	const isHeld = (): boolean => !isStopped && (socket._paused === true || isHeldByOwner());
@@ -173,7 +141,9 @@
 		}
 
 		const slice = takeSlice();
+		const startedAtMs = performance.now();
 		parse(slice);
+		bodySliceBytes = performance.now() - startedAtMs > sliceMs ? Math.max(minBodySliceBytes, bodySliceBytes / 2) : Math.min(maxBodySliceBytes, bodySliceBytes * 2);
 		if (rest.length > 0 && !isHeld()) {
 			queue.add(pump);
 		}
@@ -205,7 +175,7 @@
 			return;
 		}
 
-		if (rest.length > 0 || (isShort() && last !== undefined)) {
+		if (rest.length > 0 || isShort()) {
 			rest = [...rest, bytes];
 		} else {
 			rest = [bytes];
