fix(core): quotas count what gateways can't know that were told of no use

A gateway that callers had just been sent to took itself for a witness of the use before, though it had heard no reports; unreported use of a restarted gateway counted only at gateways older than a window; and a gateway that starts left out what peers admit before they notice that it was gone.

--- a/packages/core/src/quota/peer-use.ts
+++ b/packages/core/src/quota/peer-use.ts
@@ -5,13 +5,14 @@
  */
 
 import {recentShare} from './constants.ts';
-import type {QuotaRow} from './types.ts';
+import type {QuotaReport, QuotaRow} from './types.ts';
 
 /** Use at one peer. */
 type PeerReport = {
 	readonly count: number;
 	readonly recentCount: number;
 	readonly upMs: number;
+	readonly memoryMs: number;
 	readonly atMs: number;
 };
 
@@ -24,7 +25,8 @@
 
 /** Known use at the peers of a gateway. */
 export type PeerUse = {
-	readonly record: (peerId: string, upMs: number, row: QuotaRow, nowMs: number) => void;
+	/** `times` are those of the report. */
+	readonly record: (peerId: string, times: Pick<QuotaReport, 'upMs' | 'memoryMs'>, row: QuotaRow, nowMs: number) => void;
 	/** Counts requests of an earlier run of a gateway that did not report them and has left no trace. */
 	readonly recordUnreported: (count: number, leftMs: number, nowMs: number) => void;
 	/** Estimated use of a peer now; 0 when it has not reported within a window. */
@@ -37,8 +39,8 @@
 	readonly ids: () => Iterable<string>;
 	/** Use by earlier runs, and the time until all of it has left the window. */
 	readonly former: (nowMs: number) => {readonly count: number; readonly leftMs: number};
-	/** For how long the peer that has run longest among those that have just reported has been running; 0 without one. */
-	readonly longestUpMs: (silentMs: number, nowMs: number) => number;
+	/** For how long use by others has been told to those that have just reported, at most; 0 without one. */
+	readonly longestMemoryMs: (silentMs: number, nowMs: number) => number;
 	/** Forgets reports that are older than a window; returns whether none is left. */
 	readonly prune: (nowMs: number) => boolean;
 };
@@ -74,7 +76,7 @@
 	};
 
 	return {
-		record(peerId, upMs, [, count, recentCount, , formerCount, formerLeftMs], nowMs) {
+		record(peerId, {upMs, memoryMs}, [, count, recentCount, , formerCount, formerLeftMs], nowMs) {
 			const last = reports.get(peerId);
 			const expectedUpMs = last === undefined ? 0 : Math.min(windowMs, last.upMs + nowMs - last.atMs);
 			if (last !== undefined && upMs < expectedUpMs - upToleranceMs) {
@@ -83,7 +85,7 @@
 
 			recordFormer(formerCount, formerLeftMs, nowMs);
 			reports.set(peerId, {
-				count, recentCount, upMs, atMs: nowMs,
+				count, recentCount, upMs, memoryMs, atMs: nowMs,
 			});
 		},
 		recordUnreported(count, leftMs, nowMs) {
@@ -97,11 +99,11 @@
 		isBusy: peerId => (reports.get(peerId)?.recentCount ?? 0) > 0,
 		ids: () => reports.keys(),
 		former: nowMs => ({count: formerCountAt(former, nowMs), leftMs: Math.max(0, former.untilMs - nowMs)}),
-		longestUpMs(silentMs, nowMs) {
+		longestMemoryMs(silentMs, nowMs) {
 			let longest = 0;
-			for (const {upMs, atMs} of reports.values()) {
+			for (const {memoryMs, atMs} of reports.values()) {
 				if (nowMs - atMs <= silentMs) {
-					longest = Math.max(longest, upMs + nowMs - atMs);
+					longest = Math.max(longest, memoryMs === 0 ? 0 : memoryMs + nowMs - atMs);
 				}
 			}
 
--- a/packages/core/src/quota/quota-gate.ts
+++ b/packages/core/src/quota/quota-gate.ts
@@ -24,7 +24,7 @@
 export type QuotaGate = {
 	/** Replaces the quotas by workspace; workspaces without one are not limited. Use so far counts on. */
 	readonly setQuotas: (quotas: ReadonlyMap<string, WorkspaceQuota>) => void;
-	readonly setFleet: (fleet: QuotaFleet) => void;
+	readonly setFleet: (fleet: QuotaFleet, nowMs: number) => void;
 	/** Decides on a request, and counts it if it is admitted. */
 	readonly admit: (workspace: string, nowMs: number) => QuotaDecision;
 	/** Takes back an admission of `admittedAtMs` whose request reached no instance. */
@@ -75,6 +75,8 @@
 	const urgent = new Set<Workspace>();
 	let quotas: ReadonlyMap<string, WorkspaceQuota> = new Map();
 	let fleet = noFleet;
+	/** Since when callers are sent to this gateway; undefined while they are not. */
+	let placedSinceMs: number | undefined = startedAtMs;
 	let lastReportMs = Number.NEGATIVE_INFINITY;
 	/** Gateways that callers are not sent to and that report nonetheless, with the time of the last report that they sent or that named them. */
 	const strayMsById = new Map<string, number>();
@@ -83,6 +85,8 @@
 
 	const silentMs = (): number => silentIntervals * intervalMs();
 
+	const memoryMs = (nowMs: number): number => placedSinceMs === undefined ? 0 : nowMs - placedSinceMs;
+
 	/** The workspace's state; undefined when it is not limited. */
 	const find = (name: string): Workspace | undefined => {
 		const known = workspaces.get(name);
@@ -107,7 +111,7 @@
 	};
 
 	const optionsOf = ({ceilings, peers}: Workspace, nowMs: number): FleetUseOptions => ({
-		ceilings, fleet, peers, windowMs, upMs: nowMs - startedAtMs, silentMs: silentMs(),
+		ceilings, fleet, peers, windowMs, upMs: nowMs - startedAtMs, memoryMs: memoryMs(nowMs), silentMs: silentMs(),
 	});
 
 	/** Whether the next request would bring this gateway close to its static share. */
@@ -116,13 +120,17 @@
 		return own > 0 && own + 1 >= silentShare * staticShareOf(optionsOf(workspace, nowMs), nowMs);
 	};
 
-	/** A peer that has restarted may have admitted what it did not report, up to the share from which on it would have. */
+	/**
+	 * A peer that has restarted since this gateway runs may have admitted what it did not report, up to the share from which on it would
+	 * have. What it admitted before this gateway ran is part of what no gateway knows.
+	 */
 	const recordRestart = (workspace: Workspace, peerId: string, peerUpMs: number, nowMs: number): void => {
 		const leftMs = windowMs - peerUpMs;
 		const hasReported = workspace.peers.ageMs(peerId, nowMs) < windowMs;
-		if (leftMs > 0 && !hasReported && nowMs - startedAtMs >= windowMs && fleet.placedPeerIds.includes(peerId)) {
+		const sharedMs = Math.min(windowMs, nowMs - startedAtMs - peerUpMs);
+		if (leftMs > 0 && sharedMs > 0 && !hasReported && fleet.placedPeerIds.includes(peerId)) {
 			const share = silentShare * staticShareOf(optionsOf(workspace, nowMs), nowMs);
-			workspace.peers.recordUnreported(share * leftMs / windowMs, leftMs, nowMs);
+			workspace.peers.recordUnreported(share * (sharedMs / windowMs) * (leftMs / windowMs), leftMs, nowMs);
 		}
 	};
 
@@ -221,8 +229,9 @@
 				}
 			}
 		},
-		setFleet(newFleet) {
+		setFleet(newFleet, nowMs) {
 			fleet = newFleet;
+			placedSinceMs = fleet.isPlaced ? placedSinceMs ?? nowMs : undefined;
 		},
 		admit(name, nowMs) {
 			const workspace = find(name);
@@ -247,7 +256,9 @@
 		giveBack(name, admittedAtMs, nowMs) {
 			workspaces.get(name)?.window.remove(admittedAtMs, nowMs);
 		},
-		receive(peerId, {upMs, rows, strayIds}, nowMs) {
+		receive(peerId, {
+			upMs, memoryMs: peerMemoryMs, rows, strayIds,
+		}, nowMs) {
 			for (const id of [peerId, ...strayIds]) {
 				strayMsById.set(id, nowMs);
 			}
@@ -260,7 +271,7 @@
 
 				const isNew = workspace.peers.ageMs(peerId, nowMs) > silentMs();
 				recordRestart(workspace, peerId, upMs, nowMs);
-				workspace.peers.record(peerId, upMs, row, nowMs);
+				workspace.peers.record(peerId, {upMs, memoryMs: peerMemoryMs}, row, nowMs);
 				if (row[3]) {
 					talk(workspace, nowMs);
 					if (isNew) {
@@ -287,7 +298,9 @@
 			});
 			return {
 				to: [...fleet.placedPeerIds, ...strayIds],
-				report: {upMs: Math.min(windowMs, Math.floor(nowMs - startedAtMs)), rows, strayIds: strayIds.slice(0, maxStrays)},
+				report: {
+					upMs: Math.min(windowMs, Math.floor(nowMs - startedAtMs)), memoryMs: Math.min(windowMs, Math.floor(memoryMs(nowMs))), rows, strayIds: strayIds.slice(0, maxStrays),
+				},
 			};
 		},
 		isUrgent(nowMs) {
--- a/packages/core/src/quota/types.ts
+++ b/packages/core/src/quota/types.ts
@@ -32,6 +32,8 @@
 export type QuotaReport = {
 	/** For how long the sender has run, in milliseconds; at most a window. */
 	readonly upMs: number;
+	/** For how long callers have been sent to the sender, so that it was told of use by others, in milliseconds; at most a window. */
+	readonly memoryMs: number;
 	readonly rows: readonly QuotaRow[];
 	/** Gateways that report to the sender although callers are not sent to them, at most `maxStrays`: they have to hear of each other. */
 	readonly strayIds: readonly string[];
--- a/packages/core/test/quota/fleet-model.ts
+++ b/packages/core/test/quota/fleet-model.ts
@@ -160,10 +160,10 @@
 		const fleet: QuotaFleet = {
 			placedPeerIds: [...gateway.placedMs.keys()].filter(index => index !== gateway.index).map(String),
 			isPlaced: gateway.placedMs.has(gateway.index),
-			unknownPeers: nowMs < gateway.upFromMs + joinMs ? Math.max(minSharing, run.placed) - 1 : 0,
+			unknownPeers: known === 1 ? Math.max(minSharing, run.placed) - 1 : 0,
 			reachShare: present.length / known,
 		};
-		gateway.gate.setFleet(fleet);
+		gateway.gate.setFleet(fleet, nowMs);
 	};
 
 	const flush = (gateway: Gateway, nowMs: number): void => {
--- a/packages/core/test/quota/quota-gate.test.ts
+++ b/packages/core/test/quota/quota-gate.test.ts
@@ -18,7 +18,7 @@
 
 const createGate = (fleet: QuotaFleet, startedAtMs = 0): QuotaGate => {
 	const gate = createQuotaGate({limits: quotaLimits, random: createRandom(1), startedAtMs});
-	gate.setFleet(fleet);
+	gate.setFleet(fleet, startedAtMs);
 	gate.setQuotas(new Map([['w', quota]]));
 	return gate;
 };
@@ -35,7 +35,9 @@
 const rowOf = (count: number, recentCount = 0, isAsking = true): QuotaRow => ['w', count, recentCount, isAsking, 0, 0];
 
 const hear = (gate: QuotaGate, peerId: string, row: QuotaRow, nowMs: number): void => {
-	gate.receive(peerId, {upMs: quotaLimits.windowMs, rows: [row], strayIds: []}, nowMs);
+	gate.receive(peerId, {
+		upMs: quotaLimits.windowMs, memoryMs: quotaLimits.windowMs, rows: [row], strayIds: [],
+	}, nowMs);
 };
 
 describe('quota of a workspace at one gateway', () => {
@@ -107,7 +109,9 @@
 	it('is admitted but for what an earlier run of a peer admitted', () => {
 		const gate = createGate({...alone, placedPeerIds: ['g-2']});
 		hear(gate, 'g-2', rowOf(100), beginMs);
-		gate.receive('g-2', {upMs: 200, rows: [rowOf(0)], strayIds: []}, beginMs + 1000);
+		gate.receive('g-2', {
+			upMs: 200, memoryMs: 200, rows: [rowOf(0)], strayIds: [],
+		}, beginMs + 1000);
 		expect(admitMany(gate, 500, beginMs + 1000)).to.be.within(10, 55);
 	});
 
@@ -179,7 +183,9 @@
 
 	it('ignores workspaces without a quota', () => {
 		const gate = createGate(oneOfThree);
-		gate.receive('g-2', {upMs: 5000, rows: [['other', 5, 0, true, 0, 0]], strayIds: []}, beginMs);
+		gate.receive('g-2', {
+			upMs: 5000, memoryMs: 5000, rows: [['other', 5, 0, true, 0, 0]], strayIds: [],
+		}, beginMs);
 		expect(gate.takeReport(maxReportBytes, beginMs)).to.equal(undefined);
 	});
 
--- a/packages/core/test/quota/quota-search.test.ts
+++ b/packages/core/test/quota/quota-search.test.ts
@@ -2,13 +2,13 @@
 import {play} from './fleet-model.ts';
 import {createQuietRun, createRun} from './runs.ts';
 
-const seeds = 300;
+const seeds = 400;
 
 /** Runs of one test, so that a failing seed is named without a test for each. */
 const seedsPerTest = 50;
 
-/** Seeds that have a test of their own. */
-const alone: readonly number[] = [263, 291];
+/** Seeds beyond these that went wrong once; each has a test of its own. */
+const found: readonly number[] = [431, 1023, 1220];
 
 /** Share of the requests of a workspace within its limit that may be refused. */
 const maxRefusedShare = 1 / 200;
@@ -22,12 +22,12 @@
 	for (let first = 1; first <= seeds; first += seedsPerTest) {
 		it(`holds through splits, restarts, kills, bursts, lower limits and callers that move, seeds ${first} to ${first + seedsPerTest - 1}`, function () {
 			this.timeout(60_000);
-			const tried = Array.from({length: seedsPerTest}, (_, index) => first + index).filter(seed => !alone.includes(seed));
+			const tried = Array.from({length: seedsPerTest}, (_, index) => first + index);
 			expect(findBroken(tried)).to.deep.equal([]);
 		});
 	}
 
-	for (const seed of alone) {
+	for (const seed of found) {
 		it(`holds through splits, restarts, kills, bursts, lower limits and callers that move, seed ${seed}`, () => {
 			expect(findBroken([seed])).to.deep.equal([]);
 		});
--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -79,6 +79,7 @@
 	quota: isRecord({
 		report: isRecord({
 			upMs: isSpanMs,
+			memoryMs: isSpanMs,
 			rows: isListOf(isRow(isName, isNotNegative, isNotNegative, isFlag, isNotNegative, isSpanMs)),
 			strayIds: isListOf(isName),
 		}),
--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -13,8 +13,8 @@
 /** Admission of one request. */
 export type QuotaPermit = {
 	readonly type: 'permit';
-	/** Records that an instance may run the request, so that it counts. */
-	readonly keep: () => void;
+	/** Records whether an instance may have run the request by now, so that it counts. */
+	readonly record: (mayHaveRun: boolean) => void;
 	/** Ends the admission: it is given back when no instance may have run the request. */
 	readonly settle: () => void;
 };
@@ -44,7 +44,7 @@
 	readonly send: (peerId: string, report: QuotaReport) => void;
 };
 
-const unlimited: QuotaPermit = {type: 'permit', keep: () => undefined, settle: () => undefined};
+const unlimited: QuotaPermit = {type: 'permit', record: () => undefined, settle: () => undefined};
 
 const toLogged = ({own, reported, reserved, limit, allowed}: QuotaUse): Readonly<Record<string, number>> => ({
 	own, reported: Math.round(reported), reserved: Math.round(reserved), limit, allowed: Math.round(allowed),
@@ -98,7 +98,7 @@
 			isPlaced: sharing.has(hostId),
 			unknownPeers: peerIds.length === 0 ? seedCount() : 0,
 			reachShare: reachShare(),
-		});
+		}, nowMs());
 	};
 
 	const report = (): void => {
@@ -126,8 +126,8 @@
 		let isKept = false;
 		return {
 			type: 'permit',
-			keep() {
-				isKept = true;
+			record(mayHaveRun) {
+				isKept ||= mayHaveRun;
 			},
 			settle() {
 				if (!isKept) {
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -430,10 +430,7 @@
 				connectFailures += Number(outcome.type === 'unreachable');
 				sends += Number(outcome.type !== 'unreachable');
 				mayHaveRun ||= mayHaveRunAfter(outcome);
-				if (mayHaveRun) {
-					permit.keep();
-				}
-
+				permit.record(mayHaveRun);
 				if (outcome.type === 'answered' && outcome.answer.rest !== undefined) {
 					context.streamingAnswers.push(outcome.answer);
 				}
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -61,7 +61,9 @@
 		gate.setQuotas(new Map(names.map(name => [name, {ratePerSecond: 1000, burst: 100_000}])));
 		const peers = Array.from({length: 10}, (_, index) => `front-ga-north-a-${100 + index}`);
 		for (const peer of peers) {
-			gate.receive(peer, {upMs: 4999, rows: names.map(name => [name, 70_000, 70_000, true, 70_000, 4999]), strayIds: []}, 4000);
+			gate.receive(peer, {
+				upMs: 4999, memoryMs: 4999, rows: names.map(name => [name, 70_000, 70_000, true, 70_000, 4999]), strayIds: [],
+			}, 4000);
 		}
 
 		const {report} = gate.takeReport(maxQuotaRowsBytes, 4100)!;
@@ -78,12 +80,22 @@
 	});
 
 	const wrongReports: ReadonlyArray<readonly [title: string, report: unknown]> = [
-		['no rows', {upMs: 1, strayIds: []}],
-		['a negative count', {upMs: 1, rows: [['w', -1, 0, true, 0, 0]], strayIds: []}],
-		['a count that is no number', {upMs: 1, rows: [['w', Number.NaN, 0, true, 0, 0]], strayIds: []}],
-		['a short row', {upMs: 1, rows: [['w', 1, 0]], strayIds: []}],
-		['a time that is too long', {upMs: 1, rows: [['w', 1, 0, true, 0, 1e300]], strayIds: []}],
-		['names that are no text', {upMs: 1, rows: [], strayIds: [1]}],
+		['no rows', {upMs: 1, memoryMs: 1, strayIds: []}],
+		['a negative count', {
+			upMs: 1, memoryMs: 1, rows: [['w', -1, 0, true, 0, 0]], strayIds: [],
+		}],
+		['a count that is no number', {
+			upMs: 1, memoryMs: 1, rows: [['w', Number.NaN, 0, true, 0, 0]], strayIds: [],
+		}],
+		['a short row', {
+			upMs: 1, memoryMs: 1, rows: [['w', 1, 0]], strayIds: [],
+		}],
+		['a time that is too long', {
+			upMs: 1, memoryMs: 1, rows: [['w', 1, 0, true, 0, 1e300]], strayIds: [],
+		}],
+		['names that are no text', {
+			upMs: 1, memoryMs: 1, rows: [], strayIds: [1],
+		}],
 	];
 	for (const [title, report] of wrongReports) {
 		it(`is refused when its report on quotas has ${title}`, () => {
--- a/packages/gateway/test/quotas.test.ts
+++ b/packages/gateway/test/quotas.test.ts
@@ -120,19 +120,23 @@
 			rig.setNow(longAfterMs);
 			rig.quotas.setWorkspaces(workspaces);
 			expect(admitMany(rig, 1000, workspaces?.[0] ?? {name: 'w', keyDigests: []})).to.equal(1000);
-			rig.quotas.receive('g-2', {upMs: 5000, rows: [['w', 100, 10, true, 0, 0]], strayIds: []});
+			rig.quotas.receive('g-2', {
+				upMs: 5000, memoryMs: 5000, rows: [['w', 100, 10, true, 0, 0]], strayIds: [],
+			});
 			rig.quotas.tick();
 			expect(rig.sent).to.deep.equal([]);
 		});
 	}
 
-	it('tell peers at once, answer them, and refuse with the use, the limit and a time to wait', () => {
+	it('tell peers at once, and refuse with the use, the limit and a time to wait', () => {
 		const rig = createRig({...nobody, placed: ['g-2', 'g-3'], members: [memberOf('g-2', 'alive'), memberOf('g-3', 'alive')]});
 		rig.setNow(longAfterMs);
 		rig.quotas.setWorkspaces([limited]);
 		admitMany(rig, 200);
 		expect(rig.sent.map(([peerId]) => peerId)).to.deep.equal(['g-2', 'g-3']);
-		rig.quotas.receive('g-2', {upMs: 5000, rows: [['w', 200, 0, false, 0, 0]], strayIds: []});
+		rig.quotas.receive('g-2', {
+			upMs: 5000, memoryMs: 5000, rows: [['w', 200, 0, false, 0, 0]], strayIds: [],
+		});
 		const refused = rig.quotas.admit(limited);
 		expect(refused.type === 'refusal' && refused.refusal.kind).to.equal('workspace-limit');
 		expect(refused.type === 'refusal' && refused.retryAfterMs).to.be.within(50, 8000);
@@ -148,10 +152,7 @@
 			const permit = rig.quotas.admit(limited);
 			admitMany(rig, 500);
 			if (permit.type === 'permit') {
-				if (isKept) {
-					permit.keep();
-				}
-
+				permit.record(isKept);
 				permit.settle();
 				permit.settle();
 			}
