--- a/packages/core/test/load/memory-budget.test.ts
+++ b/packages/core/test/load/memory-budget.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	createMemoryBudget, isMemoryShort, memoryLimitBytes, type MemoryLease,
+	createMemoryBudget, isMemoryShort, memoryLimitBytes, objectBytesOf, objectLimitBytes, type MemoryLease,
 } from '@egretwing/core';
 
 const megabyte = 1_048_576;
@@ -108,4 +108,32 @@
 		const budget = createMemoryBudget(10 * megabyte);
 		expect([1, 8, 9].map(megabytes => budget.fitsAlone(megabytes * megabyte))).to.deep.equal([true, true, false]);
 	});
+
+	// Guards against requests sent ahead, or heads of very many short fields, that fill the heap with few bytes.
+	const heads: ReadonlyArray<readonly [title: string, headBytes: number, fieldCount: number]> = [
+		['requests without fields', 30, 1],
+		['ordinary requests', 800, 20],
+		['heads of 1,400 short fields', 10_000, 1400],
+	];
+	for (const [title, headBytes, fieldCount] of heads) {
+		it(`bounds the objects of ${title} within the heap, says before that they are short, and takes them again after their end`, () => {
+			const limitBytes = objectLimitBytes(128 * megabyte);
+			const budget = createMemoryBudget(10 * megabyte, limitBytes);
+			const sizeBytes = objectBytesOf(headBytes, fieldCount);
+			const leases: MemoryLease[] = [];
+			let takenWhenShort: number | undefined;
+			for (let lease = budget.open(); lease.reserveObjects(sizeBytes); lease = budget.open()) {
+				leases.push(lease);
+				takenWhenShort ??= budget.areObjectsShort() ? leases.length : undefined;
+			}
+
+			expect(budget.objectBytes()).to.be.within(limitBytes - sizeBytes, limitBytes).and.to.be.below(128 * megabyte);
+			expect(takenWhenShort).to.be.below(leases.length);
+			for (const lease of leases) {
+				lease.release();
+			}
+
+			expect([budget.objectBytes(), budget.heldBytes(), budget.areObjectsShort(), budget.open().reserveObjects(sizeBytes)]).to.deep.equal([0, 0, false, true]);
+		});
+	}
 });
--- a/packages/node/test/caller-connections.test.ts
+++ b/packages/node/test/caller-connections.test.ts
@@ -7,8 +7,8 @@
 
 const address = '127.0.0.1';
 
-/** Most that Node.js reads from a connection at once. */
-const readChunkBytes = 65_536;
+/** Most that is parsed of a connection before it is looked at again. */
+const sliceBytes = 4096;
 
 const settleMs = 100;
 
@@ -71,7 +71,7 @@
 		const count = 5000;
 		socket.write(get.repeat(count));
 		await delay(settleMs);
-		const limit = maxReadAheadRequests + Math.ceil(readChunkBytes / get.length);
+		const limit = maxReadAheadRequests + Math.ceil(sliceBytes / get.length);
 		expect(begun.length).to.be.within(maxReadAheadRequests, limit);
 		for (const {response} of begun) {
 			response.req.resume();
--- a/packages/node/test/guarded-server.test.ts
+++ b/packages/node/test/guarded-server.test.ts
@@ -64,6 +64,9 @@
 		['answers the target of all resources', 'OPTIONS * HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n', 200],
 		['answers a request for an upgrade as any other', headOf('/', 'connection: upgrade, close\r\nupgrade: websocket'), 200],
 		['closes the connection of a tunnel', 'CONNECT //:x HTTP/1.1\r\nhost: x\r\n\r\n', 0],
+		['refuses a body with a length, and reads nothing of it', 'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\nx', 413],
+		['refuses a body in chunks, and reads nothing of it', 'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n', 413],
+		['answers a request that announces an empty body', headOf('/', 'content-length: 0\r\nconnection: close'), 200],
 		['refuses bytes that are no request', '\u0000\u0001\u00FF\r\n\r\n', 400],
 	];
 	for (const [title, bytes, statusCode] of requests) {
@@ -107,6 +110,29 @@
 		});
 	}
 
+	// Guards against callers that send many requests ahead: each costs memory from its parsing to its answer.
+	it('parses the requests of a connection as the ones before are answered, and answers all in their order', async () => {
+		let inProgress = 0;
+		let mostInProgress = 0;
+		const server = createGuardedServer({
+			place: 'test',
+			handle(url, _request, response) {
+				inProgress++;
+				mostInProgress = Math.max(mostInProgress, inProgress);
+				setImmediate(() => {
+					inProgress--;
+					sendJson(response, 200, {path: url.pathname});
+				});
+			},
+		});
+		await withServer(server, async port => {
+			const count = 500;
+			const answer = await exchange(port, Array.from({length: count}, (_, index) => `GET /${index} HTTP/1.1\r\nhost: x\r\n${index === count - 1 ? 'connection: close\r\n' : ''}\r\n`).join(''));
+			expect(Array.from(answer.matchAll(/"path":"\/(?<index>\d+)"/gv), ({groups}) => Number(groups!.index))).to.deep.equal(Array.from({length: count}, (_, index) => index));
+			expect(mostInProgress).to.be.below(count / 2);
+		});
+	});
+
 	// Guards against an error of a listener, as for want of descriptors, that ends the process.
 	it('goes on after a connection that could not be accepted', async () => {
 		const server = createGuardedServer({
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -193,6 +193,17 @@
 		});
 	}
 
+	const descriptors: ReadonlyArray<readonly [title: string, written: unknown, expected: number | undefined]> = [
+		['a number of descriptors', 4100, 4100],
+		['no limit on descriptors where they name none', undefined, undefined],
+		['no limit on descriptors where it is null', null, undefined],
+	];
+	for (const [title, maxDescriptors, expected] of descriptors) {
+		it(`give ${title}`, () => {
+			expect(translateSettings(rendered({maxDescriptors})).unwrap().gateway.maxDescriptors).to.equal(expected);
+		});
+	}
+
 	const hedgings: ReadonlyArray<readonly [title: string, written: unknown, expected: unknown]> = [
 		['no hedges of slow answers where they name none', undefined, undefined],
 		['no hedges of slow answers where they are null', null, undefined],
