--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -247,6 +247,8 @@
 		[{statusCode: 410}, 'history-gone'],
 		[{statusCode: 503}, 'turned-away'],
 		[{statusCode: 429}, 'turned-away'],
+		[{statusCode: 600}, 'undecodable'],
+		[{statusCode: 999}, 'undecodable'],
 		[{statusCode: 200, body: {other: true}}, 'undecodable'],
 		['reset', 'unreachable'],
 		['silent', 'silent'],
