test(core): the replay of contention keeps instances to their slots

Cause: the model compared the requests in flight with the slots for equality and counted shed ones, so that an instance took more than its slots while it shed.

The checks stay as they are. A further check: the hot workspace bears most of the refusals that it causes, and the others fewer than without workspaces.

--- a/packages/core/test/dispatch/contention-model.ts
+++ b/packages/core/test/dispatch/contention-model.ts
@@ -9,6 +9,7 @@
 	readonly name: string;
 	readonly workspace?: string;
 	readonly rank: number;
+	readonly kind?: string;
 	readonly isIdempotent?: boolean;
 	readonly perSecond: (nowMs: number) => number;
 	readonly serviceMs: number;
@@ -113,14 +114,15 @@
 
 		const {placement} = decision;
 		const {instanceId} = placement;
-		const isShed = inFlight.get(instanceId) === slots.get(instanceId);
-		inFlight.set(instanceId, (inFlight.get(instanceId) ?? 0) + 1);
+		const busy = inFlight.get(instanceId) ?? 0;
+		const isShed = busy >= slots.get(instanceId)!;
+		inFlight.set(instanceId, busy + Number(!isShed));
 		if (request.arrivedAtMs >= countFromMs) {
 			outcomeOf(request).totalWaitMs += decision.waitedMs;
 		}
 
 		at(nowMs + (isShed ? 2 : request.source.serviceMs * slowness(instanceId, nowMs) * (0.5 + random.next())), () => {
-			inFlight.set(instanceId, inFlight.get(instanceId)! - 1);
+			inFlight.set(instanceId, inFlight.get(instanceId)! - Number(!isShed));
 			dispatcher.finish(placement, isShed ? 'shed' : 'good', nowMs);
 			const attemptedIds = [...request.attemptedIds, instanceId];
 			if (isShed && attemptedIds.length < maxAttempts) {
@@ -148,11 +150,12 @@
 
 		at(nextMs, () => {
 			const dispatcher = dispatchers[Math.floor(random.next() * dispatchers.length)]!;
-			const {workspace, rank, isIdempotent = false} = source;
+			const {workspace, rank, kind, isIdempotent = false} = source;
 			const request: SourceRequest = {
 				requestId: source.name,
 				rank,
 				...(workspace !== undefined && {workspace}),
+				...(kind !== undefined && {kind}),
 				isIdempotent,
 				isReturning: false,
 				bodyBytes: 0,
--- a/packages/core/test/dispatch/contention.test.ts
+++ b/packages/core/test/dispatch/contention.test.ts
@@ -51,6 +51,16 @@
 			expect(shareOf(all, 'inTime')).to.be.above(shareOf(unnamed.all, 'inTime') - 0.03);
 		});
 
+		it(`costs the others fewer requests than without workspaces, and the one itself most of what it costs, seed ${seed}`, () => {
+			const usual = split(replayContention(createLoad(seed, createSources(1), 10)));
+			const {hot, others} = split(replayContention(createLoad(seed, createSources(7.5), 10)));
+			const unnamed = split(replayContention(createLoad(seed, createSources(7.5, false), 10)));
+			expect(shareOf(others, 'refused')).to.be.below(shareOf(unnamed.others, 'refused'));
+			/** Refusals beyond those with the usual load. */
+			const added = (outcomes: ReadonlyArray<Readonly<SourceOutcome>>): number => sumOf(outcomes, 'refused') - (sumOf(outcomes, 'asked') * shareOf(usual.all, 'refused'));
+			expect(added(hot)).to.be.above(added(others));
+		});
+
 		it(`leaves each workspace served at least a quarter as often as all with half of the room that is needed, seed ${seed}`, () => {
 			const outcomes = replayContention(createLoad(seed, createSources(7.5), 5));
 			const {all} = split(outcomes);
