feat(core): slots kept for urgent short requests, and a service time for each kind

A service had one mean service time. Where short urgent requests (161 ms, objective 513 ms) share instances with long ones (966 ms, objective 6 s), the mean told that the objective of the short ones could hardly be met, and long ones took each slot that came free before the next short one arrived.

Each kind has its own service time now, long requests leave a few free slots while urgent ones arrive, and an urgent request is not rejected for its objective while long ones of lower priority hold slots. A service with one kind is served as before.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -8,15 +8,17 @@
 
 import type {Random} from '../random.ts';
 import {
-	initialServiceMs, maxRetryAfterMs, maxWaitShare, minRetryAfterMs, preferredWaitFactor, serviceTimeWeight, outcomeWindowMs, spreadUnservedShare,
+	maxRetryAfterMs, maxWaitShare, minRetryAfterMs, preferredWaitFactor, outcomeWindowMs, spreadUnservedShare,
 } from './constants.ts';
 import {
 	createInstancePool, type ChoiceContext, type InstanceCounts, type InstancePool,
 } from './instance-pool.ts';
 import type {PausedRun} from './instance-pauses.ts';
+import {createServiceTimes} from './service-times.ts';
 import type {
 	AttemptResult, DispatchDecision, DispatchInstance, DispatchReport, DispatchRequest, DeferredDecision, Placement, RejectReason,
 } from './types.ts';
+import {createUrgentReserve} from './urgent-reserve.ts';
 import {createWaitQueue} from './wait-queue.ts';
 
 /** Dispatch decisions of one gateway for one service. */
@@ -41,8 +43,8 @@
 	readonly findStalled: (nowMs: number) => readonly string[];
 	readonly report: (nowMs: number) => DispatchReport;
 	readonly receiveReport: (peerId: string, report: DispatchReport, nowMs: number) => void;
-	/** Mean service time. */
-	readonly serviceMs: () => number;
+	/** Mean service time of the requests of a kind, or of all. */
+	readonly serviceMs: (kind?: string) => number;
 	readonly explain: InstancePool['explain'];
 	readonly snapshot: (nowMs: number) => DispatcherSnapshot;
 	readonly state: (nowMs: number) => DispatcherState;
@@ -64,11 +66,11 @@
 	/** Final answers to callers in the last `outcomeWindowMs`, and those of them that were not served. */
 	readonly answered: number;
 	readonly unserved: number;
-	/** Present once requests name workspaces. */
+	/** Present once requests name workspaces, or were held back. */
 	readonly contention?: Contention;
 };
 
-/** Contention between workspaces for the slots of a service, as seen by one gateway. */
+/** Contention between workspaces, or kinds of request, for the slots of a service, as seen by one gateway. */
 export type Contention = {
 	/** Waiting requests. */
 	readonly waiting: number;
@@ -76,16 +78,20 @@
 	readonly waitingWorkspaces: number;
 	/** Requests rejected while they waited, since the state was last read, because others were put before them. */
 	readonly displaced: number;
+	/** Times since then that a request was left waiting beside free slots, which are kept for urgent ones. */
+	readonly heldBack: number;
 };
 
 /** Creates the dispatcher of a gateway in `dataCentre`; `isUnplaced` returns true while callers are sent to other gateways. */
 export const createDispatcher = <Request extends DispatchRequest>(dataCentre: string, random: Random, isUnplaced: () => boolean = () => false): Dispatcher<Request> => {
 	const pool = createInstancePool(dataCentre, random);
 	const queue = createWaitQueue<Request>();
-	let serviceMs = initialServiceMs;
+	const serviceTimes = createServiceTimes();
+	const reserve = createUrgentReserve();
 	let isStopped = false;
 	/** Requests displaced since the last call of `state`. */
 	let displaced = 0;
+	let isContentionSeen = false;
 	let outcomes: Array<{readonly atMs: number; readonly isServed: boolean}> = [];
 
 	const countUnserved = (nowMs: number): number => {
@@ -99,7 +105,7 @@
 	};
 
 	const contextAt = (nowMs: number): ChoiceContext => ({
-		nowMs, serviceMs, isSpread: isSpread(nowMs), isUnplaced: isUnplaced(),
+		nowMs, serviceMs: serviceTimes.meanMs(), kindServiceMs: serviceTimes.ofKindMs, isSpread: isSpread(nowMs), isUnplaced: isUnplaced(),
 	});
 
 	/** Expected wait behind `ahead` other requests: this gateway's share of the slots becomes free once each service time. */
@@ -108,12 +114,12 @@
 		const all = Math.max(own, pool.inFlight(context));
 		const slots = pool.usableSlots(context);
 		const ownSlots = Math.max(1, all === 0 ? slots : slots * Math.max(1, own) / all);
-		return (ahead + 1) * serviceMs / ownSlots;
+		return (ahead + 1) * context.serviceMs / ownSlots;
 	};
 
 	/** Expected start behind `ahead` other requests. Instances have free slots when their pauses end, but get one request at a time at first. */
 	const expectedStartMs = (availableAtMs: number, ahead: number, context: ChoiceContext): number =>
-		availableAtMs > context.nowMs ? availableAtMs + (ahead * serviceMs) : context.nowMs + expectedWaitMs(ahead, context);
+		availableAtMs > context.nowMs ? availableAtMs + (ahead * context.serviceMs) : context.nowMs + expectedWaitMs(ahead, context);
 
 	const pausedMs = (nowMs: number): number => {
 		const availableAtMs = pool.availableAtMs([], nowMs);
@@ -142,27 +148,36 @@
 	};
 
 	/** Only the final deadline counts when the objective can't be met, and for a returning caller, who has only the answer left to lose. */
-	const isObjectiveLost = (request: Request, nowMs: number): boolean => request.isReturning || nowMs + serviceMs > request.objectiveAtMs;
+	const isObjectiveLost = (request: Request, nowMs: number): boolean => request.isReturning || nowMs + serviceTimes.ofKindMs(request.kind) > request.objectiveAtMs;
 
 	/** Start after which a request that waits has lost what it waits for. */
 	const lastUsefulStartMs = (request: Request, nowMs: number): number => {
+		const serviceMs = serviceTimes.ofKindMs(request.kind);
 		const lastMs = request.finalAtMs - serviceMs;
 		return isObjectiveLost(request, nowMs) ? lastMs : Math.min(lastMs, request.objectiveAtMs - serviceMs);
 	};
 
-	/** Latest expected start with which a request is queued. */
+	/** Latest expected start with which a request is queued. An urgent one is not rejected for its objective: less urgent ones would take its slot. */
 	const latestStartMs = (request: Request, nowMs: number): number => {
+		const serviceMs = serviceTimes.ofKindMs(request.kind);
 		const lastMs = request.finalAtMs - serviceMs;
-		return isObjectiveLost(request, nowMs) ? lastMs : Math.min(lastMs, nowMs + (maxWaitShare * (request.objectiveAtMs - serviceMs - nowMs)));
+		return isObjectiveLost(request, nowMs) || reserve.isUrgent(request.rank, serviceMs) ? lastMs : Math.min(lastMs, nowMs + (maxWaitShare * (request.objectiveAtMs - serviceMs - nowMs)));
 	};
 
-	const prefersToWait = (request: Request, nowMs: number): boolean =>
-		queue.waitedMs(request, nowMs) < preferredWaitFactor * serviceMs && nowMs + (2 * serviceMs) < request.finalAtMs;
+	const prefersToWait = (request: Request, nowMs: number): boolean => {
+		const serviceMs = serviceTimes.ofKindMs(request.kind);
+		return queue.waitedMs(request, nowMs) < preferredWaitFactor * Math.min(serviceMs, serviceTimes.meanMs()) && nowMs + (2 * serviceMs) < request.finalAtMs;
+	};
+
+	const isHeldBack = ({rank, kind}: Request, context: ChoiceContext): boolean => reserve.holdsBack(rank, serviceTimes.ofKindMs(kind), () => ({
+		usable: pool.usableSlots(context), inFlight: pool.inFlight(context), ownInFlight: pool.ownInFlight(),
+	}), context.nowMs);
 
 	const acquire = (request: Request, context: ChoiceContext, isWaitPreferred: boolean): Placement | undefined => {
 		const placement = pool.acquire(request, context, isWaitPreferred);
 		if (placement !== undefined) {
 			queue.recordStart(request);
+			reserve.recordStart(placement, request.rank);
 		}
 
 		return placement;
@@ -187,11 +202,12 @@
 
 			if (request.attemptedIds.length === 0) {
 				queue.recordArrival(request, nowMs);
+				reserve.recordArrival(request.rank, nowMs);
 			}
 
 			const before = queue.before(request);
 			// Requests that prefer to wait leave the risky instances to the others.
-			const isFirst = before.every(other => prefersToWait(other, nowMs));
+			const isFirst = before.every(other => prefersToWait(other, nowMs)) && !isHeldBack(request, context);
 			const placement = isFirst ? acquire(request, context, true) : undefined;
 			if (placement !== undefined) {
 				return {type: 'send', placement, waitedMs: 0};
@@ -206,8 +222,9 @@
 			return {type: 'wait'};
 		},
 		finish(placement, result, nowMs) {
+			reserve.recordEnd(placement, result === 'good', nowMs);
 			if (result === 'good') {
-				serviceMs += serviceTimeWeight * (nowMs - placement.startedAtMs - serviceMs);
+				serviceTimes.record(placement.kind, nowMs - placement.startedAtMs);
 			}
 
 			return pool.finish(placement, result, contextAt(nowMs));
@@ -224,17 +241,18 @@
 			for (const request of queue.inOrder()) {
 				const waitedMs = queue.waitedMs(request, nowMs);
 				const isWaitPreferred = prefersToWait(request, nowMs);
-				const placement = isFull ? undefined : acquire(request, context, isWaitPreferred);
+				const isHeld: boolean = !isFull && isHeldBack(request, context);
+				const placement = isFull || isHeld ? undefined : acquire(request, context, isWaitPreferred);
 				if (placement !== undefined) {
 					queue.remove(request);
 					decisions.push({request, decision: {type: 'send', placement, waitedMs}});
 					continue;
 				}
 
-				isFull ||= !isWaitPreferred && request.attemptedIds.length === 0;
+				isFull ||= !isHeld && !isWaitPreferred && request.attemptedIds.length === 0;
 				const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
 				const isDisplaced = queue.isDisplaced(request, expectedStartMs(availableAtMs, ahead, context));
-				if (isDisplaced || availableAtMs + (serviceMs / 2) >= request.finalAtMs) {
+				if (isDisplaced || availableAtMs + (serviceTimes.ofKindMs(request.kind) / 2) >= request.finalAtMs) {
 					displaced += Number(isDisplaced);
 					queue.remove(request);
 					decisions.push({request, decision: reject(reasonAt(availableAtMs, nowMs), context)});
@@ -266,7 +284,7 @@
 		findStalled: nowMs => pool.findStalled(contextAt(nowMs)),
 		report: pool.report,
 		receiveReport: pool.receiveReport,
-		serviceMs: () => serviceMs,
+		serviceMs: serviceTimes.ofKindMs,
 		explain: pool.explain,
 		snapshot(nowMs) {
 			const context = contextAt(nowMs);
@@ -275,15 +293,18 @@
 				ownInFlight: pool.ownInFlight(),
 				inFlight: pool.inFlight(context),
 				usableSlots: pool.usableSlots(context),
-				serviceMs: Math.round(serviceMs),
+				serviceMs: Math.round(context.serviceMs),
 			};
 		},
 		state(nowMs) {
 			const unserved = countUnserved(nowMs);
-			const contention = {waiting: queue.length(), waitingWorkspaces: queue.workspaces(), displaced};
+			const contention = {
+				waiting: queue.length(), waitingWorkspaces: queue.workspaces(), displaced, heldBack: reserve.takeHeld(),
+			};
 			displaced = 0;
+			isContentionSeen ||= queue.isShared() || contention.heldBack > 0;
 			return {
-				...pool.countInstances(contextAt(nowMs)), isSpread: isSpread(nowMs), answered: outcomes.length, unserved, ...(queue.isShared() && {contention}),
+				...pool.countInstances(contextAt(nowMs)), isSpread: isSpread(nowMs), answered: outcomes.length, unserved, ...(isContentionSeen && {contention}),
 			};
 		},
 	};
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -20,3 +20,4 @@
 } from './types.ts';
 export {createIdleLimit} from './idle-limit.ts';
 export type {IdleLimit} from './idle-limit.ts';
+export {requestKind} from './service-times.ts';
--- a/packages/core/src/dispatch/instance-pool.ts
+++ b/packages/core/src/dispatch/instance-pool.ts
@@ -22,6 +22,8 @@
 	readonly nowMs: number;
 	/** Mean service time. */
 	readonly serviceMs: number;
+	/** Mean service time of a kind of request. */
+	readonly kindServiceMs: (kind: string | undefined) => number;
 	/** True when work is spread over all usable instances rather than kept at those with recent good answers. */
 	readonly isSpread: boolean;
 	/** True when callers are sent to other gateways; the few requests that still arrive are best used as trials, for the others' benefit. */
@@ -105,13 +107,18 @@
 
 const inFlightAt = (state: InstanceState, nowMs: number): number => state.placements.size + peerInFlight(state, nowMs);
 
-const oldestAgeMs = (state: InstanceState, nowMs: number): number => {
-	let oldestMs = 0;
-	for (const {startedAtMs} of state.placements) {
-		oldestMs = Math.max(oldestMs, nowMs - startedAtMs);
+/** Service time beyond which the age of a request tells something about its instance: short kinds are no reason to suspect one sooner. */
+const suspectServiceMs = ({kind}: Placement, {serviceMs, kindServiceMs}: ChoiceContext): number => Math.max(serviceMs, kindServiceMs(kind));
+
+/** True when a request in flight is older than `factor` service times, and than `minAgeMs`. */
+const hasOlderThan = (state: InstanceState, factor: number, minAgeMs: number, context: ChoiceContext): boolean => {
+	for (const placement of state.placements) {
+		if (context.nowMs - placement.startedAtMs > Math.max(minAgeMs, factor * suspectServiceMs(placement, context))) {
+			return true;
+		}
 	}
 
-	return oldestMs;
+	return false;
 };
 
 const lastUseMs = ({usedAtMs, peerUsedAtMs}: InstanceState): number => Math.max(usedAtMs, peerUsedAtMs);
@@ -132,7 +139,7 @@
 
 const isPaused = ({pausedUntilMs}: InstanceState, nowMs: number): boolean => nowMs < pausedUntilMs;
 
-const isOverdue = (state: InstanceState, {nowMs, serviceMs}: ChoiceContext): boolean => oldestAgeMs(state, nowMs) > overdueFactor * serviceMs;
+const isOverdue = (state: InstanceState, context: ChoiceContext): boolean => hasOlderThan(state, overdueFactor, 0, context);
 
 /** True when a failed attempt can be repeated on another instance. */
 const canRepeat = ({isIdempotent, attemptedIds}: DispatchRequest): boolean => isIdempotent && attemptedIds.length === 0;
@@ -363,21 +370,24 @@
 				return undefined;
 			}
 
-			const placement: Placement = {instanceId: best.instance.instanceId, startedAtMs: nowMs, isTrial: best.reliability.needsTrial()};
+			const {kind} = request;
+			const placement: Placement = {
+				instanceId: best.instance.instanceId, startedAtMs: nowMs, ...(kind !== undefined && {kind}), isTrial: best.reliability.needsTrial(),
+			};
 			best.placements.add(placement);
 			startedAtMs.push(nowMs);
 			best.usedAtMs = nowMs;
 			return placement;
 		},
-		finish(placement, result, {nowMs, serviceMs}) {
+		finish(placement, result, context) {
+			const {nowMs} = context;
 			// A missing answer says nothing about the instance when the request had little time.
-			const isShortWait = result === 'no-answer' && nowMs - placement.startedAtMs < overdueFactor * serviceMs;
+			const isShortWait = result === 'no-answer' && nowMs - placement.startedAtMs < overdueFactor * suspectServiceMs(placement, context);
 			return releasePlacement(placement)?.reliability.observe(isShortWait ? 'abandoned' : result, placement.startedAtMs, nowMs) ?? false;
 		},
-		findStalled({nowMs, serviceMs}) {
-			const limitMs = Math.max(minStalledMs, stalledFactor * serviceMs);
+		findStalled(context) {
 			return [...states.values()]
-				.filter(state => oldestAgeMs(state, nowMs) > limitMs && state.reliability.observeStall(nowMs))
+				.filter(state => hasOlderThan(state, stalledFactor, minStalledMs, context) && state.reliability.observeStall(context.nowMs))
 				.map(({instance}) => instance.instanceId);
 		},
 		pause(run, untilMs, nowMs) {
--- a/packages/core/src/dispatch/types.ts
+++ b/packages/core/src/dispatch/types.ts
@@ -19,6 +19,8 @@
 	readonly rank: number;
 	/** Workspace whose access key the request carries, if any. */
 	readonly workspace?: string;
+	/** Requests of the same kind take about equally long, see `requestKind`; absent: not told apart. */
+	readonly kind?: string;
 	readonly isIdempotent: boolean;
 	/** True when the caller retries after a rejection. */
 	readonly isReturning: boolean;
@@ -51,6 +53,8 @@
 export type Placement = {
 	readonly instanceId: string;
 	readonly startedAtMs: number;
+	/** Kind of the request. */
+	readonly kind?: string;
 	/** True when the instance has had no good answer since it was new or avoided. */
 	readonly isTrial: boolean;
 };
--- a/packages/core/src/dispatch/wait-queue.ts
+++ b/packages/core/src/dispatch/wait-queue.ts
@@ -25,7 +25,7 @@
 	readonly before: (request: Request) => readonly Request[];
 	/** Time since the request was added; 0 when it is not waiting. */
 	readonly waitedMs: (request: Request, nowMs: number) => number;
-	/** True when others were put before a waiting request and it would start at `startMs`, after its latest start. */
+	/** True when requests of other workspaces were put before a waiting one, and it would start at `startMs`, after its latest start. */
 	readonly isDisplaced: (request: Request, startMs: number) => boolean;
 	readonly length: () => number;
 	/** Number of workspaces with waiting requests. */
@@ -37,7 +37,7 @@
 type Waiting = {
 	readonly addedAtMs: number;
 	readonly latestStartMs: number;
-	/** Whether others were put before it. */
+	/** Whether requests of the same rank and another workspace were put before it. */
 	isOvertaken: boolean;
 };
 
@@ -130,7 +130,7 @@
 			insertByUrgency(urgent, request);
 			const order = toFairOrder(urgent);
 			for (const other of order.slice(order.indexOf(request) + 1)) {
-				waiting.get(other)!.isOvertaken = true;
+				waiting.get(other)!.isOvertaken ||= other.rank === request.rank && other.workspace !== request.workspace;
 			}
 		},
 		remove(request) {
@@ -148,7 +148,7 @@
 		waitedMs: (request, nowMs) => nowMs - (waiting.get(request)?.addedAtMs ?? nowMs),
 		isDisplaced(request, startMs) {
 			const added = waiting.get(request);
-			return isShared && added !== undefined && added.isOvertaken && startMs > added.latestStartMs;
+			return added !== undefined && added.isOvertaken && startMs > added.latestStartMs;
 		},
 		length: () => urgent.length,
 		workspaces: () => new Set(urgent.flatMap(({workspace}) => workspace ?? [])).size,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -70,7 +70,7 @@
 	Workspace, WorkspaceQuota,
 } from './catalogue/index.ts';
 export {
-	createAnswerSizes, createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
+	createAnswerSizes, createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, requestKind, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
 } from './dispatch/index.ts';
 export type {ReportScheduler, ReportRow, ShutdownPlan} from './dispatch/index.ts';
 export type {
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -39,7 +39,8 @@
 	readonly pause: (service: string, run: InstanceRun, pauseMs: number) => void;
 	/** Time until an instance of the service is out of its pause; 0 when one is. */
 	readonly pausedMs: (service: string) => number;
-	readonly serviceMs: (service: string) => number;
+	/** Mean service time of the requests of a kind, or of all. */
+	readonly serviceMs: (service: string, kind?: string) => number;
 	/** Slots of a service, and what uses or awaits them. */
 	readonly room: (service: string) => HedgeRoom;
 	readonly receiveReport: (service: string, peerId: string, report: DispatchReport) => void;
@@ -237,7 +238,7 @@
 			settleWaiting(service);
 		},
 		pausedMs: name => serviceOf(name).dispatcher.pausedMs(nowMs()),
-		serviceMs: name => serviceOf(name).dispatcher.serviceMs(),
+		serviceMs: (name, kind) => serviceOf(name).dispatcher.serviceMs(kind),
 		room: name => serviceOf(name).dispatcher.snapshot(nowMs()),
 		receiveReport(name, peerId, peerReport) {
 			// A report on instances that are not known here says nothing, and must not create a service for each name that it could hold.
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -112,7 +112,7 @@
 			name: 'egretwing_instances', help: 'Instances by service and state at this gateway', labelNames: ['service', 'state'], registers,
 		}),
 		contention: new Gauge({
-			name: 'egretwing_contention', help: 'Waiting requests, workspaces with some, and requests displaced in the last second', labelNames: ['service', 'state'], registers,
+			name: 'egretwing_contention', help: 'Waiting requests, workspaces with some, requests displaced and held back in the last second', labelNames: ['service', 'state'], registers,
 		}),
 		configVersion: new Gauge({name: 'egretwing_config_version', help: 'Version of the configuration in force', registers}),
 		heldBytes: new Gauge({name: 'egretwing_held_bytes', help: 'Bytes of bodies and answers held for callers', registers}),
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -6,6 +6,7 @@
 	hedgeDelayMs,
 	pickService,
 	isAcceptedDuringShutdown,
+	requestKind,
 	type AttemptResult,
 	type Catalogue,
 	type DispatchPlacement,
@@ -180,6 +181,8 @@
 const ownHeaders = (names: HeaderNames, isKeyed: boolean): readonly string[] =>
 	[names.deadlineMs, names.targetInstance, ...(isKeyed ? [names.workspace, 'authorization'] : [])];
 
+const kindOf = ({semantics, latencyObjectiveMs}: PrefixRoute): string => requestKind(semantics, latencyObjectiveMs);
+
 /** Creates the handler of callers' requests. */
 export const createServe = (dependencies: ServeDependencies): ((incoming: http.IncomingMessage, response: http.ServerResponse, exchange: CallerExchange) => Promise<void>) => {
 	const {
@@ -231,7 +234,7 @@
 			return 'attempts-spent';
 		}
 
-		if (nowMs() + (dispatchers.serviceMs(context.service) / 2) >= context.finalAtMs) {
+		if (nowMs() + (dispatchers.serviceMs(context.service, kindOf(context.route)) / 2) >= context.finalAtMs) {
 			return 'no-time';
 		}
 
@@ -269,6 +272,7 @@
 		requestId: context.requestId,
 		rank: context.workspace?.rank ?? context.route.rank,
 		...(context.workspace !== undefined && {workspace: context.workspace.name}),
+		kind: kindOf(context.route),
 		isIdempotent: context.route.semantics === 'idempotent',
 		isReturning: context.isReturning || attemptedIds.length > 0,
 		bodyBytes: context.upstreamRequest.body?.sizeBytes ?? 0,
@@ -359,7 +363,7 @@
 		const chances: HedgeChance[] = [{
 			afterMs: hedgeDelayMs({
 				nowMs: nowMs(),
-				serviceMs: dispatchers.serviceMs(service),
+				serviceMs: dispatchers.serviceMs(service, kindOf(context.route)),
 				objectiveAtMs: context.arrivedAtMs + context.route.latencyObjectiveMs,
 				usedBudgetShare: dependencies.retryWindow(service).usedShare(dependencies.retrySlackShare(), nowMs()),
 			}),
