--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -251,7 +251,8 @@
 
 				isFull ||= !isHeld && !isWaitPreferred && request.attemptedIds.length === 0;
 				const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
-				const isDisplaced = queue.isDisplaced(request, expectedStartMs(availableAtMs, ahead, context));
+				const place = ahead;
+				const isDisplaced = queue.isDisplaced(request, () => expectedStartMs(availableAtMs, place, context));
 				if (isDisplaced || availableAtMs + (serviceTimes.ofKindMs(request.kind) / 2) >= request.finalAtMs) {
 					displaced += Number(isDisplaced);
 					queue.remove(request);
--- a/packages/core/src/dispatch/wait-queue.ts
+++ b/packages/core/src/dispatch/wait-queue.ts
@@ -25,8 +25,8 @@
 	readonly before: (request: Request) => readonly Request[];
 	/** Time since the request was added; 0 when it is not waiting. */
 	readonly waitedMs: (request: Request, nowMs: number) => number;
-	/** True when requests of other workspaces were put before a waiting one, and it would start at `startMs`, after its latest start. */
-	readonly isDisplaced: (request: Request, startMs: number) => boolean;
+	/** True when others were put before a waiting request and its expected start, which is costly to tell, is after its latest one. */
+	readonly isDisplaced: (request: Request, expectedStartMs: () => number) => boolean;
 	readonly length: () => number;
 	/** Number of workspaces with waiting requests. */
 	readonly workspaces: () => number;
@@ -146,9 +146,9 @@
 		inOrder: () => [...toFairOrder(urgent)],
 		before,
 		waitedMs: (request, nowMs) => nowMs - (waiting.get(request)?.addedAtMs ?? nowMs),
-		isDisplaced(request, startMs) {
+		isDisplaced(request, expectedStartMs) {
 			const added = waiting.get(request);
-			return added !== undefined && added.isOvertaken && startMs > added.latestStartMs;
+			return added !== undefined && added.isOvertaken && expectedStartMs() > added.latestStartMs;
 		},
 		length: () => urgent.length,
 		workspaces: () => new Set(urgent.flatMap(({workspace}) => workspace ?? [])).size,
