--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -73,7 +73,7 @@
 export const maxHeldRestShare = 0.125;
 
 /** Share of the bytes that the process may hold above which such answers take no more: the others are for uploads and for answers that can still be replaced. */
-export const maxHeldShareForRests = 0.5;
+export const maxHeldShareForRests = 0.25;
 
 /** Time that a caller has at least to take an answer that is ready: many round trips between regions. */
 export const minTakeMs = 1000;
--- a/packages/gateway/src/deliver.ts
+++ b/packages/gateway/src/deliver.ts
@@ -72,11 +72,11 @@
 };
 
 const writeAnswer = (response: http.ServerResponse, {
-	statusCode, headers, body, isBounded, rest,
+	statusCode, headers, chunks, isBounded, rest,
 }: UpstreamAnswer, leftMs: number, onLate: () => void): void => {
 	const kept: http.OutgoingHttpHeaders = forwardedHeaders(headers);
 	if (isBounded) {
-		response.writeHead(statusCode, rest === undefined ? {'content-length': body.length, ...kept} : kept);
+		response.writeHead(statusCode, rest === undefined ? {'content-length': chunks.reduce((sumBytes, {length}) => sumBytes + length, 0), ...kept} : kept);
 	} else {
 		// The end of the answer can't be verified, so the caller must not get a length either.
 		response.removeHeader('transfer-encoding');
@@ -84,7 +84,13 @@
 	}
 
 	if (rest === undefined) {
-		response.end(body);
+		// What is corked goes out together with the head.
+		response.cork();
+		for (const chunk of chunks.slice(0, -1)) {
+			response.write(chunk);
+		}
+
+		response.end(chunks.at(-1));
 		// Most answers are with the operating system at once.
 		if (response.writableLength > 0) {
 			limitTake(response, Math.max(minTakeMs, leftMs), onLate);
@@ -97,8 +103,10 @@
 	response.once('close', () => {
 		rest.destroy();
 	});
+	for (const chunk of chunks) {
+		response.write(chunk);
+	}
 
-	response.write(body);
 	rest.once('error', () => {
 		resetConnection(response);
 	});
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -157,7 +157,8 @@
 const mayHaveRunAfter = (outcome: UpstreamOutcome): boolean => outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
 
 /** Size of the body of an answer, in bytes; what has arrived so far where a streaming answer names no length. */
-const sizeOf = ({headers, body}: UpstreamAnswer): number => Number(headers['content-length'] ?? body.length);
+const sizeOf = ({headers, chunks}: UpstreamAnswer): number =>
+	Number(headers['content-length'] ?? chunks.reduce((sumBytes, {length}) => sumBytes + length, 0));
 
 const absoluteFormUrl = /^https?:\/\/(?<host>[^\/?]+)(?<target>.*)$/iv;
 
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -5,7 +5,7 @@
  * is idle, and destroyed in any unclear state, so that bytes of one answer never reach another request.
  */
 
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
 import type {Readable} from 'node:stream';
@@ -43,11 +43,12 @@
 	readonly reserve: (sizeBytes: number) => boolean;
 };
 
-/** An answer of an instance; `body` is complete, or `rest` streams the part that was not buffered. */
+/** An answer of an instance; `chunks` are all of its body, or `rest` streams the part that was not buffered. */
 export type UpstreamAnswer = {
 	readonly statusCode: number;
 	readonly headers: http.IncomingHttpHeaders;
-	readonly body: Buffer;
+	/** What was buffered, in pieces: joining them would take their size twice. */
+	readonly chunks: readonly Buffer[];
 	/** False when only the close of the connection marks the end of the answer, so that a truncated one looks complete. */
 	readonly isBounded: boolean;
 	/** Ends only if the answer is complete, and fails otherwise. */
@@ -232,7 +233,7 @@
 		const toAnswer = (answer: http.IncomingMessage, chunks: readonly Buffer[]): UpstreamAnswer => ({
 			statusCode: answer.statusCode!,
 			headers: answer.headers,
-			body: Buffer.concat(chunks),
+			chunks,
 			isBounded: isSelfDelimited(request.method, answer.statusCode!, answer.headers),
 			arrivedBytes,
 		});
--- a/packages/gateway/test/upstream.test.ts
+++ b/packages/gateway/test/upstream.test.ts
@@ -69,7 +69,7 @@
 const describeOutcome = (outcome: UpstreamOutcome): string => {
 	switch (outcome.type) {
 		case 'answered': {
-			return `answered ${outcome.answer.statusCode} ${outcome.answer.body.toString()}${outcome.answer.isBounded ? '' : ' unbounded'}`;
+			return `answered ${outcome.answer.statusCode} ${Buffer.concat(outcome.answer.chunks).toString()}${outcome.answer.isBounded ? '' : ' unbounded'}`;
 		}
 
 		case 'not-executed': {
@@ -449,7 +449,7 @@
 			},
 		}), 1000).outcome;
 		const answer = outcome.type === 'answered' ? outcome.answer : undefined;
-		const bufferedBytes = answer?.body.length ?? 0;
+		const bufferedBytes = Buffer.concat(answer?.chunks ?? []).length;
 		expect(bufferedBytes).to.be.below(300_000);
 		let sizeBytes = bufferedBytes;
 		for await (const chunk of answer?.rest ?? []) {
