fix(gateway): findings of the review of keys, hedges and contention

- A hedge that found no free slot was queued for a moment, which marked waiting requests of other workspaces as overtaken; they were rejected as displaced later (review, trial with 2 slots; the new test fails before).
It asks for a slot without a place in the queue now.
- The reserve for urgent requests counted requests as held back where no slot was free at all.
- The header of the workspace is never forwarded from a caller, also before the first configuration with workspaces is known.
- Names of workspaces outside of ASCII threw an error for each of their requests; they are written as UTF-8 now.
- A hedge that found no instance, or after which neither attempt was answered, is counted and logged as such.
- Peers' reports on quotas are among the mutated messages of the test.

--- a/packages/core/src/dispatch/dispatcher.ts
+++ b/packages/core/src/dispatch/dispatcher.ts
@@ -25,6 +25,8 @@
 export type Dispatcher<Request extends DispatchRequest> = {
 	readonly setInstances: (instances: readonly DispatchInstance[]) => void;
 	readonly submit: (request: Request, nowMs: number) => DispatchDecision;
+	/** Takes a slot that is free now, without a place in the queue; undefined when the request would wait or be rejected. */
+	readonly placeNow: (request: Request, nowMs: number) => Placement | undefined;
 	/** Ends an attempt; returns true when its instance is avoided from now on. Call `poll` afterwards. */
 	readonly finish: (placement: Placement, result: AttemptResult, nowMs: number) => boolean;
 	/** Returns decisions about waiting requests; to be called after each change and every few tens of milliseconds. */
@@ -183,43 +185,56 @@
 		return placement;
 	};
 
-	return {
-		setInstances: pool.setInstances,
-		submit(request, nowMs) {
-			const context = contextAt(nowMs);
-			if (isStopped) {
-				return reject('stopping', context);
-			}
+	/** Decides about a request that has just arrived. */
+	const decide = (request: Request, nowMs: number): DispatchDecision => {
+		const context = contextAt(nowMs);
+		if (isStopped) {
+			return reject('stopping', context);
+		}
 
-			if (nowMs >= request.finalAtMs) {
-				return reject('expired', context);
-			}
+		if (nowMs >= request.finalAtMs) {
+			return reject('expired', context);
+		}
 
-			const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
-			if (availableAtMs === Number.POSITIVE_INFINITY) {
-				return reject('no-instance', context);
-			}
+		const availableAtMs = pool.availableAtMs(request.attemptedIds, nowMs);
+		if (availableAtMs === Number.POSITIVE_INFINITY) {
+			return reject('no-instance', context);
+		}
 
-			if (request.attemptedIds.length === 0) {
-				queue.recordArrival(request, nowMs);
-				reserve.recordArrival(request.rank, nowMs);
-			}
+		if (request.attemptedIds.length === 0) {
+			queue.recordArrival(request, nowMs);
+			reserve.recordArrival(request.rank, nowMs);
+		}
 
-			const before = queue.before(request);
-			// Requests that prefer to wait leave the risky instances to the others.
-			const isFirst = before.every(other => prefersToWait(other, nowMs)) && !isHeldBack(request, context);
-			const placement = isFirst ? acquire(request, context, true) : undefined;
-			if (placement !== undefined) {
-				return {type: 'send', placement, waitedMs: 0};
-			}
+		const before = queue.before(request);
+		// Requests that prefer to wait leave the risky instances to the others.
+		const isFirst = before.every(other => prefersToWait(other, nowMs)) && !isHeldBack(request, context);
+		const placement = isFirst ? acquire(request, context, true) : undefined;
+		if (placement !== undefined) {
+			return {type: 'send', placement, waitedMs: 0};
+		}
 
-			if (expectedStartMs(availableAtMs, before.length, context) > latestStartMs(request, nowMs)) {
-				const lastChance = isFirst ? acquire(request, context, false) : undefined;
-				return lastChance === undefined ? reject(reasonAt(availableAtMs, nowMs), context) : {type: 'send', placement: lastChance, waitedMs: 0};
+		if (expectedStartMs(availableAtMs, before.length, context) <= latestStartMs(request, nowMs)) {
+			return {type: 'wait'};
+		}
+
+		const lastChance = isFirst ? acquire(request, context, false) : undefined;
+		return lastChance === undefined ? reject(reasonAt(availableAtMs, nowMs), context) : {type: 'send', placement: lastChance, waitedMs: 0};
+	};
+
+	return {
+		setInstances: pool.setInstances,
+		submit(request, nowMs) {
+			const decision = decide(request, nowMs);
+			if (decision.type === 'wait') {
+				queue.add(request, lastUsefulStartMs(request, nowMs), nowMs);
 			}
 
-			queue.add(request, lastUsefulStartMs(request, nowMs), nowMs);
-			return {type: 'wait'};
+			return decision;
+		},
+		placeNow(request, nowMs) {
+			const decision = decide(request, nowMs);
+			return decision.type === 'send' ? decision.placement : undefined;
 		},
 		finish(placement, result, nowMs) {
 			reserve.recordEnd(placement, result === 'good', nowMs);
--- a/packages/core/src/dispatch/urgent-reserve.ts
+++ b/packages/core/src/dispatch/urgent-reserve.ts
@@ -114,7 +114,8 @@
 			// The other gateways that use the service need as much for each of their requests.
 			const {usable, inFlight, ownInFlight} = use();
 			const reserved = Math.min(need * Math.max(1, inFlight / Math.max(1, ownInFlight)), Math.floor(usable * maxReservedShare));
-			const isHeld = usable - inFlight - 1 < reserved;
+			const free = usable - inFlight;
+			const isHeld = free > 0 && free - 1 < reserved;
 			held += Number(isHeld);
 			return isHeld;
 		},
--- a/packages/core/test/dispatch/fair-start.test.ts
+++ b/packages/core/test/dispatch/fair-start.test.ts
@@ -1,6 +1,8 @@
+import {createDispatcher, createRandom, type DispatchRequest} from '@egretwing/core';
 import {expect} from 'chai';
 import {createFairStart} from '../../src/dispatch/fair-start.ts';
 import {createUsualShares} from '../../src/dispatch/usual-share.ts';
+import {createInstances} from './load-model.ts';
 
 /** Starts `count` requests of workspaces that always have some waiting; returns the number started for each. */
 const startFromBacklog = (shares: Readonly<Record<string, number>>, count: number): Readonly<Record<string, number>> => {
@@ -84,3 +86,19 @@
 		expect(shares.shareOf('new')).to.equal(0.25);
 	});
 });
+
+describe('a request that looks for a free slot without waiting', () => {
+	it('displaces no waiting request where it finds none', () => {
+		const dispatcher = createDispatcher<DispatchRequest>('a', createRandom(1));
+		dispatcher.setInstances(createInstances(1, 1));
+		const request = (workspace: string, changes: Partial<DispatchRequest> = {}): DispatchRequest => ({
+			requestId: 'r', rank: 1, workspace, isIdempotent: true, isReturning: false, bodyBytes: 0, objectiveAtMs: 1800, finalAtMs: 2200, attemptedIds: [], ...changes,
+		});
+		dispatcher.submit(request('first'), 1000);
+		dispatcher.submit(request('second'), 1000);
+		expect(dispatcher.placeNow(request('first', {isReturning: true, attemptedIds: ['other']}), 1001)).to.equal(undefined);
+		expect(dispatcher.state(1002).contention).to.include({waiting: 1, displaced: 0});
+		expect(dispatcher.poll(1700).filter(({decision}) => decision.type === 'reject')).to.deep.equal([]);
+		expect(dispatcher.state(1701).contention).to.include({displaced: 0});
+	});
+});
--- a/packages/gateway/src/dispatchers.ts
+++ b/packages/gateway/src/dispatchers.ts
@@ -211,11 +211,7 @@
 			});
 		},
 		placeNow(name, request) {
-			const {dispatcher} = serviceOf(name);
-			const waiting: WaitingRequest = {...request, settle: () => undefined};
-			const decision = dispatcher.submit(waiting, nowMs());
-			dispatcher.cancel(waiting);
-			return decision.type === 'send' ? decision.placement : undefined;
+			return serviceOf(name).dispatcher.placeNow({...request, settle: () => undefined}, nowMs());
 		},
 		finish(name, placement, result) {
 			const service = serviceOf(name);
--- a/packages/gateway/src/hedging.ts
+++ b/packages/gateway/src/hedging.ts
@@ -16,10 +16,10 @@
 	readonly threshold: (service: string) => LatencyQuantile | undefined;
 	/** Whether a hedge of this request may start now; counts and logs one that may not. */
 	readonly tryStart: (request: HedgedRequest, room: HedgeRoom) => boolean;
-	/** Logs and counts a hedge that was sent. */
-	readonly recordSent: (request: HedgedRequest, instanceId: string) => void;
-	/** Logs and counts whether the hedge of a request, if one was sent, was answered first. */
-	readonly recordEnd: (request: HedgedRequest, answeringId: string) => void;
+	/** Logs and counts a hedge that was sent; `instanceId` is undefined where no other instance had a free slot, which uses up the limit as well. */
+	readonly recordSent: (request: HedgedRequest, instanceId: string | undefined) => void;
+	/** Logs and counts whether the hedge of a request, if one was sent, was answered first; `answeringId` is undefined where neither attempt was answered. */
+	readonly recordEnd: (request: HedgedRequest, answeringId: string | undefined) => void;
 };
 
 /** A request that is hedged. */
@@ -80,6 +80,12 @@
 			return false;
 		},
 		recordSent(request, instanceId) {
+			if (instanceId === undefined) {
+				metrics.hedges.inc({service: request.service, event: 'no-instance'});
+				log('hedge suppressed', {...describe(request), reason: 'no-instance'});
+				return;
+			}
+
 			sentTo.set(request, instanceId);
 			metrics.hedges.inc({service: request.service, event: 'sent'});
 			log('hedge sent', {...describe(request), instanceId});
@@ -90,9 +96,9 @@
 				return;
 			}
 
-			const hasWon = hedgeId === answeringId;
-			metrics.hedges.inc({service: request.service, event: hasWon ? 'won' : 'cancelled'});
-			log('hedge ended', {...describe(request), hasWon});
+			const event = answeringId === undefined ? 'failed' : (hedgeId === answeringId ? 'won' : 'cancelled');
+			metrics.hedges.inc({service: request.service, event});
+			log('hedge ended', {...describe(request), event});
 		},
 	};
 };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,7 +20,7 @@
 	readonly retries: Counter<'reason'>;
 	/** Retries and hedges that were not made, by reason. */
 	readonly retriesRefused: Counter<'reason'>;
-	/** Hedges against slow answers: `sent`, `won`, `cancelled`, or why one was not sent (`limit-spent`, `no-room`). */
+	/** Hedges against slow answers: `sent`, `won`, `cancelled`, `failed`, or why one was not sent (`limit-spent`, `no-room`, `no-instance`). */
 	readonly hedges: Counter<'service' | 'event'>;
 	/** Attempts by service and result. */
 	readonly attempts: Counter<'service' | 'result'>;
--- a/packages/gateway/src/serve.ts
+++ b/packages/gateway/src/serve.ts
@@ -1,5 +1,6 @@
 /** Handles a caller's request: route, body, placement, attempts and final answer. */
 
+import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {
 	createAnswerSizes,
@@ -156,6 +157,9 @@
 /** Whether the request may have run; false only where it is known that it did not. */
 const mayHaveRunAfter = (outcome: UpstreamOutcome): boolean => outcome.type === 'answered' || outcome.type === 'broken' || (outcome.type === 'aborted' && outcome.isSent);
 
+/** Text as a header value, which Node.js writes a byte for each character. */
+const toHeaderValue = (text: string): string => Buffer.from(text, 'utf8').toString('latin1');
+
 /** Size of the body of an answer, in bytes; what has arrived so far where a streaming answer names no length. */
 const sizeOf = ({headers, chunks}: UpstreamAnswer): number =>
 	Number(headers['content-length'] ?? chunks.reduce((sumBytes, {length}) => sumBytes + length, 0));
@@ -180,7 +184,7 @@
 
 /** Headers of a caller's request that instances don't get as the caller wrote them. */
 const ownHeaders = (names: HeaderNames, isKeyed: boolean): readonly string[] =>
-	[names.deadlineMs, names.targetInstance, ...(isKeyed ? [names.workspace, 'authorization'] : [])];
+	[names.deadlineMs, names.targetInstance, names.workspace, ...(isKeyed ? ['authorization'] : [])];
 
 const kindOf = ({semantics, latencyObjectiveMs}: PrefixRoute): string => requestKind(semantics, latencyObjectiveMs);
 
@@ -348,10 +352,7 @@
 			}
 
 			const second = startSecond(context, [...attemptedIds, instanceId, ...instancesBeside(context.service, instanceId)], attemptedIds.length + 2);
-			if (second !== undefined) {
-				hedging.recordSent(hedged, second.placement.instanceId);
-			}
-
+			hedging.recordSent(hedged, second?.placement.instanceId);
 			return second;
 		},
 	});
@@ -385,7 +386,8 @@
 		}
 
 		if (hedged !== undefined) {
-			hedging.recordEnd(hedged, ended.at(-1)!.placement.instanceId);
+			const {placement: {instanceId}, outcome} = ended.at(-1)!;
+			hedging.recordEnd(hedged, toResult(outcome, false) === 'good' ? instanceId : undefined);
 		}
 
 		return ended;
@@ -665,7 +667,7 @@
 				target: requestTarget.target,
 				headers: {
 					...forwardedHeaders(incoming.headers, ownHeaders(headerNames, access.isKeyed)),
-					...(workspace !== undefined && {[headerNames.workspace]: workspace.name}),
+					...(workspace !== undefined && {[headerNames.workspace]: toHeaderValue(workspace.name)}),
 					host: requestTarget.host,
 				},
 				body: read.body,
--- a/packages/gateway/test/hostile-peers.test.ts
+++ b/packages/gateway/test/hostile-peers.test.ts
@@ -6,7 +6,7 @@
 import {deflateRawSync} from 'node:zlib';
 import {expect} from 'chai';
 import {
-	createCatalogue, createCatalogueSync, createManualClock, createMembership, createRandom, fromReportRows, type EntryHost, type MemberUpdate, type Random,
+	createCatalogue, createCatalogueSync, createManualClock, createMembership, createQuotaGate, createRandom, fromReportRows, type EntryHost, type MemberUpdate, type Random,
 } from '@egretwing/core';
 import {createLogger, encodeFrame, encodeValue} from '@egretwing/node';
 import {defaultHeaderNames, startGateway, type StoreClient} from '@egretwing/gateway';
@@ -224,6 +224,11 @@
 		}, entries: [{instanceId: 'i', revision: 5, record}],
 	}),
 	{type: 'load', service: 's', rows: [['i', 1, 4, null], ['i', 0, null, 5]]},
+	{
+		type: 'quota', report: {
+			upMs: 5000, memoryMs: 5000, rows: [['w', 4, 1, true, 2, 3000]], strayIds: ['g-3'],
+		},
+	},
 	{type: 'join', host: row},
 	{type: 'hosts', hosts: [row]},
 	{
@@ -259,6 +264,8 @@
 		sendReport: () => undefined,
 		onState: () => undefined,
 	});
+	const quotas = createQuotaGate({limits: {windowMs: 5000, overageShare: 0.25, slack: 20}, random, startedAtMs: clock.nowMs()});
+	quotas.setQuotas(new Map([['w', {ratePerSecond: 1, burst: 1}]]));
 	const sent: MeshMessage[] = [];
 	const endpoints: Array<Pick<EntryHost, 'address' | 'peerPort'>> = [];
 	const sendMember = (sends: ReturnType<typeof membership.tick>): void => {
@@ -305,6 +312,11 @@
 					return;
 				}
 
+				case 'quota': {
+					quotas.receive(from.hostId, message.report, clock.nowMs());
+					return;
+				}
+
 				case 'store': {
 					expect(message.isReachable).to.be.a('boolean');
 				}
@@ -317,6 +329,8 @@
 			catalogue.tick(clock.nowMs());
 			catalogue.ready('s');
 			dispatchers.tick();
+			quotas.admit('w', clock.nowMs());
+			quotas.takeReport(700, clock.nowMs());
 		},
 		endpoints: () => endpoints.splice(0),
 		sent: () => sent.splice(0),
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -79,6 +79,7 @@
 		['a version that is not hexadecimal', config({version: 'xyz'})],
 		['a route whose type is no text', config({routes: {columns: routeColumns, rows: [['r', 'a', '/', 7, 1, 1, 1, null, 1, 's']]}})],
 		['a workspace without a name', config({tenants: {columns: ['api_keys'], rows: [[['k']]]}})],
+		['a workspace whose name can be no header value', config({tenants: {columns: ['name', 'api_keys'], rows: [['a\r\nb', ['k']]]}})],
 		['a workspace with a key that is no text', config({tenants: {columns: ['name', 'api_keys'], rows: [['w', [7]]]}})],
 		['a negative rate', config({tenants: {columns: ['name', 'api_keys', 'rate_per_s'], rows: [['w', [], -1]]}})],
 		['a route without a service', config({routes: {columns: routeColumns, rows: [['r', 'a', '/', 'safe', 1, 1, 1, null, 1, null]]}})],
