fix(gateway): instances missing from a full read just after an outage may register again

They are kept until the deadline for all removals after an outage, as where the watch shows the removal. The new case of the test fails before.

--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -199,7 +199,7 @@
 		options.onRead(topic, {
 			...read,
 			entries: read.entries.map(entry => markLapsed(entry, usableForMs)),
-			...(isFull && recoveredAtMs === eraChangedAtMs && {missingUsableForMs: usableForMs}),
+			...(isFull && {missingUsableForMs: usableForMs}),
 		}, isFull);
 	};
 
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -97,6 +97,12 @@
 
 describe('reader of the store', () => {
 	const cases: ReadonlyArray<{readonly title: string; readonly steps: readonly Step[]; readonly knownAsOf?: number; readonly calls: readonly string[]; readonly reported: readonly string[]}> = [
+		{
+			title: 'keeps instances that are missing from a full read after an outage, while they may register again',
+			steps: [{answer: read(8)}, {answer: Err('silent'), tookMs: 1500}, {answer: Err('history-gone')}, {answer: read(30)}],
+			calls: ['all', 'watch 8', 'watch 8', 'all'],
+			reported: ['full 8', 'silent', 'reachable', 'full 30 missing usable for 2500'],
+		},
 		{
 			title: 'reads everything first and watches from there',
 			steps: [{answer: read(5)}, {answer: read(7)}, {answer: read(7)}],
