fix(node): one turn of parsing at a time, also after an error; uploads that have begun are not the stalest

An error in one slice stopped the parsing of all connections for good. A connection whose request had just begun was closed before idle ones at the limit of connections, since only its last answer counted. The new tests fail before.

--- a/packages/node/src/connection-limit.ts
+++ b/packages/node/src/connection-limit.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the open connections of a server. Beyond the limit, a new connection takes the place of the one whose last answer, or
- * whose opening, is the longest ago; one without a request in progress goes first.
+ * Bounds the open connections of a server. Beyond the limit, a new connection takes the place of the one whose last head or answer, or
+ * whose opening, is the longest ago; one that is not busy goes first.
  */
 
 import type http from 'node:http';
@@ -56,11 +56,19 @@
 			connections.delete(socket);
 		});
 	});
-	server.on('request', ({socket}: http.IncomingMessage, response: http.ServerResponse) => {
+	const moveToEnd = (socket: net.Socket): void => {
+		if (connections.delete(socket)) {
+			connections.add(socket);
+		}
+	};
+
+	const recordRequest = ({socket}: http.IncomingMessage, response: http.ServerResponse): void => {
+		moveToEnd(socket);
 		response.once('finish', () => {
-			if (connections.delete(socket)) {
-				connections.add(socket);
-			}
+			moveToEnd(socket);
 		});
-	});
+	};
+
+	server.on('request', recordRequest);
+	server.on('checkExpectation', recordRequest);
 };
--- a/packages/node/src/slice-queue.ts
+++ b/packages/node/src/slice-queue.ts
@@ -16,31 +16,43 @@
 
 /** Creates the queue; `isShort` says that the process should parse little at a time. */
 export const createSliceQueue = (isShort: () => boolean): SliceQueue => {
-	let waiting = new Set<() => number>();
+	const waiting = new Set<() => number>();
+	let isScheduled = false;
 
-	const run = (): void => {
+	/** One turn at a time is scheduled: a connection adds itself again while its slice is parsed. */
+	const schedule = (): void => {
+		if (!isScheduled && waiting.size > 0) {
+			isScheduled = true;
+			setImmediate(run);
+		}
+	};
+
+	const parseSome = (): void => {
 		let leftBytes = isShort() ? shortTurnBytes : turnBytes;
 		const untilMs = performance.now() + turnMs;
 		for (const pump of waiting) {
 			waiting.delete(pump);
 			leftBytes -= pump();
 			if (leftBytes <= 0 || performance.now() > untilMs) {
-				break;
+				return;
 			}
 		}
+	};
 
-		if (waiting.size > 0) {
-			setImmediate(run);
+	const run = (): void => {
+		try {
+			parseSome();
+		} finally {
+			// An error of one connection leaves the others their turn.
+			isScheduled = false;
+			schedule();
 		}
 	};
 
 	return {
 		add(pump) {
-			if (waiting.size === 0) {
-				setImmediate(run);
-			}
-
-			waiting = waiting.add(pump);
+			waiting.add(pump);
+			schedule();
 		},
 	};
 };
--- a/packages/node/test/connection-limit.test.ts
+++ b/packages/node/test/connection-limit.test.ts
@@ -20,6 +20,35 @@
 		});
 	}
 
+	it('closes an idle connection rather than one whose request has just begun to arrive', async () => {
+		const server = http.createServer((request, response) => {
+			request.resume();
+			request.once('end', () => {
+				response.end('served');
+			});
+		});
+		limitConnections(server, {maxConnections: 2, isBusy: () => false, onClosed: () => undefined});
+		const port = await listen(server, 0, address);
+		const connect = async (): Promise<net.Socket> => {
+			const socket = net.connect({host: address, port});
+			socket.on('error', () => undefined);
+			await once(socket, 'connect');
+			return socket;
+		};
+
+		const uploading = await connect();
+		const idle = await connect();
+		const began = once(server, 'request');
+		uploading.write('POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\na');
+		await began;
+		await Promise.all([connect(), once(idle, 'close')]);
+		uploading.write('b');
+		const [answer] = await once(uploading, 'data') as [Uint8Array];
+		expect(String(answer).endsWith('served')).to.equal(true);
+		server.close();
+		server.closeAllConnections();
+	});
+
 	it('closes the stalest connection for a new one, and serves the others', async () => {
 		const server = http.createServer((_request, response) => {
 			response.end('served');
