--- a/review/lib-2/stand.mjs
+++ b/review/lib-2/stand.mjs
@@ -68,6 +68,9 @@
 const startedAtMs = performance.now();
 const lines = [];
 
+/** Processes that have not ended. */
+const children = new Set();
+
 /** Adds a line to the record. */
 export const note = (kind, fields = {}) => {
 	const line = `${((performance.now() - startedAtMs) / 1000).toFixed(3)} ${kind} ${JSON.stringify(fields)}`;
@@ -369,6 +372,7 @@
 	const start = () => {
 		const child = spawn(command[0], command.slice(1), {cwd: root, env: {EGRETWING_CONFIG: settings, PATH: process.env.PATH, HOME: process.env.HOME}, stdio: ['ignore', 'pipe', 'pipe']});
 		gateway.child = child;
+		children.add(child);
 		note('gateway started', {pid: child.pid});
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.setEncoding('utf8').on('data', text => {
@@ -379,6 +383,7 @@
 		}
 
 		child.once('exit', (code, signal) => {
+			children.delete(child);
 			const end = {
 				pid: child.pid, code, signal, atMs: nowMs(),
 			};
@@ -448,6 +453,13 @@
 			await close();
 		}
 
+		for (const child of children) {
+			child.kill('SIGKILL');
+		}
+
+		await Promise.all([...children].map(async child => new Promise(resolve => {
+			child.once('exit', resolve);
+		})));
 		process.exit(exitCode);
 	};
 
