--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -4,10 +4,14 @@
  * The instance serves on for some seconds after its entry is gone, as instances do that never report that they drain, and ends then.
  */
 /* eslint no-await-in-loop: off -- the steps come one after the other */
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	configOf, createCallers, deployments, hasTrouble, names, note, nowMs, pickAddress, pickPorts, runCase, startGateway, startInstance, startStore, waitFor,
-} from '../lib-2/stand.mjs';
+	configOf, createCallers, deployments, names, note, nowMs, pickAddress, pickPorts, runCase, startGateway, startInstance, startStore, waitFor,
+} from '../stand-2.mjs';
+
+/** TROUBLE=0 plays the case without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const deployment = deployments.vltava;
 const {drain_ms: drainMs, contact_ms: contactMs} = deployment.bounds;
@@ -26,7 +30,7 @@
 const servesOnMs = 6000;
 const afterEndMs = 2000;
 
-await runCase('7', async onEnd => {
+await runCase({recordFile: 'review/7/record.txt', hasTrouble}, async onEnd => {
 	const address = pickAddress();
 	const store = await startStore(address);
 	onEnd(store.close);
--- a/review/lib-2/answer-heads.mjs
+++ b/review/answer-heads-2.mjs
@@ -4,14 +4,17 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	configOf, createCallers, deployments, hasTrouble, lostOf, names, note, nowMs, pickAddress, runCase, startGateway, startInstance, startStore,
-} from './stand.mjs';
+	configOf, createCallers, deployments, lostOf, names, note, nowMs, pickAddress, runCase, startGateway, startInstance, startStore,
+} from './stand-2.mjs';
+
+/** TROUBLE=0 plays the case without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const deployment = deployments.vltava;
 const deadlineMs = 6196;
 const instanceCount = Number(process.env.INSTANCES ?? 70);
 const callerCount = Number(process.env.CALLERS ?? 260);
-await runCase('lib-2', async onEnd => {
+await runCase({recordFile: 'target/answer-heads-2.txt', hasTrouble}, async onEnd => {
 	const address = pickAddress();
 	const store = await startStore(address);
 	onEnd(store.close);
--- a/review/lib-2/slashes.mjs
+++ b/review/slashes-2.mjs
@@ -1,9 +1,13 @@
 /** A trial of the report, not a case: callers ask, one request after the other, for a path without a route that consists of slashes. */
 /* eslint no-await-in-loop: off -- the steps come one after the other */
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	callerLimits, configOf, createCallers, deployments, hasTrouble, note, nowMs, pickAddress, runCase, startGateway, startInstance, startStore,
-} from './stand.mjs';
+	callerLimits, configOf, createCallers, deployments, note, nowMs, pickAddress, runCase, startGateway, startInstance, startStore,
+} from './stand-2.mjs';
+
+/** TROUBLE=0 plays the case without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const deployment = deployments.tierlabs;
 const timeoutMs = 3000;
@@ -14,7 +18,7 @@
 const pathBytes = 3900;
 const playMs = 20_000;
 
-await runCase('lib-2', async onEnd => {
+await runCase({recordFile: 'target/slashes-2.txt', hasTrouble}, async onEnd => {
 	const address = pickAddress();
 	const store = await startStore(address);
 	onEnd(store.close);
--- a/review/lib-2/stand.mjs
+++ b/review/stand-2.mjs
@@ -17,11 +17,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
-/** Root of the repository: two folders above this file, and above the program that is bundled from it. */
-export const root = fileURLToPath(new URL('../../', import.meta.url));
-
-/** Whether the run has its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
+/** Root of the repository: one folder above this file, and above the program that is bundled from it. */
+export const root = fileURLToPath(new URL('../', import.meta.url));
 
 export const names = {
 	requestId: 'x-egretwing-request-id',
@@ -439,7 +436,7 @@
 const maxRunMs = 110_000;
 
 /** Runs a case: `play` returns the faults that it saw. Writes the record, and ends with 1 if there are any, 0 if there are none, and 2 if it could not run. */
-export const runCase = async (folder, play) => {
+export const runCase = async ({recordFile, hasTrouble}, play) => {
 	const closers = [];
 	let isEnding = false;
 	const end = async exitCode => {
@@ -448,7 +445,7 @@
 		}
 
 		isEnding = true;
-		writeFileSync(path.join(root, 'review', folder, 'record.txt'), `${lines.join('\n')}\n`);
+		writeFileSync(path.join(root, recordFile), `${lines.join('\n')}\n`);
 		for (const close of closers.toReversed()) {
 			await close();
 		}
