feat(gateway): log how a change of an instance arrived and up to where the gateway knew them

A request that reached an instance which had left could be followed to the line that brought the instance in, but not to whether that entry was older than what the gateway knew. `instance changed` now has the type of the peer's message and the revision up to which the instances were known before.

--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -41,6 +41,10 @@
 export type CatalogueChange = {
 	/** Id of the peer that sent the change, or `store`. */
 	readonly source: string;
+	/** Type of the peer's message. */
+	readonly messageType?: 'news' | 'state';
+	/** Order in the store up to which this gateway knew the instances before; -1 for none. */
+	readonly knownAsOf: number;
 	readonly config?: FleetConfig;
 	readonly entries: readonly InstanceEntry[];
 };
@@ -137,7 +141,8 @@
 		history.recordState(instances, instancesAsOf, nowMs);
 	};
 
-	const merge = (source: string, {config, entries = [], instancesAsOf = -1}: StoreRead, nowMs: number): MergedChange | undefined => {
+	const merge = ({source, messageType}: Pick<CatalogueChange, 'source' | 'messageType'>, {config, entries = [], instancesAsOf = -1}: StoreRead, nowMs: number): MergedChange | undefined => {
+		const knownAsOf = catalogue.digest().instancesAsOf;
 		const hadInstances = hasAllInstances();
 		const wasComplete = hasAllInstances(instancesAsOf);
 		const isNewConfig = config !== undefined && catalogue.mergeConfig(config);
@@ -154,7 +159,9 @@
 			urgentChangeAtMs = nowMs;
 		}
 
-		const change: CatalogueChange = {source, entries: merged, ...(isNewConfig && {config})};
+		const change: CatalogueChange = {
+			source, knownAsOf, entries: merged, ...(messageType !== undefined && {messageType}), ...(isNewConfig && {config}),
+		};
 		onChange(change);
 		return {...change, isFirstComplete};
 	};
@@ -253,7 +260,7 @@
 		// Changes alone don't complete a catalogue: instances that were registered before, or are there in a later era, are pulled.
 		const isIncomplete = !hasAllInstances(message.instancesAsOf);
 		const asOf = isIncomplete ? -1 : message.instancesAsOf;
-		const change = merge(from, {...message, instancesAsOf: asOf}, nowMs);
+		const change = merge({source: from, messageType: 'news'}, {...message, instancesAsOf: asOf}, nowMs);
 		return [
 			...forward(change, from),
 			...pullConfig(from, message.configVersion, nowMs),
@@ -362,7 +369,7 @@
 			: entries;
 
 	return {
-		applyStoreRead: (read, nowMs) => announce(merge('store', read, nowMs), selectReaderPeers),
+		applyStoreRead: (read, nowMs) => announce(merge({source: 'store'}, read, nowMs), selectReaderPeers),
 		receive(from, message, nowMs) {
 			switch (message.type) {
 				case 'news': {
@@ -390,7 +397,7 @@
 					}
 
 					const entries = entriesOfState(message);
-					const change = merge(from, {...message, ...(entries !== undefined && {entries})}, nowMs);
+					const change = merge({source: from, messageType: 'state'}, {...message, ...(entries !== undefined && {entries})}, nowMs);
 					return [...forward(change, from), ...sendNewer(from, message)];
 				}
 			}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,7 +183,9 @@
 			const host = fleet.hosts().get(id);
 			return host !== undefined && mesh.isReceivingFrom(host);
 		},
-		onChange({source, config, entries}) {
+		onChange({
+			source, messageType, knownAsOf, config, entries,
+		}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
 				access = createWorkspaceAccess(config, digestKey);
@@ -205,7 +207,7 @@
 
 			for (const {instanceId, revision, record, isLapsed} of entries) {
 				logger.info('instance changed', {
-					instanceId, revision: revisionOf(revision), service: record?.service, state: record?.state ?? 'removed', isLapsed, source,
+					instanceId, revision: revisionOf(revision), service: record?.service, state: record?.state ?? 'removed', isLapsed, source, messageType, knownAsOf: revisionOf(knownAsOf),
 				});
 			}
 		},
