fix(core): an instance that has left does not come back from a gateway that missed its removal

What callers saw: an instance left while one gateway stood still and the others were killed and started again.

Cause: a removal was known only by an entry of its own. The holder of the old entry, in turn, did not drop what the complete state of a peer lacked. Both then held the same, and no reader looks at the whole store again.

Each gateway now knows up to which order it knows all instances without a gap: from a full read, the changes that follow it, the complete state of a peer, or a peer that holds the same. Up to there the absence of an id is knowledge: an older entry of an unknown id is taken for removed, which is told to all as any removal; what the later state of a peer lacks is removed as by a full read. The order of the newest message does not tell that, since messages before it may have been lost. Where a start or an outage of the store leaves open whether a registration has only lapsed, the instance stays in use for the rest of that time. A reader goes on from where nothing is missing here. A gateway whose last complete knowledge is older than the removals that a peer still has entries of gets all instances at once.

--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -11,6 +11,7 @@
  */
 
 import {reconcileFullRead, type Catalogue} from '../catalogue/catalogue.ts';
+import type {Coverage} from '../catalogue/completeness.ts';
 import {eraOf} from '../catalogue/store-order.ts';
 import type {FleetConfig, InstanceEntry} from '../catalogue/types.ts';
 import {sampleItems, type Random} from '../random.ts';
@@ -55,6 +56,8 @@
 	readonly entries?: readonly InstanceEntry[];
 	/** Order in the store up to which the instances are known; absent when they were not read. */
 	readonly instancesAsOf?: number;
+	/** The changes that the entries hold without a gap; absent when some may be missing. */
+	readonly coverage?: Coverage;
 };
 
 /** Catalogue synchronisation of one gateway. */
@@ -67,12 +70,19 @@
 	readonly takeUnresponsivePeers: () => readonly string[];
 };
 
+type PeerState = Extract<CatalogueMessage, {type: 'state'}>;
+
 /** Result of a merge. */
 type MergedChange = CatalogueChange & {
 	/** True when all instances of the store, or of its present era, became known by this merge. */
 	readonly isFirstComplete: boolean;
+	/** What to tell others: the changes, and where the entries have no gap all of them. */
+	readonly update: Update;
 };
 
+/** Changes of instances, as one gateway tells another. */
+type Update = Pick<Extract<CatalogueMessage, {type: 'news'}>, 'entries' | 'coverage'>;
+
 /** A state of a peer that is not in this gateway's history. */
 type UnknownState = {
 	readonly sum: number;
@@ -141,12 +151,24 @@
 		history.recordState(instances, instancesAsOf, nowMs);
 	};
 
-	const merge = ({source, messageType}: Pick<CatalogueChange, 'source' | 'messageType'>, {config, entries = [], instancesAsOf = -1}: StoreRead, nowMs: number): MergedChange | undefined => {
+	const toUpdate = (merged: readonly InstanceEntry[], entries: readonly InstanceEntry[], coverage: Coverage | undefined): Update => {
+		if (coverage === undefined || coverage.sinceAsOf === -1) {
+			return {entries: merged};
+		}
+
+		const changed = new Set(merged);
+		const {sinceAsOf, asOf} = coverage;
+		return {entries: [...merged, ...entries.filter(entry => !changed.has(entry))], coverage: {sinceAsOf, asOf}};
+	};
+
+	const merge = ({source, messageType}: Pick<CatalogueChange, 'source' | 'messageType'>, {
+		config, entries = [], instancesAsOf = -1, coverage,
+	}: StoreRead, nowMs: number): MergedChange | undefined => {
 		const knownAsOf = catalogue.digest().instancesAsOf;
 		const hadInstances = hasAllInstances();
 		const wasComplete = hasAllInstances(instancesAsOf);
 		const isNewConfig = config !== undefined && catalogue.mergeConfig(config);
-		const merged = catalogue.mergeInstances(entries, instancesAsOf, nowMs);
+		const merged = catalogue.mergeInstances(entries, instancesAsOf, nowMs, coverage);
 		recordState(nowMs);
 		history.recordMerged(merged, nowMs);
 		const isFirstComplete = !wasComplete && hasAllInstances(instancesAsOf);
@@ -163,18 +185,27 @@
 			source, knownAsOf, entries: merged, ...(messageType !== undefined && {messageType}), ...(isNewConfig && {config}),
 		};
 		onChange(change);
-		return {...change, isFirstComplete};
+		return {...change, isFirstComplete, update: toUpdate(merged, entries, coverage)};
 	};
 
-	const toUpdateMessage = (entries: readonly InstanceEntry[]): CatalogueMessage => ({
+	const toUpdateMessage = (update: Update): CatalogueMessage => ({
 		type: 'news',
-		entries,
+		...update,
 		instancesAsOf: catalogue.digest().instancesAsOf,
 		configVersion: catalogue.digest().configVersion,
 	});
 
+	const certainCompleteness = (): {readonly completeAsOf?: number} => {
+		const {asOf, lapsesUntilMs} = catalogue.completeness();
+		return asOf === -1 || lapsesUntilMs !== undefined ? {} : {completeAsOf: asOf};
+	};
+
 	const compareTo = (to: string, isReply: boolean): CatalogueSend => ({
-		to, message: {type: 'compare', digest: catalogue.digest(), ...(isReply && {isReply})}, transport: 'datagram',
+		to,
+		message: {
+			type: 'compare', digest: catalogue.digest(), ...certainCompleteness(), ...(isReply && {isReply}),
+		},
+		transport: 'datagram',
 	});
 
 	const compareWithRandomPeers = (count: number): readonly CatalogueSend[] => sampleItems(peerIds(), count, random).map(to => compareTo(to, false));
@@ -188,12 +219,12 @@
 			return receivers().map(to => compareTo(to, false));
 		}
 
-		const message = toUpdateMessage(change.entries);
+		const message = toUpdateMessage(change.update);
 		return receivers().map(to => ({to, message, transport: 'stream'}));
 	};
 
 	const sendEntries = (to: string, entries: readonly InstanceEntry[]): readonly CatalogueSend[] =>
-		entries.length === 0 ? [] : [{to, message: toUpdateMessage(entries), transport: 'stream'}];
+		entries.length === 0 ? [] : [{to, message: toUpdateMessage({entries}), transport: 'stream'}];
 
 	const forward = (change: MergedChange | undefined, from: string): readonly CatalogueSend[] => announce(change, () => selectLocalPeers(updateFanout, from));
 
@@ -256,6 +287,12 @@
 		return [...advance(configPull, id => createPull(id, true, false), nowMs), ...advance(instancesPull, id => createPull(id, false, true), nowMs)];
 	};
 
+	/** Tells a peer of the instances that were removed since the entries that it sent, which others may not tell it: they know no more of the removal. */
+	const sendRemovals = (to: string, sent: readonly InstanceEntry[], change: MergedChange | undefined): readonly CatalogueSend[] => {
+		const known = new Set(sent);
+		return sendEntries(to, (change?.entries ?? []).filter(entry => !known.has(entry)));
+	};
+
 	const receiveUpdate = (from: string, message: Extract<CatalogueMessage, {type: 'news'}>, nowMs: number): readonly CatalogueSend[] => {
 		// Changes alone don't complete a catalogue: instances that were registered before, or are there in a later era, are pulled.
 		const isIncomplete = !hasAllInstances(message.instancesAsOf);
@@ -263,25 +300,30 @@
 		const change = merge({source: from, messageType: 'news'}, {...message, instancesAsOf: asOf}, nowMs);
 		return [
 			...forward(change, from),
+			...sendRemovals(from, message.entries, change),
 			...pullConfig(from, message.configVersion, nowMs),
 			...(isIncomplete && message.instancesAsOf !== -1 ? pullInstancesOf(from, message.instancesAsOf, nowMs) : []),
 		];
 	};
 
 	const answerPull = (from: string, {
-		configVersion, wantsInstances, afterRevision, takesPacked,
-	}: Extract<CatalogueMessage, {type: 'pull'}>): readonly CatalogueSend[] => {
-		if (afterRevision !== undefined) {
+		configVersion, wantsInstances, afterRevision, completeAsOf, takesPacked,
+	}: Extract<CatalogueMessage, {type: 'pull'}>, nowMs: number): readonly CatalogueSend[] => {
+		const {asOf, removalsSinceAsOf, lapsesUntilMs} = catalogue.completeness();
+		const isChangesOnly = afterRevision !== undefined && (completeAsOf === undefined || completeAsOf >= removalsSinceAsOf);
+		if (isChangesOnly) {
 			return sendEntries(from, catalogue.entries().filter(({revision}) => revision > afterRevision));
 		}
 
 		const config = catalogue.config();
+		const sendsInstances = wantsInstances || afterRevision !== undefined;
 		const isNewer = config !== undefined && config.version > configVersion;
 		const message: CatalogueMessage = {
 			type: 'state',
-			instancesAsOf: wantsInstances ? catalogue.digest().instancesAsOf : -1,
+			instancesAsOf: sendsInstances ? catalogue.digest().instancesAsOf : -1,
 			...(isNewer && {config}),
-			...(wantsInstances && {entries: catalogue.entries()}),
+			...(sendsInstances && {entries: catalogue.entries()}),
+			...(sendsInstances && asOf !== -1 && {completeAsOf: asOf, ...(lapsesUntilMs !== undefined && {lapsesForMs: Math.max(0, lapsesUntilMs - nowMs)})}),
 			...(takesPacked && {isPacked: true}),
 		};
 		return [{to: from, message, transport: 'stream'}];
@@ -308,10 +350,21 @@
 		return replyTo(from, isReply);
 	};
 
+	/** Equal instances are complete up to the same order. */
+	const adoptCompleteness = ({digest, completeAsOf}: Extract<CatalogueMessage, {type: 'compare'}>): void => {
+		if (completeAsOf !== undefined && digest.instances === catalogue.digest().instances) {
+			catalogue.adoptCompleteness(completeAsOf);
+		}
+	};
+
 	const compareWith = (from: string, message: Extract<CatalogueMessage, {type: 'compare'}>, nowMs: number): readonly CatalogueSend[] => {
 		const {digest, isReply} = message;
 		const isOwnComplete = hasAllInstances(digest.instancesAsOf);
 		const isPeerComplete = digest.instancesAsOf !== -1 && eraOf(digest.instancesAsOf) >= eraOf(catalogue.digest().instancesAsOf);
+		if (isPeerComplete && isOwnComplete) {
+			adoptCompleteness(message);
+		}
+
 		const isPeerBehind = (isOwnComplete && !isPeerComplete) || catalogue.digest().configVersion > digest.configVersion;
 		return [
 			...(isPeerComplete && !isOwnComplete ? pullInstancesOf(from, digest.instancesAsOf, nowMs) : []),
@@ -328,8 +381,13 @@
 		}
 
 		isDifferenceUnresolved = true;
+		const {asOf} = catalogue.completeness();
 		const message: CatalogueMessage = {
-			type: 'pull', configVersion: Number.MAX_SAFE_INTEGER, wantsInstances: false, afterRevision: history.oldestAsOf(),
+			type: 'pull',
+			configVersion: Number.MAX_SAFE_INTEGER,
+			wantsInstances: false,
+			afterRevision: history.oldestAsOf(),
+			...(asOf !== -1 && {completeAsOf: asOf, takesPacked: true}),
 		};
 		return [{to: id, message, transport: 'datagram'}];
 	};
@@ -353,7 +411,7 @@
 	};
 
 	/** Sends a peer that sent its complete state the entries in which it is behind. */
-	const sendNewer = (to: string, {entries, instancesAsOf}: Extract<CatalogueMessage, {type: 'state'}>): readonly CatalogueSend[] => {
+	const sendNewer = (to: string, {entries, instancesAsOf}: PeerState): readonly CatalogueSend[] => {
 		if (entries === undefined || instancesAsOf === -1) {
 			return [];
 		}
@@ -362,14 +420,62 @@
 		return sendEntries(to, catalogue.entries().filter(({instanceId, revision}) => revision > (revisions.get(instanceId) ?? -1)));
 	};
 
-	/** Entries of a complete state; in a later era of the store, those that are missing from it may register again. */
-	const entriesOfState = ({entries, instancesAsOf}: Extract<CatalogueMessage, {type: 'state'}>): readonly InstanceEntry[] | undefined =>
-		entries !== undefined && instancesAsOf !== -1 && hasAllInstances() && !hasAllInstances(instancesAsOf)
-			? reconcileFullRead(entries, instancesAsOf, catalogue.entries(), {})
+	/**
+	 * Entries of a peer's state, and removals of those that it lacks: in a later era of the store they may register again; otherwise they
+	 * are gone where the peer knows all instances up to a later order than this gateway.
+	 */
+	const entriesOfState = ({entries, instancesAsOf, completeAsOf = -1, lapsesForMs}: PeerState): readonly InstanceEntry[] | undefined => {
+		if (entries === undefined || instancesAsOf === -1) {
+			return entries;
+		}
+
+		if (hasAllInstances() && !hasAllInstances(instancesAsOf)) {
+			return reconcileFullRead(entries, instancesAsOf, catalogue.entries(), {});
+		}
+
+		return completeAsOf > catalogue.completeness().asOf
+			? reconcileFullRead(entries, completeAsOf, catalogue.entries(), lapsesForMs === undefined ? false : {usableForMs: lapsesForMs})
 			: entries;
+	};
+
+	const coverageOfState = ({completeAsOf, lapsesForMs}: PeerState, nowMs: number): Coverage | undefined => completeAsOf === undefined
+		? undefined
+		: {sinceAsOf: -1, asOf: completeAsOf, ...(lapsesForMs !== undefined && {lapsesUntilMs: nowMs + lapsesForMs})};
+
+	const receiveState = (from: string, message: PeerState, nowMs: number): readonly CatalogueSend[] => {
+		// An incomplete or outdated state is an answer as well; comparisons find peers that have more.
+		if (message.entries !== undefined) {
+			instancesPull.end();
+			wantedAsOf = 0;
+		}
+
+		if (message.config !== undefined) {
+			configPull.end();
+			wantedVersion = 0;
+		}
+
+		const entries = entriesOfState(message);
+		const coverage = coverageOfState(message, nowMs);
+		const change = merge({source: from, messageType: 'state'}, {
+			instancesAsOf: message.instancesAsOf,
+			...(message.config !== undefined && {config: message.config}),
+			...(entries !== undefined && {entries}),
+			...(coverage !== undefined && {coverage}),
+		}, nowMs);
+		return [...forward(change, from), ...sendNewer(from, message)];
+	};
+
+	/** A watch continues from the last change, since nothing has changed until the order that it began at. */
+	const fromLastChange = (read: StoreRead): StoreRead => {
+		const {asOf, changedAsOf} = catalogue.completeness();
+		const {coverage} = read;
+		return coverage === undefined || coverage.sinceAsOf === -1 || coverage.sinceAsOf > asOf
+			? read
+			: {...read, coverage: {...coverage, sinceAsOf: Math.min(coverage.sinceAsOf, changedAsOf)}};
+	};
 
 	return {
-		applyStoreRead: (read, nowMs) => announce(merge({source: 'store'}, read, nowMs), selectReaderPeers),
+		applyStoreRead: (read, nowMs) => announce(merge({source: 'store'}, fromLastChange(read), nowMs), selectReaderPeers),
 		receive(from, message, nowMs) {
 			switch (message.type) {
 				case 'news': {
@@ -381,24 +487,11 @@
 				}
 
 				case 'pull': {
-					return answerPull(from, message);
+					return answerPull(from, message, nowMs);
 				}
 
 				case 'state': {
-					// An incomplete or outdated state is an answer as well; comparisons find peers that have more.
-					if (message.entries !== undefined) {
-						instancesPull.end();
-						wantedAsOf = 0;
-					}
-
-					if (message.config !== undefined) {
-						configPull.end();
-						wantedVersion = 0;
-					}
-
-					const entries = entriesOfState(message);
-					const change = merge({source: from, messageType: 'state'}, {...message, ...(entries !== undefined && {entries})}, nowMs);
-					return [...forward(change, from), ...sendNewer(from, message)];
+					return receiveState(from, message, nowMs);
 				}
 			}
 		},
--- a/packages/core/src/catalogue/catalogue.ts
+++ b/packages/core/src/catalogue/catalogue.ts
@@ -6,6 +6,9 @@
  */
 
 import {hashText} from '../random.ts';
+import {
+	adoptCompleteness, expireLapses, extendCompleteness, forgetRemoval, nothingComplete, removalByAbsence, type Completeness, type Coverage,
+} from './completeness.ts';
 import {lapsedRetentionMs, lostRetentionMs, removedRetentionMs} from './constants.ts';
 import {
 	decideAtEraChange, isOfLaterEra, type BeforeEra, type EraDecision,
@@ -30,8 +33,11 @@
 export type Catalogue = {
 	/** Replaces the configuration; returns false when the given one is not newer. */
 	readonly mergeConfig: (config: FleetConfig) => boolean;
-	/** Merges instance entries, read at the order `asOf` of the store, and returns those that changed the catalogue. */
-	readonly mergeInstances: (entries: readonly InstanceEntry[], asOf: number, nowMs: number) => readonly InstanceEntry[];
+	/**
+	 * Merges instance entries, read at the order `asOf` of the store, and returns what changed the catalogue: the entries, and removals in
+	 * place of those that are older than the removal of their instance. `coverage` tells which changes the entries hold without a gap; absent where that is not known.
+	 */
+	readonly mergeInstances: (entries: readonly InstanceEntry[], asOf: number, nowMs: number, coverage?: Coverage) => readonly InstanceEntry[];
 	/** Records that a run of an instance has announced that it leaves; returns false when that is known. Only the registration of another run ends it. */
 	readonly markLeaving: (run: InstanceRun, nowMs: number) => boolean;
 	readonly config: () => FleetConfig | undefined;
@@ -39,6 +45,9 @@
 	readonly ready: (service: string) => readonly LiveInstance[];
 	readonly entries: () => readonly InstanceEntry[];
 	readonly digest: () => CatalogueDigest;
+	readonly completeness: () => Completeness;
+	/** Records that a peer with the same instances knows all of them up to `asOf`. */
+	readonly adoptCompleteness: (asOf: number) => void;
 	/** True once both the configuration and the instances are known. */
 	readonly isComplete: () => boolean;
 	/** Increases whenever the result of `ready` may have changed. */
@@ -66,6 +75,7 @@
 	let config: FleetConfig | undefined;
 	let digestSum = 0;
 	let asOfRevision = -1;
+	let completeness = nothingComplete;
 	let version = 0;
 
 	const markChanged = (): void => {
@@ -131,23 +141,31 @@
 		}
 	};
 
-	const merge = (entry: InstanceEntry, nowMs: number): boolean => {
+	/** Returns what came into force; undefined when that is not newer than what is known. */
+	const merge = (entry: InstanceEntry, nowMs: number): InstanceEntry | undefined => {
 		const previous = known.get(entry.instanceId);
 		if (entry.record !== null && eraOf(entry.revision) < eraOf(asOfRevision)) {
 			// The store has lost it, and all that is there in the later era is known.
-			return false;
+			return undefined;
+		}
+
+		const removal = previous === undefined ? removalByAbsence(completeness, entry, nowMs) : undefined;
+		if (removal !== undefined) {
+			digestSum += digestOf(removal);
+			known.set(entry.instanceId, toKnownInstance(removal, toKnownInstance(entry, undefined, nowMs), nowMs));
+			return removal;
 		}
 
 		const knownRevision = previous?.entry.revision ?? -1;
 		// A reader without an outage of the store knows that the instance was removed and did not lapse.
 		const confirmsRemoval = knownRevision === entry.revision && previous?.entry.isLapsed === true && entry.isLapsed !== true;
 		if (knownRevision >= entry.revision && !confirmsRemoval) {
-			return false;
+			return undefined;
 		}
 
 		digestSum += digestOf(entry) - (previous === undefined ? 0 : digestOf(previous.entry));
 		known.set(entry.instanceId, toKnownInstance(entry, previous, nowMs));
-		return true;
+		return entry;
 	};
 
 	const computeReady = (service: string): readonly LiveInstance[] => [...known.values()]
@@ -174,6 +192,7 @@
 		if (entry.record === null && nowMs - receivedAtMs >= removedRetentionMs) {
 			digestSum -= digestOf(entry);
 			known.delete(id);
+			completeness = forgetRemoval(completeness, entry);
 		}
 	};
 
@@ -186,13 +205,17 @@
 			config = next;
 			return true;
 		},
-		mergeInstances(entries, asOf, nowMs) {
-			const changed = entries.filter(entry => merge(entry, nowMs));
+		mergeInstances(entries, asOf, nowMs, coverage) {
+			const changed = entries.map(entry => merge(entry, nowMs)).filter(entry => entry !== undefined);
 			if (changed.length > 0) {
 				markChanged();
 			}
 
 			asOfRevision = Math.max(asOfRevision, asOf);
+			if (coverage !== undefined) {
+				completeness = extendCompleteness(completeness, entries, coverage);
+			}
+
 			return changed;
 		},
 		markLeaving(run, nowMs) {
@@ -211,9 +234,14 @@
 		},
 		entries: () => Array.from(known.values(), ({entry}) => entry),
 		digest: () => ({configVersion: config?.version ?? 0, instances: digestSum, instancesAsOf: asOfRevision}),
+		completeness: () => completeness,
+		adoptCompleteness(asOf) {
+			completeness = adoptCompleteness(completeness, asOf);
+		},
 		isComplete: () => config !== undefined && asOfRevision >= 0,
 		version: () => version,
 		tick(nowMs) {
+			completeness = expireLapses(completeness, nowMs);
 			for (const [id, value] of known) {
 				expire(id, value, nowMs);
 			}
--- a/packages/core/src/catalogue/index.ts
+++ b/packages/core/src/catalogue/index.ts
@@ -2,6 +2,7 @@
 
 export {createCatalogue, reconcileFullRead} from './catalogue.ts';
 export type {Catalogue, CatalogueDigest} from './catalogue.ts';
+export type {Completeness, Coverage} from './completeness.ts';
 export {createPrefixRouteTable, pickService} from './prefix-routes.ts';
 export type {PrefixRouteTable} from './prefix-routes.ts';
 export {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -66,8 +66,8 @@
 	createCatalogue, createPrefixRouteTable, eraOf, maxEra, pickService, reconcileFullRead, revisionOf, revisionsPerEra, toStoreOrder,
 } from './catalogue/index.ts';
 export type {
-	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute, PrefixRouteTable, WeightedService,
-	Workspace, WorkspaceQuota,
+	CallerLimits, Catalogue, CatalogueDigest, CatalogueService, Completeness, Coverage, FleetConfig, InstanceEntry, InstanceRecord, InstanceRun, LiveInstance, PrefixRoute,
+	PrefixRouteTable, WeightedService, Workspace, WorkspaceQuota,
 } from './catalogue/index.ts';
 export {
 	createAnswerSizes, createDispatcher, createIdleLimit, createReportScheduler, createRetryWindow, fromReportRows, hedgeDelayMs, requestKind, isAcceptedDuringShutdown, minRetryAfterMs, slackShareOf, toReportRows,
--- a/packages/core/test/support/catalogue-fleet.ts
+++ b/packages/core/test/support/catalogue-fleet.ts
@@ -36,7 +36,9 @@
 	const sent: CatalogueMessage[] = [];
 	const receivers: string[] = [];
 	let nowMs = 0;
-	const nodes = new Map<string, Node>(ids.map((id, index) => {
+	const suspendedIds = new Set<string>();
+	const createNode = (id: string): Node => {
+		const index = ids.indexOf(id);
 		const catalogue = createCatalogue();
 		const sync = createCatalogueSync({
 			selfId: id,
@@ -48,14 +50,16 @@
 			isReceivingFrom: () => false,
 			onChange: () => undefined,
 		});
-		return [id, {id, catalogue, sync}];
-	}));
+		return {id, catalogue, sync};
+	};
+
+	const nodes = new Map<string, Node>(ids.map(id => [id, createNode(id)]));
 
 	const post = (from: string, sends: readonly CatalogueSend[]): void => {
 		for (const send of sends) {
 			sent.push(send.message);
 			receivers.push(send.to);
-			if (!isLost(from, send)) {
+			if (!isLost(from, send) && !suspendedIds.has(send.to)) {
 				flight.push({
 					atMs: nowMs + delayMs, from, to: send.to, message: send.message,
 				});
@@ -74,8 +78,11 @@
 			}
 
 			if (nowMs % 100 === 0) {
-				for (const {id, sync} of nodes.values()) {
-					post(id, sync.tick(nowMs));
+				for (const {id, catalogue, sync} of nodes.values()) {
+					if (!suspendedIds.has(id)) {
+						catalogue.tick(nowMs);
+						post(id, sync.tick(nowMs));
+					}
 				}
 			}
 		}
@@ -86,7 +93,23 @@
 	};
 
 	return {
-		nodes, sent, receivers, runUntil, read,
+		nodes,
+		sent,
+		receivers,
+		runUntil,
+		read,
+		/** Holds back the gateway until it is resumed; what is sent to it meanwhile is lost, as with connections that are given up. */
+		suspend(id: string) {
+			suspendedIds.add(id);
+		},
+		resume(id: string) {
+			suspendedIds.delete(id);
+		},
+		/** Starts the gateway anew, without what it knew and what was sent to it. */
+		restart(id: string) {
+			nodes.set(id, createNode(id));
+			flight.splice(0, flight.length, ...flight.filter(({to}) => to !== id));
+		},
 	};
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,9 +53,9 @@
 import {createQuotas} from './quotas.ts';
 import {createServe, isMissingHost, type ConfigOrigin} from './serve.ts';
 import type {GatewaySettings} from './settings.ts';
-import {createStoreReader, type StoreReader} from './store-reader.ts';
+import {createStoreReader, type StoreReader, type StoreReaderOptions} from './store-reader.ts';
 import type {
-	HeaderNames, StoreClient, StoreFailure, StoreRead, StoreTopic,
+	CoveredRead, HeaderNames, StoreClient, StoreFailure, StoreTopic,
 } from './types.ts';
 import {createLatch} from './latch.ts';
 import {createUpstream} from './upstream.ts';
@@ -298,7 +298,9 @@
 		}
 	};
 
-	const onRead = (topic: StoreTopic, {config, entries, asOf, missingUsableForMs}: StoreRead, isFull: boolean): void => {
+	const onRead = (topic: StoreTopic, {
+		config, entries, asOf, missingUsableForMs, coverage,
+	}: CoveredRead, isFull: boolean): void => {
 		const lapse = missingUsableForMs === undefined ? false : {usableForMs: missingUsableForMs};
 		const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), lapse) : entries;
 		if (config !== undefined) {
@@ -306,7 +308,7 @@
 		}
 
 		sendCatalogueMessages(catalogueSync.applyStoreRead({
-			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf}),
+			...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf, coverage}),
 		}, nowMs()));
 		announceReady();
 	};
@@ -322,12 +324,12 @@
 		broadcastStoreState({isReachable: true});
 	};
 
-	const createReader = (topic: StoreTopic, knownAsOf: () => number): StoreReader => createStoreReader({
-		topic, client: store, nowMs, logger, metrics, errors, isWanted: isReader, onRead, onFailure, onReachable, knownAsOf,
+	const createReader = (topic: StoreTopic, known: Pick<StoreReaderOptions, 'knownAsOf' | 'completeAsOf'>): StoreReader => createStoreReader({
+		topic, client: store, nowMs, logger, metrics, errors, isWanted: isReader, onRead, onFailure, onReachable, ...known,
 	});
 
-	const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
-	const readers = [createReader('config', () => -1), instancesReader];
+	const instancesReader = createReader('instances', {knownAsOf: () => catalogue.digest().instancesAsOf, completeAsOf: () => catalogue.completeness().asOf});
+	const readers = [createReader('config', {knownAsOf: () => -1, completeAsOf: () => -1}), instancesReader];
 
 	const receiveStoreState = (from: string, {isReachable, failingForMs = 0, readingForMs}: StoreState): void => {
 		if (!isReachable) {
--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -59,13 +59,18 @@
 });
 
 const catalogueMessage = isVariant({
-	news: isRecord({entries, instancesAsOf: isNumber, configVersion: isInteger}),
-	compare: isRecord({digest: isRecord({configVersion: isInteger, instances: isNumber, instancesAsOf: isNumber}), isReply: optional(isFlag)}),
+	news: isRecord({
+		entries, instancesAsOf: isNumber, configVersion: isInteger, coverage: optional(isRecord({sinceAsOf: isNumber, asOf: isNumber})),
+	}),
+	compare: isRecord({
+		digest: isRecord({configVersion: isInteger, instances: isNumber, instancesAsOf: isNumber}), completeAsOf: optional(isNumber), isReply: optional(isFlag),
+	}),
 	pull: isRecord({
-		configVersion: isInteger, wantsInstances: isFlag, afterRevision: optional(isNumber), takesPacked: optional(isFlag),
+		configVersion: isInteger, wantsInstances: isFlag, afterRevision: optional(isNumber), completeAsOf: optional(isNumber), takesPacked: optional(isFlag),
 	}),
 	state: isRecord({
 		isPacked: optional(isFlag), config: optional(config), entries: optional(entries), packedConfig: optional(isBytes), packedEntries: optional(isBytes), instancesAsOf: isNumber,
+		completeAsOf: optional(isNumber), lapsesForMs: optional(isSpanMs),
 	}),
 });
 
--- a/packages/gateway/src/store-reader.ts
+++ b/packages/gateway/src/store-reader.ts
@@ -13,13 +13,13 @@
 } from './constants.ts';
 import type {GatewayMetrics} from './metrics.ts';
 import type {
-	StoreClient, StoreFailure, StoreRead, StoreTopic,
+	CoveredRead, StoreClient, StoreFailure, StoreRead, StoreTopic,
 } from './types.ts';
 
 /** Callbacks of a reader. */
 export type StoreReaderHooks = {
 	readonly isWanted: () => boolean;
-	readonly onRead: (topic: StoreTopic, read: StoreRead, isFull: boolean) => void;
+	readonly onRead: (topic: StoreTopic, read: CoveredRead, isFull: boolean) => void;
 	readonly onReachable: () => void;
 	/** `failingForMs` is the time since the store last answered a reader, as far as this one knows. */
 	readonly onFailure: (failure: StoreFailure, failingForMs: number) => void;
@@ -33,8 +33,10 @@
 	readonly logger: Logger;
 	readonly metrics: GatewayMetrics;
 	readonly errors: ErrorBarrier;
-	/** Order in the store up to which another reader has read, from which to watch; -1 when nothing is known. */
+	/** Order in the store up to which another reader has read; -1 when nothing is known. */
 	readonly knownAsOf: () => number;
+	/** Order up to which nothing of the topic is missing here, from which to watch; -1 when nothing is known. */
+	readonly completeAsOf: () => number;
 };
 
 /** A reader of the store. */
@@ -67,6 +69,8 @@
 	let asOf = -1;
 	let needsFullRead = false;
 	let lastSuccessMs = Number.NaN;
+	/** When the store first answered: this reader may have started just after an outage that it knows nothing of. */
+	let firstSuccessMs: number | undefined;
 	let hasFailedSince = false;
 	let readingSinceMs = Number.NaN;
 	let failingSinceMs: number | undefined;
@@ -150,6 +154,7 @@
 		}
 
 		lastSuccessMs = nowMs();
+		firstSuccessMs ??= lastSuccessMs;
 		hasFailedSince = false;
 		const sinceMs = outageSinceMs();
 		if (sinceMs === undefined) {
@@ -181,15 +186,18 @@
 		options.onFailure(failure, nowMs() - failingSinceMs);
 	};
 
-	const applyRead = (read: StoreRead, isFull: boolean): void => {
+	const applyRead = (read: StoreRead, sinceAsOf: number): void => {
+		const isFull = sinceAsOf === -1;
+
 		for (const refused of read.refused) {
 			logger.warn('store entry refused', refused);
 		}
 
 		asOf = Math.max(asOf, read.asOf);
 		observeEra(asOf);
+		const coverage = {sinceAsOf, asOf: read.asOf, ...(isFull && {lapsesUntilMs: Math.max(recoveredAtMs, firstSuccessMs ?? nowMs()) + storeRecoveryMs})};
 		if (!isRecovering()) {
-			options.onRead(topic, read, isFull);
+			options.onRead(topic, {...read, coverage}, isFull);
 			return;
 		}
 
@@ -198,6 +206,7 @@
 		const usableForMs = recoveredAtMs + storeRecoveryMs - nowMs();
 		options.onRead(topic, {
 			...read,
+			coverage,
 			entries: read.entries.map(entry => markLapsed(entry, usableForMs)),
 			...(isFull && {missingUsableForMs: usableForMs}),
 		}, isFull);
@@ -207,7 +216,7 @@
 	const isOutdated = (read: StoreRead): boolean => eraOf(read.asOf) < eraOf(Math.max(asOf, options.knownAsOf()));
 
 	const callStore = async (): Promise<void> => {
-		const from = Math.max(asOf, options.knownAsOf());
+		const from = Math.max(asOf, options.completeAsOf());
 		// A watch returns every version written since; a full read returns only the newest.
 		const isResumed = topic === 'config' && nowMs() - lastSuccessMs >= maxWatchGapMs;
 		const isFull = needsFullRead || from === -1 || isResumed;
@@ -233,7 +242,7 @@
 
 		recordSuccess();
 		needsFullRead = false;
-		applyRead(result.value, isFull);
+		applyRead(result.value, isFull ? -1 : from);
 	};
 
 	const mayRead = (): boolean => !isStopped && nowMs() >= nextCallMs && options.isWanted();
@@ -272,7 +281,9 @@
 
 			recoveredAtMs = Math.min(recoveredAtMs, nowMs() - readingForMs);
 			if (!isRecovering() && lapsedEntries.length > 0) {
-				options.onRead(topic, {entries: lapsedEntries, refused: [], asOf}, false);
+				options.onRead(topic, {
+					entries: lapsedEntries, refused: [], asOf, coverage: {sinceAsOf: asOf, asOf},
+				}, false);
 				lapsedEntries = [];
 			}
 		},
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,6 +1,6 @@
 /** What the gateway needs from the platform it runs on. */
 
-import type {FleetConfig, InstanceEntry} from '@egretwing/core';
+import type {Coverage, FleetConfig, InstanceEntry} from '@egretwing/core';
 import type {Result} from 'ts-results-es';
 
 /** Why a call to the store failed. */
@@ -39,6 +39,12 @@
 	readonly missingUsableForMs?: number;
 };
 
+/** What a reader has read. */
+export type CoveredRead = StoreRead & {
+	/** The changes that the entries hold. */
+	readonly coverage: Coverage;
+};
+
 /** Part of the store that is read. */
 export type StoreTopic = 'config' | 'instances';
 
--- a/packages/gateway/test/removals-after-outage.test.ts
+++ b/packages/gateway/test/removals-after-outage.test.ts
@@ -94,8 +94,9 @@
 		errors: openBarrier,
 		isWanted: () => nowMs() >= fromMs && nowMs() < untilMs,
 		knownAsOf: () => catalogue.digest().instancesAsOf,
-		onRead(_topic, {entries, asOf}) {
-			catalogue.mergeInstances(entries, asOf, nowMs());
+		completeAsOf: () => catalogue.completeness().asOf,
+		onRead(_topic, {entries, asOf, coverage}) {
+			catalogue.mergeInstances(entries, asOf, nowMs(), coverage);
 		},
 		onReachable() {
 			for (const other of readers.toSpliced(index, 1)) {
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -58,6 +58,7 @@
 		watch: async (_topic, afterRevision) => take(`watch ${afterRevision}`),
 		close: () => undefined,
 	};
+	const currentAsOf = (): number => typeof knownAsOf === 'number' ? knownAsOf : knownAsOf(clock.nowMs());
 	const reader = createStoreReader({
 		topic,
 		client,
@@ -65,7 +66,8 @@
 		logger: createLogger('test', 'h', 0),
 		metrics: createGatewayMetrics(),
 		errors: openBarrier,
-		knownAsOf: () => typeof knownAsOf === 'number' ? knownAsOf : knownAsOf(clock.nowMs()),
+		knownAsOf: currentAsOf,
+		completeAsOf: currentAsOf,
 		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
 		onRead(_topic, {entries, asOf, missingUsableForMs}, isFull) {
 			const missing = missingUsableForMs === undefined ? '' : ` missing usable for ${missingUsableForMs}`;
@@ -346,6 +348,7 @@
 					run: openBarrier.run,
 				},
 				knownAsOf: () => -1,
+				completeAsOf: () => -1,
 				isWanted: () => reads === 0 || calls.length < 2,
 				onRead() {
 					reads++;
--- a/test/platform/support/reading-gateways.ts
+++ b/test/platform/support/reading-gateways.ts
@@ -92,7 +92,7 @@
 			}
 		};
 
-		const createReader = (topic: StoreTopic, knownAsOf: StoreReaderOptions['knownAsOf']): StoreReader => createStoreReader({
+		const createReader = (topic: StoreTopic, known: Pick<StoreReaderOptions, 'knownAsOf' | 'completeAsOf'>): StoreReader => createStoreReader({
 			topic,
 			client: cutClient,
 			nowMs,
@@ -107,11 +107,13 @@
 				},
 			},
 			isWanted: isReader,
-			knownAsOf,
-			onRead(_topic, {config, entries, asOf, missingUsableForMs}, isFull) {
+			...known,
+			onRead(_topic, {
+				config, entries, asOf, missingUsableForMs, coverage,
+			}, isFull) {
 				const lapse = missingUsableForMs === undefined ? false : {usableForMs: missingUsableForMs};
 				const reconciled = isFull && topic === 'instances' ? reconcileFullRead(entries, asOf, catalogue.entries(), lapse) : entries;
-				post(sync.applyStoreRead({...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf})}, nowMs()));
+				post(sync.applyStoreRead({...(config !== undefined && {config}), ...(topic === 'instances' && {entries: reconciled, instancesAsOf: asOf, coverage})}, nowMs()));
 			},
 			onFailure(_failure, failingForMs) {
 				election.markUnreachable(hostId, nowMs());
@@ -122,8 +124,8 @@
 				broadcast({type: 'store', isReachable: true});
 			},
 		});
-		const instancesReader = createReader('instances', () => catalogue.digest().instancesAsOf);
-		const readers = [createReader('config', () => -1), instancesReader];
+		const instancesReader = createReader('instances', {knownAsOf: () => catalogue.digest().instancesAsOf, completeAsOf: () => catalogue.completeness().asOf});
+		const readers = [createReader('config', {knownAsOf: () => -1, completeAsOf: () => -1}), instancesReader];
 
 		const receiveStoreState = (from: string, {isReachable, failingForMs = 0, readingForMs}: Extract<MeshMessage, {type: 'store'}>): void => {
 			if (!isReachable) {
