fix(gateway): a reader of the store goes on from where no change is missing

A gateway that had missed a change and heard of a later one was taken to know both; elected as the next reader, it watched from the later one, so that the change it had missed reached nobody where the others had lost it too. It watches from the order up to which it knows all instances, and reads all of them where it knows none such.

The log line `instance changed` has that order (`completeAsOf`), since it decides which entries are taken for removed. Claims of peers are checked like the rest of their messages. What messages say of completeness stands in a file of its own.

Half of the gateways standing still, and registrations that are renewed after an outage that the readers know nothing of, are cases of the tests now.

--- a/packages/core/src/catalogue-sync/sync.ts
+++ b/packages/core/src/catalogue-sync/sync.ts
@@ -18,6 +18,9 @@
 import {
 	catchUpDelayMs, catchUpMs, catchUpPeers, compareIntervalMs, unknownStateDelayMs, initialCompareIntervalMs, updateFanout, updateDelayMs, readerFanout,
 } from './constants.ts';
+import {
+	completenessInState, coverageOfState, sinceLastChange, toUpdate, type PeerState, type Update,
+} from './coverage.ts';
 import {createInstanceHistory} from './history.ts';
 import {createSinglePull, type SinglePull} from './single-pull.ts';
 import type {CatalogueMessage, CatalogueSend} from './types.ts';
@@ -46,6 +49,8 @@
 	readonly messageType?: 'news' | 'state';
 	/** Order in the store up to which this gateway knew the instances before; -1 for none. */
 	readonly knownAsOf: number;
+	/** Order up to which this gateway knew all instances without a gap before; -1 for none. */
+	readonly completeAsOf: number;
 	readonly config?: FleetConfig;
 	readonly entries: readonly InstanceEntry[];
 };
@@ -70,8 +75,6 @@
 	readonly takeUnresponsivePeers: () => readonly string[];
 };
 
-type PeerState = Extract<CatalogueMessage, {type: 'state'}>;
-
 /** Result of a merge. */
 type MergedChange = CatalogueChange & {
 	/** True when all instances of the store, or of its present era, became known by this merge. */
@@ -80,9 +83,6 @@
 	readonly update: Update;
 };
 
-/** Changes of instances, as one gateway tells another. */
-type Update = Pick<Extract<CatalogueMessage, {type: 'news'}>, 'entries' | 'coverage'>;
-
 /** A state of a peer that is not in this gateway's history. */
 type UnknownState = {
 	readonly sum: number;
@@ -151,20 +151,11 @@
 		history.recordState(instances, instancesAsOf, nowMs);
 	};
 
-	const toUpdate = (merged: readonly InstanceEntry[], entries: readonly InstanceEntry[], coverage: Coverage | undefined): Update => {
-		if (coverage === undefined || coverage.sinceAsOf === -1) {
-			return {entries: merged};
-		}
-
-		const changed = new Set(merged);
-		const {sinceAsOf, asOf} = coverage;
-		return {entries: [...merged, ...entries.filter(entry => !changed.has(entry))], coverage: {sinceAsOf, asOf}};
-	};
-
 	const merge = ({source, messageType}: Pick<CatalogueChange, 'source' | 'messageType'>, {
 		config, entries = [], instancesAsOf = -1, coverage,
 	}: StoreRead, nowMs: number): MergedChange | undefined => {
 		const knownAsOf = catalogue.digest().instancesAsOf;
+		const completeAsOf = catalogue.completeness().asOf;
 		const hadInstances = hasAllInstances();
 		const wasComplete = hasAllInstances(instancesAsOf);
 		const isNewConfig = config !== undefined && catalogue.mergeConfig(config);
@@ -182,7 +173,7 @@
 		}
 
 		const change: CatalogueChange = {
-			source, knownAsOf, entries: merged, ...(messageType !== undefined && {messageType}), ...(isNewConfig && {config}),
+			source, knownAsOf, completeAsOf, entries: merged, ...(messageType !== undefined && {messageType}), ...(isNewConfig && {config}),
 		};
 		onChange(change);
 		return {...change, isFirstComplete, update: toUpdate(merged, entries, coverage)};
@@ -309,8 +300,8 @@
 	const answerPull = (from: string, {
 		configVersion, wantsInstances, afterRevision, completeAsOf, takesPacked,
 	}: Extract<CatalogueMessage, {type: 'pull'}>, nowMs: number): readonly CatalogueSend[] => {
-		const {asOf, removalsSinceAsOf, lapsesUntilMs} = catalogue.completeness();
-		const isChangesOnly = afterRevision !== undefined && (completeAsOf === undefined || completeAsOf >= removalsSinceAsOf);
+		const completeness = catalogue.completeness();
+		const isChangesOnly = afterRevision !== undefined && (completeAsOf === undefined || completeAsOf >= completeness.removalsSinceAsOf);
 		if (isChangesOnly) {
 			return sendEntries(from, catalogue.entries().filter(({revision}) => revision > afterRevision));
 		}
@@ -322,8 +313,7 @@
 			type: 'state',
 			instancesAsOf: sendsInstances ? catalogue.digest().instancesAsOf : -1,
 			...(isNewer && {config}),
-			...(sendsInstances && {entries: catalogue.entries()}),
-			...(sendsInstances && asOf !== -1 && {completeAsOf: asOf, ...(lapsesUntilMs !== undefined && {lapsesForMs: Math.max(0, lapsesUntilMs - nowMs)})}),
+			...(sendsInstances && {entries: catalogue.entries(), ...completenessInState(completeness, nowMs)}),
 			...(takesPacked && {isPacked: true}),
 		};
 		return [{to: from, message, transport: 'stream'}];
@@ -438,10 +428,6 @@
 			: entries;
 	};
 
-	const coverageOfState = ({completeAsOf, lapsesForMs}: PeerState, nowMs: number): Coverage | undefined => completeAsOf === undefined
-		? undefined
-		: {sinceAsOf: -1, asOf: completeAsOf, ...(lapsesForMs !== undefined && {lapsesUntilMs: nowMs + lapsesForMs})};
-
 	const receiveState = (from: string, message: PeerState, nowMs: number): readonly CatalogueSend[] => {
 		// An incomplete or outdated state is an answer as well; comparisons find peers that have more.
 		if (message.entries !== undefined) {
@@ -465,17 +451,11 @@
 		return [...forward(change, from), ...sendNewer(from, message)];
 	};
 
-	/** A watch continues from the last change, since nothing has changed until the order that it began at. */
-	const fromLastChange = (read: StoreRead): StoreRead => {
-		const {asOf, changedAsOf} = catalogue.completeness();
-		const {coverage} = read;
-		return coverage === undefined || coverage.sinceAsOf === -1 || coverage.sinceAsOf > asOf
-			? read
-			: {...read, coverage: {...coverage, sinceAsOf: Math.min(coverage.sinceAsOf, changedAsOf)}};
-	};
-
 	return {
-		applyStoreRead: (read, nowMs) => announce(merge({source: 'store'}, fromLastChange(read), nowMs), selectReaderPeers),
+		applyStoreRead(read, nowMs) {
+			const coverage = read.coverage && sinceLastChange(read.coverage, catalogue.completeness());
+			return announce(merge({source: 'store'}, {...read, ...(coverage !== undefined && {coverage})}, nowMs), selectReaderPeers);
+		},
 		receive(from, message, nowMs) {
 			switch (message.type) {
 				case 'news': {
--- a/packages/core/test/removals-missed.test.ts
+++ b/packages/core/test/removals-missed.test.ts
@@ -149,6 +149,23 @@
 			fleet.resume(suspendedId);
 		},
 	},
+	{
+		title: 'when half of the gateways stand still, and the others start again',
+		play(fleet) {
+			const suspendedIds = ids.slice(size / 2);
+			for (const id of suspendedIds) {
+				fleet.suspend(id);
+			}
+
+			fleet.restartAllExcept(...suspendedIds);
+			fleet.remove('i-1');
+			fleet.readAll();
+			fleet.runFor(4000);
+			for (const id of suspendedIds) {
+				fleet.resume(id);
+			}
+		},
+	},
 	{
 		title: 'when a gateway starts once more beside the one that stood still',
 		play(fleet) {
@@ -220,6 +237,30 @@
 		expect(fleet.usersOf('i-3')).to.have.length(size);
 	});
 
+	it('stays in use at a gateway that kept it, while it registers again after an outage that the others know nothing of', () => {
+		// Guards against the loss of all instances where their registrations expired and the readers have just started.
+		const fleet = createReadingFleet(1);
+		fleet.restartAllExcept(suspendedId);
+		fleet.remove('i-1');
+		fleet.remove('i-2');
+		fleet.readAll(fleet.nowMs() + 2500);
+		for (let passedMs = 0; passedMs < 1800; passedMs += 100) {
+			fleet.runFor(100);
+			expect(fleet.usersOf('i-1'), `after ${passedMs} ms`).to.include(suspendedId);
+		}
+
+		fleet.write('i-1');
+		fleet.write('i-2');
+		fleet.readChanges();
+		fleet.runFor(100);
+		for (const instanceId of ['i-1', 'i-2']) {
+			expect(fleet.usersOf(instanceId)).to.have.length(size);
+		}
+
+		fleet.runFor(contactMs);
+		expect(fleet.usersOf('i-1')).to.have.length(size);
+	});
+
 	it('is not taken for removed by a gateway whose peers know more than it has read', () => {
 		const fleet = createReadingFleet(1);
 		fleet.restart('g-1');
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -184,7 +184,7 @@
 			return host !== undefined && mesh.isReceivingFrom(host);
 		},
 		onChange({
-			source, messageType, knownAsOf, config, entries,
+			source, messageType, knownAsOf, completeAsOf, config, entries,
 		}) {
 			if (config !== undefined) {
 				routes = createPrefixRouteTable(config.routes);
@@ -207,7 +207,15 @@
 
 			for (const {instanceId, revision, record, isLapsed} of entries) {
 				logger.info('instance changed', {
-					instanceId, revision: revisionOf(revision), service: record?.service, state: record?.state ?? 'removed', isLapsed, source, messageType, knownAsOf: revisionOf(knownAsOf),
+					instanceId,
+					revision: revisionOf(revision),
+					service: record?.service,
+					state: record?.state ?? 'removed',
+					isLapsed,
+					source,
+					messageType,
+					knownAsOf: revisionOf(knownAsOf),
+					completeAsOf: revisionOf(completeAsOf),
 				});
 			}
 		},
--- a/packages/gateway/src/message-schema.ts
+++ b/packages/gateway/src/message-schema.ts
@@ -60,7 +60,7 @@
 
 const catalogueMessage = isVariant({
 	news: isRecord({
-		entries, instancesAsOf: isNumber, configVersion: isInteger, coverage: optional(isRecord({sinceAsOf: isNumber, asOf: isNumber})),
+		entries, instancesAsOf: isNumber, configVersion: isInteger, coverage: optional(isRecord({sinceAsOf: isNotNegative, asOf: isNotNegative})),
 	}),
 	compare: isRecord({
 		digest: isRecord({configVersion: isInteger, instances: isNumber, instancesAsOf: isNumber}), completeAsOf: optional(isNumber), isReply: optional(isFlag),
--- a/packages/gateway/test/hostile-peers.test.ts
+++ b/packages/gateway/test/hostile-peers.test.ts
@@ -94,6 +94,13 @@
 	['a state of the store that has failed for no number', envelope({type: 'store', isReachable: false, failingForMs: Number.NaN})],
 	['a comparison without a digest', envelope(spread({type: 'compare'}))],
 	['news without entries', envelope(spread({type: 'news', instancesAsOf: 1, configVersion: 1}))],
+	['news that cover no range', envelope(spread({
+		type: 'news', entries: [], instancesAsOf: 1, configVersion: 1, coverage: {sinceAsOf: -1, asOf: 1},
+	}))],
+	['a comparison that is complete up to no number', envelope(spread({type: 'compare', digest: {configVersion: 1, instances: 4, instancesAsOf: 2}, completeAsOf: Number.NaN}))],
+	['a state from which instances may be missing for an endless time', envelope(spread({
+		type: 'state', instancesAsOf: 2, entries: [], completeAsOf: 2, lapsesForMs: Number.POSITIVE_INFINITY,
+	}))],
 	['an instance without a revision', envelope(news({instanceId: 'i', record}))],
 	['an instance at port 70,000', envelope(news({instanceId: 'i', revision: 1, record: {...record, port: 70_000}}))],
 	['an instance of no slots', envelope(news({instanceId: 'i', revision: 1, record: {...record, slots: 0}}))],
@@ -215,6 +222,16 @@
 		instanceId: 'i', revision: 4, record: null, isLapsed: true, usableForMs: 10,
 	}),
 	spread({type: 'compare', digest: {configVersion: 1, instances: 4, instancesAsOf: 2}, isReply: false}),
+	spread({type: 'compare', digest: {configVersion: 1, instances: 4, instancesAsOf: 2}, completeAsOf: 2}),
+	spread({
+		type: 'news', entries: [{instanceId: 'i', revision: 3, record}], instancesAsOf: 4, configVersion: 1, coverage: {sinceAsOf: 2, asOf: 4},
+	}),
+	spread({
+		type: 'pull', configVersion: 0, wantsInstances: false, afterRevision: 1, completeAsOf: 2, takesPacked: true,
+	}),
+	spread({
+		type: 'state', instancesAsOf: 4, entries: [{instanceId: 'i', revision: 3, record}], completeAsOf: 3, lapsesForMs: 100,
+	}),
 	spread({
 		type: 'pull', configVersion: 0, wantsInstances: true, afterRevision: 1, takesPacked: true,
 	}),
--- a/packages/gateway/test/mesh-message.test.ts
+++ b/packages/gateway/test/mesh-message.test.ts
@@ -120,6 +120,12 @@
 		['news', {
 			type: 'news', instancesAsOf: 5, entries, configVersion: 3,
 		}],
+		['news without a gap', {
+			type: 'news', instancesAsOf: 5, entries, configVersion: 3, coverage: {sinceAsOf: 2, asOf: 4},
+		}],
+		['all instances of a gateway that has just started', {
+			type: 'state', instancesAsOf: 5, entries, completeAsOf: 4, lapsesForMs: 1200, isPacked: true,
+		}],
 	];
 	for (const [title, message] of messages) {
 		it(`carries ${title} without loss, also when it is forwarded`, () => {
--- a/packages/gateway/test/store-reader.test.ts
+++ b/packages/gateway/test/store-reader.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {createManualClock, toStoreOrder, type InstanceEntry} from '@egretwing/core';
+import {
+	createManualClock, toStoreOrder, type Coverage, type InstanceEntry,
+} from '@egretwing/core';
 import {createLogger} from '@egretwing/node';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {
@@ -35,11 +37,12 @@
 const answerMs = 10;
 
 /** Runs a reader against scripted answers of the store; returns its calls and what it reported. */
-const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances', playedRounds = rounds) => {
+const play = async (steps: readonly Step[], knownAsOf: KnownAsOf = -1, topic: StoreTopic = 'instances', {playedRounds = rounds, completeAsOf}: {readonly playedRounds?: number; readonly completeAsOf?: number} = {}) => {
 	const clock = createManualClock(startMs);
 	const calls: string[] = [];
 	const callsAtMs: number[] = [];
 	const reported: string[] = [];
+	const coverages: Coverage[] = [];
 	const queue = [...steps];
 	const told: number[] = [];
 	let wantedFromMs = 0;
@@ -67,9 +70,12 @@
 		metrics: createGatewayMetrics(),
 		errors: openBarrier,
 		knownAsOf: currentAsOf,
-		completeAsOf: currentAsOf,
+		completeAsOf: () => completeAsOf ?? currentAsOf(),
 		isWanted: () => queue.length > 0 && clock.nowMs() >= wantedFromMs,
-		onRead(_topic, {entries, asOf, missingUsableForMs}, isFull) {
+		onRead(_topic, {
+			entries, asOf, missingUsableForMs, coverage,
+		}, isFull) {
+			coverages.push(coverage);
 			const missing = missingUsableForMs === undefined ? '' : ` missing usable for ${missingUsableForMs}`;
 			reported.push(`${isFull ? 'full' : 'changes'} ${asOf}${entries.some(entry => entry.isLapsed) ? ' lapsed' : ''}${missing}`);
 		},
@@ -93,7 +99,7 @@
 	}
 
 	return {
-		calls, reported, callsAtMs, reader, endedAtMs: clock.nowMs(),
+		calls, reported, coverages, callsAtMs, reader, endedAtMs: clock.nowMs(),
 	};
 };
 
@@ -153,6 +159,22 @@
 		});
 	}
 
+	it('watches from where nothing is missing, although newer changes are known', async () => {
+		// Guards against a change that a gateway missed, and that it never learns of when it is the next to read the store.
+		const {calls} = await play([{answer: read(9)}], 8, 'instances', {completeAsOf: 6});
+		expect(calls).to.deep.equal(['watch 6']);
+	});
+
+	it('reads everything where only changes are known', async () => {
+		const {calls} = await play([{answer: read(9)}], 8, 'instances', {completeAsOf: -1});
+		expect(calls).to.deep.equal(['all']);
+	});
+
+	it('tells what it has read without a gap, and until when the missing may register again after its start', async () => {
+		const {coverages} = await play([{answer: read(5)}, {answer: read(7)}]);
+		expect(coverages).to.deep.equal([{sinceAsOf: -1, asOf: 5, lapsesUntilMs: startMs + answerMs + 2500}, {sinceAsOf: 5, asOf: 7}]);
+	});
+
 	const eraCases: ReadonlyArray<{readonly title: string; readonly steps: readonly Step[]; readonly knownAsOf: KnownAsOf; readonly calls: readonly string[]; readonly reported: readonly string[]}> = [
 		{
 			title: 'reads everything when its watch meets the later era, and lets what is missing be written again',
@@ -269,7 +291,7 @@
 	// Guards against two readers of which each takes the other for the one that reads, after a failure that both met.
 	it('does not tell for how long it has read once a call has failed, also when the store answers another reader again', async () => {
 		const failed: readonly Step[] = [...Array.from({length: 30}, (_, index) => ({answer: read(9 + index)})), {answer: Err('unreachable')}];
-		const {reader} = await play(failed, 8, 'instances', 64);
+		const {reader} = await play(failed, 8, 'instances', {playedRounds: 64});
 		expect(reader.readingForMs()).to.equal(undefined);
 		reader.observeOtherSuccess();
 		expect(reader.readingForMs()).to.equal(undefined);
