--- a/test/platform/soak/cli.ts
+++ b/test/platform/soak/cli.ts
@@ -1,4 +1,4 @@
-/** Command line for soak runs: `npm run soak -- --seeds 50 --first 1 [--seconds 12] [--gateways 4] [--instances 6] [--logs FOLDER] [--ends] [--eras]`. */
+/** Command line for soak runs: `npm run soak -- --seeds 50 --first 1 [--seconds 12] [--gateways 4] [--instances 6] [--logs FOLDER] [--ends] [--eras] [--removals]`. */
 
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -26,6 +26,7 @@
 		logs: {type: 'string'},
 		ends: {type: 'boolean', default: false},
 		eras: {type: 'boolean', default: false},
+		removals: {type: 'boolean', default: false},
 	},
 });
 const file = await buildGateway();
@@ -46,6 +47,7 @@
 			requestsPerSecond: Number(values.rate),
 			ends: values.ends,
 			eras: values.eras,
+			removals: values.removals,
 		});
 		failures += Number(report.flaws.length > 0);
 		console.log(`seed ${seed}: ${report.flaws.length} flaws, ${report.served} of ${report.calls} served, ${report.steps.length} steps`);
--- a/test/platform/soak/schedule.ts
+++ b/test/platform/soak/schedule.ts
@@ -18,6 +18,8 @@
 		| {readonly type: 'configure'}
 		/** An instance announces that it leaves, ends a little later and is replaced by a new one. */
 		| {readonly type: 'replace'; readonly instance: number}
+		/** The entry of an instance is removed, which says nothing and serves on until the end. */
+		| {readonly type: 'unregister'; readonly instance: number}
 		/** Odd request lines and bytes, drawn from `seed`, at a port of a gateway. */
 		| {readonly type: 'odd-requests'; readonly gateway: number; readonly port: GatewayPort; readonly seed: number}
 		/** Kills a gateway once for each of `agesMs` and sends the signal when the process started after that is so old. */
@@ -49,6 +51,8 @@
 	readonly ends?: boolean;
 	/** Whether the store names its era and comes back from older copies at times. */
 	readonly eras?: boolean;
+	/** Whether instances leave without a word, and gateways are killed while one that stands still keeps what it knew. */
+	readonly removals?: boolean;
 };
 
 const firstFaultMs = 1500;
@@ -76,8 +80,13 @@
 	longestAwayMs: 1500, leastAgeMs: 300, spreadMs: 6000, rewriteMs: 1800,
 } as const;
 
+/** How long one gateway stands still, and in which time after its begin the others are killed and an instance leaves. */
+const herdKills = {leastStillMs: 1500, spreadStillMs: 4000, withinMs: 1200} as const;
+
 /** Draws the steps of a run in order; the same random source and size give the same steps. */
-export const drawSchedule = (random: Random, {gateways, instances, durationMs, calmMs, ends = false, eras = false}: SoakSize): readonly SoakStep[] => {
+export const drawSchedule = (random: Random, {
+	gateways, instances, durationMs, calmMs, ends = false, eras = false, removals = false,
+}: SoakSize): readonly SoakStep[] => {
 	const steps: SoakStep[] = [];
 	const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random.next() * items.length)]!;
 	const number = (count: number): number => Math.floor(random.next() * count);
@@ -147,7 +156,26 @@
 			);
 		},
 	];
-	const allDraws = [...draws, ...(ends ? endDraws : []), ...(eras ? eraDraws : [])];
+	const withinHerdKill = (atMs: number): number => Math.min(lastMs, atMs + number(herdKills.withinMs));
+	const removalDraws: ReadonlyArray<(atMs: number) => void> = [
+		atMs => steps.push({atMs, action: {type: 'unregister', instance: number(instances)}}),
+		atMs => {
+			const still = number(gateways);
+			const killedAtMs = withinHerdKill(atMs);
+			const untilMs = Math.min(lastMs, atMs + herdKills.leastStillMs + number(herdKills.spreadStillMs));
+			steps.push(
+				{atMs, action: {type: 'signal', gateway: still, signal: 'SIGSTOP'}},
+				{atMs: withinHerdKill(atMs), action: {type: 'unregister', instance: number(instances)}},
+				{atMs: untilMs, action: {type: 'signal', gateway: still, signal: 'SIGCONT'}},
+			);
+			for (let gateway = 0; gateway < gateways; gateway++) {
+				if (gateway !== still) {
+					steps.push({atMs: killedAtMs, action: {type: 'signal', gateway, signal: 'SIGKILL'}});
+				}
+			}
+		},
+	];
+	const allDraws = [...draws, ...(ends ? endDraws : []), ...(eras ? eraDraws : []), ...(removals ? removalDraws : [])];
 
 	for (let atMs = firstFaultMs; atMs < lastMs; atMs += meanGapMs * 2 * random.next()) {
 		pick(allDraws)(atMs);
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -13,7 +13,7 @@
 import {checkNotices, type NoticeRecords, type SaidNotice} from './notices.ts';
 import {drawSchedule, leastSignalAgeMs} from './schedule.ts';
 import {
-	checkRecovery, checkLostAnswers, checkRuns, runSoak,
+	checkRecovery, checkRemovals, checkLostAnswers, checkRuns, runSoak,
 } from './soak.ts';
 
 /** Second part of the loopback addresses, distinct from those of manual runs and of other tests. */
@@ -68,6 +68,15 @@
 		expect(served).to.be.above(0);
 	});
 
+	it('shows no flaw under seed 5 with instances that leave without a word while gateways stand still and are killed', async () => {
+		const {flaws, served, steps} = await runSoak({
+			...size, removals: true, seed: 5, file: await buildGateway(), network: `127.${networkPart}.5`, requestsPerSecond: 30,
+		});
+		expect(steps.some(({action}) => action.type === 'unregister')).to.equal(true);
+		expect(flaws).to.deep.equal([]);
+		expect(served).to.be.above(0);
+	});
+
 	const ends: ReadonlyArray<readonly [title: string, program: string, memoryMegabytes: number, flaw: RegExp]> = [
 		[
 			'its exit code, age, peak of memory and last line',
@@ -151,6 +160,23 @@
 		expect([draw(false).includes('store-copy'), draw(true).includes('store-copy')]).to.deep.equal([false, true]);
 	});
 
+	it('draws instances that leave without a word only if they are asked for, within some seeds', () => {
+		const draw = (removals: boolean) => Array.from({length: 20}, (_, seed) => drawSchedule(createRandom(seed), {...size, removals}).map(({action}) => action.type)).flat();
+		expect([draw(false).includes('unregister'), draw(true).includes('unregister')]).to.deep.equal([false, true]);
+	});
+
+	const removalCases: ReadonlyArray<readonly [title: string, sentAtMs: number, instanceId: string, flaws: number]> = [
+		['reports a request that reached an instance without an entry', 1000, 'i-1-0', 1],
+		['accepts one that was sent before gateways are held to the removal', 999, 'i-1-0', 0],
+		['accepts one that reached another instance', 1000, 'i-2-0', 0],
+	];
+	for (const [title, sentAtMs, instanceId, flaws] of removalCases) {
+		it(title, () => {
+			const arrivals = [{requestId: 'r1', instanceId, atMs: 2000}];
+			expect(checkRemovals([{...call(answered(200)), sentAtMs}], arrivals, new Set(['i-1-0']), 1000)).to.have.length(flaws);
+		});
+	}
+
 	it('reports each port that no gateway listens on at the end', async () => {
 		expect(await checkListening([`127.${networkPart}.253.1`])).to.have.length(5);
 	});
--- a/test/platform/soak/soak.ts
+++ b/test/platform/soak/soak.ts
@@ -54,6 +54,8 @@
 const unregisteredDrainMs = 3500;
 /** Time after which an acknowledged configuration is in force everywhere, while no fault is active. */
 const configApplyMs = 2000;
+/** Time after a fault from which gateways are held to what they missed (`contact_ms`). */
+const contactMs = 3000;
 /**
  * Minimum share of served requests in the calm period: one answer of an instance in a hundred may be late on a busy machine,
  * the rest is margin for the machine.
@@ -63,6 +65,8 @@
 
 type InstanceSlot = {
 	generation: number;
+	/** Whether the entry of the instance was removed while it serves on. */
+	isUnregistered: boolean;
 	instance: SoakInstance;
 	readonly proxy: Proxy;
 };
@@ -112,6 +116,10 @@
 const replace = async (context: SoakContext, index: number): Promise<void> => {
 	const slot = context.slots[index]!;
 	const {generation} = slot;
+	if (slot.isUnregistered) {
+		return;
+	}
+
 	const isRegistered = (index + generation) % 2 === 0;
 	if (isRegistered) {
 		context.register(index, 'draining');
@@ -120,7 +128,7 @@
 	slot.instance.announceLeaving();
 	await delay(isRegistered ? drainMs : unregisteredDrainMs);
 	// A later replacement of the same instance has already happened.
-	if (slot.generation !== generation) {
+	if (slot.generation !== generation || slot.isUnregistered) {
 		return;
 	}
 
@@ -131,6 +139,15 @@
 	context.register(index, 'ready');
 };
 
+/** Removes the entry of an instance, which serves on; at most half of them, so that the others can serve. */
+const unregister = ({slots: instanceSlots, store}: SoakContext, index: number): void => {
+	const slot = instanceSlots[index]!;
+	if (instanceSlots.filter(({isUnregistered}) => isUnregistered).length < instanceSlots.length / 2) {
+		slot.isUnregistered = true;
+		store.remove(`servers/${instanceIdOf(index, slot.generation)}`);
+	}
+};
+
 /** Brings the store back from an older copy; the operator and the instances write again what it lost. */
 const restoreCopy = async ({store, restoring}: SoakContext, ageMs: number, rewriteMs: number): Promise<void> => {
 	if (restoring.has('store')) {
@@ -205,6 +222,11 @@
 			return;
 		}
 
+		case 'unregister': {
+			unregister(context, action.instance);
+			return;
+		}
+
 		case 'odd-requests':
 		case 'early-signal':
 		case 'hold-port':
@@ -244,6 +266,17 @@
 			: []);
 };
 
+/** Finds requests that their callers sent from `fromMs` on, in Unix time, and that reached an instance without an entry. */
+export const checkRemovals = (calls: readonly Call[], arrivals: readonly Arrival[], removedIds: ReadonlySet<string>, fromMs: number): readonly string[] => {
+	const callById = new Map(calls.map(call => [call.requestId, call]));
+	return arrivals.flatMap(({requestId, instanceId}) => {
+		const call = callById.get(requestId);
+		return call !== undefined && call.sentAtMs >= fromMs && removedIds.has(instanceId)
+			? [`${requestId} reached ${instanceId}, which is removed, by ${call.gateway}`]
+			: [];
+	});
+};
+
 /** Checks that requests are served again from `fromMs` on, in Unix time. */
 export const checkRecovery = (calls: readonly Call[], fromMs: number): readonly string[] => {
 	const calm = calls.filter(({sentAtMs}) => sentAtMs >= fromMs);
@@ -299,7 +332,9 @@
 	const instanceSlots: InstanceSlot[] = [];
 	for (let index = 0; index < instances; index++) {
 		const proxy = await createProxy(addressOf(index), instancePort, instancePort + backendPortOffset);
-		instanceSlots.push({generation: 0, instance: await startInstance(index, 0), proxy});
+		instanceSlots.push({
+			generation: 0, isUnregistered: false, instance: await startInstance(index, 0), proxy,
+		});
 	}
 
 	const bornAtMs = Date.now();
@@ -348,6 +383,7 @@
 		await delay(startMs);
 		const originMs = performance.now();
 		const calmFromMs = Date.now() + options.durationMs - (options.calmMs / 2);
+		const lastFaultMs = Date.now() + options.durationMs - options.calmMs;
 		const load = sendLoad(context, createRandom(options.seed + 2).next, originMs + options.durationMs);
 		for (const {atMs, action} of steps) {
 			await delay(Math.max(0, originMs + atMs - performance.now()));
@@ -357,10 +393,12 @@
 		await Promise.all([load, ...context.pending]);
 		await delay(configApplyMs / 2);
 		const calls = callers.calls();
+		const removedIds = new Set(context.slots.flatMap(({isUnregistered, instance}) => isUnregistered ? instance.instanceId : []));
 		const flaws = [
 			...checkRuns(calls, runs),
 			...checkLostAnswers(calls, runs, killedAddressesOf(context.records.applied, addresses)),
 			...checkNotices(calls, context.records),
+			...checkRemovals(calls, context.records.arrivals, removedIds, lastFaultMs + contactMs),
 			...checkRecovery(calls, calmFromMs),
 			...await checkConfig(context, addresses),
 			...await checkListening(addresses),
