--- a/test/platform/soak/schedule.ts
+++ b/test/platform/soak/schedule.ts
@@ -157,23 +157,25 @@
 		},
 	];
 	const withinHerdKill = (atMs: number): number => Math.min(lastMs, atMs + number(herdKills.withinMs));
+	const addHerdKill = (atMs: number): void => {
+		const still = number(gateways);
+		const killedAtMs = withinHerdKill(atMs);
+		const untilMs = Math.min(lastMs, atMs + herdKills.leastStillMs + number(herdKills.spreadStillMs));
+		steps.push(
+			{atMs, action: {type: 'signal', gateway: still, signal: 'SIGSTOP'}},
+			{atMs: withinHerdKill(atMs), action: {type: 'unregister', instance: number(instances)}},
+			{atMs: untilMs, action: {type: 'signal', gateway: still, signal: 'SIGCONT'}},
+		);
+		for (let gateway = 0; gateway < gateways; gateway++) {
+			if (gateway !== still) {
+				steps.push({atMs: killedAtMs, action: {type: 'signal', gateway, signal: 'SIGKILL'}});
+			}
+		}
+	};
+
 	const removalDraws: ReadonlyArray<(atMs: number) => void> = [
 		atMs => steps.push({atMs, action: {type: 'unregister', instance: number(instances)}}),
-		atMs => {
-			const still = number(gateways);
-			const killedAtMs = withinHerdKill(atMs);
-			const untilMs = Math.min(lastMs, atMs + herdKills.leastStillMs + number(herdKills.spreadStillMs));
-			steps.push(
-				{atMs, action: {type: 'signal', gateway: still, signal: 'SIGSTOP'}},
-				{atMs: withinHerdKill(atMs), action: {type: 'unregister', instance: number(instances)}},
-				{atMs: untilMs, action: {type: 'signal', gateway: still, signal: 'SIGCONT'}},
-			);
-			for (let gateway = 0; gateway < gateways; gateway++) {
-				if (gateway !== still) {
-					steps.push({atMs: killedAtMs, action: {type: 'signal', gateway, signal: 'SIGKILL'}});
-				}
-			}
-		},
+		addHerdKill,
 	];
 	const allDraws = [...draws, ...(ends ? endDraws : []), ...(eras ? eraDraws : []), ...(removals ? removalDraws : [])];
 
@@ -185,5 +187,10 @@
 		steps.push({atMs: firstFaultMs + (random.next() * (lastMs - firstFaultMs)), action: {type: 'signal-all', signal: pick(['SIGKILL', 'SIGTERM'] as const)}});
 	}
 
+	if (removals) {
+		// What is missed just before the calm has no later fault to heal it.
+		addHerdKill(Math.max(firstFaultMs, lastMs - herdKills.leastStillMs));
+	}
+
 	return steps.toSorted((left, right) => left.atMs - right.atMs);
 };
--- a/test/platform/soak/soak.test.ts
+++ b/test/platform/soak/soak.test.ts
@@ -68,9 +68,10 @@
 		expect(served).to.be.above(0);
 	});
 
-	it('shows no flaw under seed 5 with instances that leave without a word while gateways stand still and are killed', async () => {
+	// An instance that had left was in use again from a gateway that stood still while the others were killed.
+	it('shows no flaw under seed 76104 with instances that leave without a word while gateways stand still and are killed', async () => {
 		const {flaws, served, steps} = await runSoak({
-			...size, removals: true, seed: 5, file: await buildGateway(), network: `127.${networkPart}.5`, requestsPerSecond: 30,
+			gateways: 4, instances: 6, durationMs: 12_000, calmMs: 5000, removals: true, seed: 76_104, file: await buildGateway(), network: `127.${networkPart}.5`, requestsPerSecond: 40,
 		});
 		expect(steps.some(({action}) => action.type === 'unregister')).to.equal(true);
 		expect(flaws).to.deep.equal([]);
